--- /dev/null
+++ b/swiftdeck/__init__.py
@@ -0,0 +1,1 @@
+"""swiftdeck: a fleet of routers with an index of kept prompts."""
--- /dev/null
+++ b/swiftdeck/board/owner.py
@@ -0,0 +1,52 @@
+"""The owner of a table: works through a queue of commands, one at a time."""
+import asyncio
+import inspect
+import unittest
+
+from swiftdeck.sim.world import World
+
+
+class Owner:
+    """Runs commands in the order in which they were sent; nothing else changes its table."""
+
+    def __init__(self):
+        self.queue = asyncio.Queue()
+        self.task = asyncio.ensure_future(self._work())
+
+    def send(self, command, *args):
+        """Queue a command, a function or a coroutine function; gives a future of its result."""
+        done = asyncio.get_running_loop().create_future()
+        self.queue.put_nowait((command, args, done))
+        return done
+
+    async def _work(self):
+        while True:
+            command, args, done = await self.queue.get()
+            try:
+                got = command(*args)
+                got = await got if inspect.isawaitable(got) else got
+                if not done.done():
+                    done.set_result(got)
+            except asyncio.CancelledError:
+                raise
+            except Exception as error:
+                if done.done():
+                    raise
+                done.set_exception(error)
+
+
+class OwnerTest(unittest.TestCase):
+    def testCommandsDoNotOverlap(self):
+        world, seen = World(), []
+
+        async def slow(name):
+            seen.append(name)
+            await asyncio.sleep(1)
+            seen.append(name)
+
+        async def main():
+            owner = Owner()
+            await asyncio.gather(owner.send(slow, "a"), owner.send(slow, "b"))
+        world.start("p", "10.0.0.1", main)
+        world.run(5)
+        self.assertEqual(seen, ["a", "a", "b", "b"])
--- /dev/null
+++ b/swiftdeck/chain/chain.py
@@ -0,0 +1,360 @@
+"""The chain: writes enter at the head, are synced at each member, and are answered from the tail."""
+import asyncio
+
+import attrs
+import msgspec
+
+from swiftdeck.board.owner import Owner
+from swiftdeck.chain.state import ChainState
+from swiftdeck.disk.journal import Journal
+from swiftdeck.fault import (BAD_FRAME, DAMAGED, DISK_FAILED, DISK_FULL, DISK_SLOW, GAP, NO_VIEW, NOT_HEAD, NOT_TAIL,
+                             OLD_VIEW, UNKNOWN_CHANGE, isFault)
+from swiftdeck.wire.messages import (ChainEntry, ConfigAsk, ConfigReturn, CopyAsk, CopyReturn, LicenceAsk,
+                                     LicenceReturn, Nudge, OutcomeAsk, OutcomeReturn, Pass, PassReturn, Write,
+                                     WriteReturn)
+
+PASS_ENTRIES, PASS_BYTES, KEPT_ENTRIES = 256, 4 << 20, 4096
+
+
+@attrs.define
+class Holder:
+    """A router that may hold a licence for a configuration."""
+
+    addr: str
+    untilS: float
+    held: int
+
+
+class Chain:
+    """One core's copy of the control state and its place in the chain."""
+
+    def __init__(self, folder, mesh, agreement, board, licenceMs=4000, rewriteBytes=1 << 20):
+        self.journal = Journal(folder, "chain.log")
+        self.mesh, self.agreement, self.board = mesh, agreement, board
+        self.licenceMs, self.rewriteBytes = licenceMs, rewriteBytes
+        self.state, self.serial, self.entries = ChainState(), 0, {}
+        self.fault, self.needsCopy = None, False
+        self.wholeIn, self.lastIn, self.wholeSinceS = 0, 0, 0.0
+        self.incoming, self.committers, self.holders = [], [], {}
+        self.nextLast, self.nextIn, self.passFailedS = None, 0, None
+        self.lastWriteS = None
+        agreement.watchers.append(self.onView)
+        agreement.troubles.append(self.trouble)
+        for kind, handler in ((Write, self.onWrite), (Pass, self.onPass), (CopyAsk, self.onCopyAsk),
+                              (OutcomeAsk, self.onOutcomeAsk), (ConfigAsk, self.onConfigAsk),
+                              (LicenceAsk, self.onLicenceAsk)):
+            mesh.on(kind, handler)
+
+    async def start(self):
+        """Read what was kept, and go on passing entries down."""
+        self.loop = asyncio.get_running_loop()
+        self.owner, self.kick = Owner(), asyncio.Event()
+        self._load()
+        self.onView(self.agreement.decided)
+        self.task = asyncio.ensure_future(self._passing())
+
+    def _load(self):
+        try:
+            records = self.journal.load()
+        except OSError as error:
+            records = DISK_FAILED.because(error)
+        if isFault(records):
+            self.fault, self.needsCopy = records, True
+            return
+        for record in records:
+            if record["k"] == "state":
+                self.state.fromBytes(record["state"])
+                self.serial, self.entries = record["n"], {}
+            else:
+                self._apply(record["n"], record["b"])
+        known = self.agreement.decided
+        if known.number > 1 and not records and self.agreement.position() >= 0:
+            self.fault, self.needsCopy = DAMAGED.because("chain.log is missing"), True
+
+    def trouble(self):
+        """Why this member should leave the chain, empty when it need not."""
+        if self.journal.stallMs() > 1000:
+            return f"{DISK_SLOW.code} {DISK_SLOW.name}"
+        return f"{self.fault.code} {self.fault.reason}" if self.fault is not None else ""
+
+    def onView(self, view):
+        """Start over in a new view."""
+        self.nextLast, self.nextIn, self.passFailedS = None, view.number, None
+        if self.agreement.position() == 0 and not self.needsCopy:
+            self._becomeWhole()
+        self.kick.set()
+
+    def _becomeWhole(self):
+        view = self.agreement.decided.number
+        if self.wholeIn != view:
+            staysLast = self.isLast() and self.lastIn == self.wholeIn == view - 1 > 0
+            self.wholeIn = view
+            if not staysLast:
+                self.wholeSinceS, self.holders = self.loop.time(), {}
+            self.lastIn = view if self.isLast() else 0
+
+    def isFirst(self):
+        return self.agreement.position() == 0
+
+    def isLast(self):
+        members = self.agreement.decided.members
+        return bool(members) and self.agreement.position() == len(members) - 1
+
+    def isWhole(self):
+        """Whether this member has all that the chain before it had at the start of the view."""
+        return self.wholeIn == self.agreement.decided.number > 0 and not self.needsCopy
+
+    def mayAnswer(self):
+        """Whether this is the tail and may speak for the chain now."""
+        return self.isLast() and self.isWhole() and self.agreement.mayServe()
+
+    def _apply(self, serial, body):
+        self.state.apply(msgspec.msgpack.decode(body))
+        self.serial = serial
+        self.entries[serial] = body
+        while len(self.entries) > KEPT_ENTRIES:
+            del self.entries[next(iter(self.entries))]
+
+    async def onWrite(self, ask, sender):
+        if not self.isFirst() or not self.agreement.mayServe() or not self.isWhole():
+            return NOT_HEAD
+        if len(self.agreement.decided.members) < 2:
+            return NO_VIEW.because("one member alone acknowledges nothing")
+        if self.fault is not None:
+            return self.fault
+        try:
+            change = msgspec.msgpack.decode(ask.body)
+            change["t"]
+        except (msgspec.DecodeError, KeyError, TypeError) as error:
+            return BAD_FRAME.because(error)
+        done = self.loop.create_future()
+        self.incoming.append((change, done))
+        self.owner.send(self._takeIncoming)
+        return await done
+
+    async def _takeIncoming(self):
+        taken, self.incoming = self.incoming, []
+        if not taken:
+            return
+        view, waiting = self.agreement.decided.number, []
+        for change, done in taken:
+            got = self._takeOne(change)
+            if isFault(got):
+                self._finish(done, got)
+            else:
+                waiting.append((done, WriteReturn(serial=self.serial, view=view)))
+        if await self._sync():
+            [self._finish(done, got) for done, got in waiting]
+            self.kick.set()
+        else:
+            [self._finish(done, OLD_VIEW.because("synced nowhere")) for done, _ in waiting]
+
+    @staticmethod
+    def _finish(done, got):
+        if not done.done():
+            done.set_result(got)
+
+    def _takeOne(self, change):
+        try:
+            entry = self.state.examine(change)
+        except (KeyError, TypeError, ValueError) as error:
+            return BAD_FRAME.because(repr(error))
+        if entry is None or isFault(entry):
+            return entry
+        if entry["t"] == "claims":
+            nowS = self.loop.time()
+            entry["elapsedMs"] = int((nowS - (self.lastWriteS or nowS)) * 1000)
+            self.lastWriteS = nowS
+        return self._append(self.serial + 1, msgspec.msgpack.encode(entry))
+
+    def _append(self, serial, body):
+        try:
+            self.journal.append({"k": "e", "n": serial, "b": body})
+        except OSError as error:
+            self._fail(error)
+            return self.fault
+        self._apply(serial, body)
+        return None
+
+    def _fail(self, error):
+        self.fault = (DISK_FULL if error.errno == 28 else DISK_FAILED).because(error)
+        self.board.put("disk", self.fault.name)
+
+    async def _sync(self):
+        try:
+            await self.journal.sync()
+            if self.journal.size > self.rewriteBytes:
+                await self._rewrite()
+            return True
+        except OSError as error:
+            self._fail(error)
+            return False
+
+    async def _rewrite(self):
+        data = self.state.toBytes()
+        await self.journal.rewrite([{"k": "state", "n": self.serial, "state": data}])
+        self.rewriteBytes = max(1 << 20, 4 * len(data))
+        self.board.count["rewrites"] += 1
+
+    async def heal(self):
+        """After a fault of the disk: try to write the whole state anew."""
+        if self.fault is not None and not self.needsCopy and self.fault.code != DAMAGED.code:
+            try:
+                await self.owner.send(self._rewrite)
+                self.fault = None
+                self.board.put("disk", "good")
+            except OSError as error:
+                self._fail(error)
+
+    async def _passing(self):
+        while True:
+            try:
+                await asyncio.wait_for(self.kick.wait(), 0.25)
+            except TimeoutError:
+                pass
+            self.kick.clear()
+            while await self._passOn():
+                pass
+
+    async def _passOn(self):
+        view, at = self.agreement.decided, self.agreement.position()
+        if at < 0 or at + 1 >= len(view.members) or not self.isWhole() or self.fault is not None:
+            return False
+        start = self.serial if self.nextLast is None else self.nextLast
+        entries, size = [], 0
+        for serial in range(start + 1, self.serial + 1):
+            if serial not in self.entries or len(entries) >= PASS_ENTRIES or size > PASS_BYTES:
+                break
+            entries.append(ChainEntry(serial=serial, body=self.entries[serial]))
+            size += len(self.entries[serial])
+        ask = Pass(view=view.number, entries=entries, last=self.serial)
+        got = await self.mesh.ask(view.members[at + 1].addr, ask, 1500)
+        if view is not self.agreement.decided:
+            return True
+        if isFault(got):
+            self.passFailedS = self.passFailedS or self.loop.time()
+            return False
+        self.passFailedS, before, self.nextLast = None, self.nextLast, got.last
+        return got.last < self.serial and got.last != before
+
+    async def onPass(self, ask, sender):
+        return await self.owner.send(self._takePass, ask, sender)
+
+    async def _takePass(self, ask, sender):
+        view, at = self.agreement.decided, self.agreement.position()
+        if ask.view != view.number or at < 1 or view.members[at - 1].addr != sender:
+            return OLD_VIEW.because(f"pass in view {ask.view}, here {view.number}")
+        if self.needsCopy or (ask.entries and ask.entries[0].serial > self.serial + 1) or self.serial > ask.last:
+            got = await self._copyFrom(sender)
+            if isFault(got):
+                return got
+        fresh = [entry for entry in ask.entries if entry.serial > self.serial]
+        for entry in fresh:
+            if entry.serial != self.serial + 1:
+                return GAP.because(f"{entry.serial} after {self.serial}")
+            if isFault(self._append(entry.serial, entry.body)):
+                return self.fault
+        if fresh and not await self._sync():
+            return self.fault
+        if ask.view != self.agreement.decided.number:
+            return OLD_VIEW
+        if self.fault is not None:
+            return self.fault
+        if self.serial >= ask.last:
+            self._becomeWhole()
+        self.kick.set()
+        self._wakeCommitters()
+        return PassReturn(last=self.serial)
+
+    def _wakeCommitters(self):
+        waiting, self.committers = self.committers, []
+        [done.set_result(None) for done in waiting if not done.done()]
+        if self.isLast():
+            [self.mesh.tell(holder.addr, Nudge(version=self.state.stored.version)) for holder in self.holders.values()
+             if holder.held < self.state.stored.version and holder.untilS > self.loop.time()]
+
+    def onCopyAsk(self, ask, sender):
+        if not self.isWhole() or self.fault is not None or self.agreement.position() < 0:
+            return NOT_TAIL
+        return CopyReturn(serial=self.serial, state=self.state.toBytes(), view=self.agreement.decided.number)
+
+    async def _copyFrom(self, addr):
+        got = await self.mesh.ask(addr, CopyAsk(coreId=self.agreement.coreId), 5000)
+        if isFault(got):
+            return got
+        try:
+            fresh = ChainState()
+            fresh.fromBytes(got.state)
+            await self.journal.rewrite([{"k": "state", "n": got.serial, "state": got.state}])
+        except OSError as error:
+            self._fail(error)
+            return self.fault
+        except msgspec.DecodeError as error:
+            return DAMAGED.because(error)
+        self.state, self.serial, self.entries = fresh, got.serial, {}
+        self.fault, self.needsCopy = None, False
+        self.board.count["copies"] += 1
+        self.board.put("disk", "good")
+        return got
+
+    async def copyFrom(self, addr):
+        """Take the whole state of a member over; gives its return or a fault."""
+        return await self.owner.send(self._copyFrom, addr)
+
+    async def onOutcomeAsk(self, ask, sender):
+        endS = self.loop.time() + min(ask.waitMs, 30000) / 1000
+        while True:
+            if not self.mayAnswer():
+                return NOT_TAIL
+            found = self._outcome(ask.changeId)
+            if found is not None:
+                return found
+            if self.loop.time() >= endS:
+                return UNKNOWN_CHANGE.because(ask.changeId)
+            await self._awaitCommit(endS)
+
+    def _outcome(self, changeId):
+        stored = self.state.stored
+        if changeId in stored.batches:
+            return OutcomeReturn(results=stored.batches[changeId])
+        change = stored.changes.get(changeId)
+        return OutcomeReturn(version=change[0]) if change and self.isInForce(change[0]) else None
+
+    async def _awaitCommit(self, endS):
+        done = self.loop.create_future()
+        self.committers.append(done)
+        await asyncio.wait([done], timeout=min(0.1, max(0.001, endS - self.loop.time())))
+
+    def isInForce(self, version):
+        """Whether every router that may hold a licence has confirmed a version; without knowledge, all may."""
+        nowS = self.loop.time()
+        view = self.agreement
+        serveS = view.learntS + (view.licenceMs / 1000 * 1.05 if view.dropped else 0)
+        if nowS < max(self.wholeSinceS, serveS if self.wholeSinceS >= view.learntS else 0) + self.licenceMs / 1000:
+            return False
+        return all(holder.held >= version or holder.untilS <= nowS for holder in self.holders.values())
+
+    def onConfigAsk(self, ask, sender):
+        if not self.mayAnswer():
+            return NOT_TAIL
+        return ConfigReturn(version=self.state.stored.version, document=self.state.stored.document)
+
+    def onLicenceAsk(self, ask, sender):
+        if not self.mayAnswer():
+            return NOT_TAIL
+        nowS, stored = self.loop.time(), self.state.stored
+        if ask.handBack:
+            self.holders.pop(ask.router, None)
+            self._wakeCommitters()
+            return LicenceReturn(version=stored.version)
+        if ask.held > stored.version:
+            return OLD_VIEW.because("router knows a newer version")
+        old = self.holders.get(ask.router)
+        held = max(ask.held, old.held if old else 0)
+        self.holders[ask.router] = Holder(ask.addr, nowS + self.licenceMs / 1000, held)
+        self.holders = {name: each for name, each in self.holders.items() if each.untilS > nowS}
+        if held >= stored.version:
+            self._wakeCommitters()
+        document = stored.document if ask.held < stored.version else b""
+        return LicenceReturn(licenceMs=self.licenceMs, version=stored.version, document=document,
+                             view=self.agreement.decided.number)
--- /dev/null
+++ b/swiftdeck/chain/scribe.py
@@ -0,0 +1,82 @@
+"""Takes a change to the head and its outcome from the tail."""
+import asyncio
+
+import msgspec
+
+from swiftdeck.fault import (NO_VIEW, NOT_HEAD, NOT_TAIL, OLD_VIEW, TIMED_OUT, UNDECIDED, UNKNOWN_CHANGE, UNREACHABLE,
+                             isFault)
+from swiftdeck.wire.messages import OutcomeAsk, Write
+
+NEVER_TAKEN = {UNREACHABLE.code, NOT_HEAD.code, NO_VIEW.code}
+FINAL = range(200, 202)
+
+
+class Scribe:
+    """Writes through the chain; what may have been taken is undecided until the tail knows, never refused."""
+
+    def __init__(self, mesh, chart):
+        self.mesh, self.chart = mesh, chart
+
+    async def write(self, changeId: str, change: dict, horizonMs=8000):
+        """The outcome of a change, a refusal, or undecided."""
+        loop = asyncio.get_running_loop()
+        endS = loop.time() + horizonMs / 1000
+        body = msgspec.msgpack.encode(change | {"id": changeId})
+        mayBeTaken, last = False, NO_VIEW
+        while loop.time() < endS:
+            leftMs = int((endS - loop.time()) * 1000) + 1
+            head = self.chart.head()
+            got = NO_VIEW if head is None else await self.mesh.ask(head, Write(changeId=changeId, body=body),
+                                                                   min(2000, leftMs))
+            if not isFault(got):
+                mayBeTaken = True
+                outcome = await self.outcome(changeId, max(1, int((endS - loop.time()) * 1000)))
+                if not isFault(outcome) or outcome.code != UNKNOWN_CHANGE.code:
+                    return outcome if not isFault(outcome) else UNDECIDED.because(changeId)
+                continue
+            if got.code in (200, 201, 204, 402):
+                return got if not mayBeTaken or got.code == 204 else await self._settle(changeId, got, endS)
+            mayBeTaken = mayBeTaken or got.code not in NEVER_TAKEN
+            last = got
+            self.chart.refresh()
+            await asyncio.sleep(0.1)
+        return UNDECIDED.because(f"{changeId}: {last.reason or last.name}") if mayBeTaken else NO_VIEW.because(last.name)
+
+    async def _settle(self, changeId, refusal, endS):
+        loop = asyncio.get_running_loop()
+        got = await self.outcome(changeId, max(1, min(2000, int((endS - loop.time()) * 1000))))
+        if isFault(got) and got.code == UNKNOWN_CHANGE.code:
+            return refusal
+        return got if not isFault(got) else UNDECIDED.because(changeId)
+
+    async def outcome(self, changeId: str, horizonMs=2000):
+        """What the tail knows of a change: its outcome, an unknown change, or undecided."""
+        loop = asyncio.get_running_loop()
+        endS, last = loop.time() + horizonMs / 1000, NOT_TAIL
+        while loop.time() < endS:
+            leftMs = max(1, int((endS - loop.time()) * 1000))
+            tail, waitMs = self.chart.tail(), min(1000, leftMs)
+            got = NOT_TAIL if tail is None else await self.mesh.ask(
+                tail, OutcomeAsk(changeId=changeId, waitMs=max(1, waitMs - 100)), waitMs + 200)
+            if not isFault(got):
+                return got
+            last = got
+            if got.code == UNKNOWN_CHANGE.code and leftMs <= 1100:
+                return got
+            if got.code != UNKNOWN_CHANGE.code:
+                self.chart.refresh()
+                await asyncio.sleep(0.05)
+        return last if last.code == UNKNOWN_CHANGE.code else UNDECIDED.because(changeId)
+
+    async def readTail(self, ask, horizonMs=3000):
+        """Ask the tail, wherever it is now."""
+        loop = asyncio.get_running_loop()
+        endS, got = loop.time() + horizonMs / 1000, NOT_TAIL
+        while loop.time() < endS:
+            tail = self.chart.tail()
+            got = NOT_TAIL if tail is None else await self.mesh.ask(tail, ask, 1000)
+            if not isFault(got) or got.code not in (NOT_TAIL.code, UNREACHABLE.code, TIMED_OUT.code, OLD_VIEW.code):
+                return got
+            self.chart.refresh()
+            await asyncio.sleep(0.1)
+        return got
--- /dev/null
+++ b/swiftdeck/chain/state.py
@@ -0,0 +1,139 @@
+"""What the chain keeps: the configuration, outcomes of changes, and once-only claims."""
+import hashlib
+import unittest
+
+import msgspec
+
+from swiftdeck.config.document import merge, readDocument
+from swiftdeck.fault import INVALID, LOST_RACE, REUSED_CHANGE, isFault
+
+CHANGES_KEPT, BATCHES_KEPT = 5000, 500
+CLAIM, FINISH, RELEASE = 0, 1, 2
+HELD, OVER = "claimed", "finished"
+
+
+class Stored(msgspec.Struct):
+    """The state in the form that is copied and written to disk."""
+
+    version: int = 0
+    document: bytes = b"{}"
+    elapsedMs: int = 0
+    changes: dict[str, list] = {}
+    batches: dict[str, list] = {}
+    claims: dict[str, list] = {}
+
+
+class ChainState:
+    """A deterministic machine: the same entries in the same order give the same state at each member."""
+
+    def __init__(self, finishedMs=600000, heldMs=3600000):
+        self.stored = Stored()
+        self.finishedMs, self.heldMs = finishedMs, heldMs
+
+    def toBytes(self) -> bytes:
+        """The whole state."""
+        return msgspec.msgpack.encode(self.stored)
+
+    def fromBytes(self, data: bytes):
+        """Take a whole state over."""
+        self.stored = msgspec.msgpack.decode(data, type=Stored)
+
+    def examine(self, change: dict):
+        """Turn an asked change into an entry, None when it was made already, or a fault; only the head does this."""
+        if change["t"] != "config":
+            return change
+        digest = hashlib.sha256(msgspec.json.encode([change[name] for name in ("base", "op", "document")])).hexdigest()
+        old = self.stored.changes.get(change["id"])
+        if old:
+            return None if old[1] == digest else REUSED_CHANGE.because(change["id"])
+        if change["base"] != self.stored.version:
+            return LOST_RACE.because(f"base {change['base']}, newest {self.stored.version}")
+        if change["op"] == "patch":
+            wanted = merge(msgspec.json.decode(self.stored.document), change["document"])
+        else:
+            wanted = change["document"]
+        data = msgspec.json.encode(wanted)
+        checked = readDocument(data)
+        if isFault(checked):
+            return checked
+        return {"t": "config", "id": change["id"], "digest": digest, "version": self.stored.version + 1,
+                "author": change.get("author", ""), "document": data}
+
+    def apply(self, entry: dict):
+        """Take one entry in."""
+        stored = self.stored
+        if entry["t"] == "config":
+            stored.version, stored.document = entry["version"], bytes(entry["document"])
+            stored.changes[entry["id"]] = [entry["version"], entry["digest"], entry["author"]]
+            self._bound(stored.changes, CHANGES_KEPT)
+        elif entry["t"] == "claims":
+            stored.elapsedMs += entry["elapsedMs"]
+            if entry["id"] not in stored.batches:
+                stored.batches[entry["id"]] = [self._claim(*each) for each in entry["ops"]]
+                self._bound(stored.batches, BATCHES_KEPT)
+            self._expire()
+
+    def _claim(self, key, run, digest, op):
+        held = self.stored.claims.get(key)
+        if op == CLAIM:
+            if held and held[0] != run:
+                return held[2] if held[1] == digest else "other body"
+            self.stored.claims[key] = held or [run, digest, HELD, self.stored.elapsedMs]
+            return ""
+        if held and held[0] == run:
+            if op == RELEASE:
+                del self.stored.claims[key]
+            else:
+                self.stored.claims[key] = [run, digest, OVER, self.stored.elapsedMs]
+        return ""
+
+    def _expire(self):
+        claims = self.stored.claims
+        for key in list(claims)[:64]:
+            _, _, state, sinceMs = claims[key]
+            if self.stored.elapsedMs - sinceMs > (self.finishedMs if state == OVER else self.heldMs):
+                del claims[key]
+            else:
+                claims[key] = claims.pop(key)
+
+    @staticmethod
+    def _bound(table, limit):
+        while len(table) > limit:
+            del table[next(iter(table))]
+
+
+class ChainStateTest(unittest.TestCase):
+    def change(self, state, **fields):
+        entry = state.examine({"t": "config", "op": "put", "author": "x"} | fields)
+        if entry and not isFault(entry):
+            state.apply(entry)
+        return entry
+
+    def testChangesBuildOnVersionsAndIdsCountOnce(self):
+        state = ChainState()
+        whole = {"models": {"m": {"weights": "w1"}}}
+        self.assertEqual(self.change(state, id="a", base=0, document=whole)["version"], 1)
+        self.assertIsNone(self.change(state, id="a", base=0, document=whole))
+        self.assertEqual(self.change(state, id="a", base=1, document=whole).code, REUSED_CHANGE.code)
+        self.assertEqual(self.change(state, id="b", base=0, document=whole).code, LOST_RACE.code)
+        self.assertEqual(self.change(state, id="c", base=1, op="patch", document={"models": {"m": {"cap": "x"}}}).code,
+                         INVALID.code)
+        self.change(state, id="d", base=1, op="patch", document={"models": {"m": {"weights": "w2"}}})
+        copy = ChainState()
+        copy.fromBytes(state.toBytes())
+        self.assertEqual((copy.stored.version, msgspec.json.decode(copy.stored.document)["models"]["m"]["weights"]), (2, "w2"))
+
+    def testAClaimIsHeldByOneRunUntilItsTimeIsCountedOut(self):
+        state = ChainState(finishedMs=100)
+
+        def batch(name, elapsedMs, *ops):
+            state.apply({"t": "claims", "id": name, "elapsedMs": elapsedMs, "ops": list(ops)})
+            return state.stored.batches[name]
+        self.assertEqual(batch("1", 0, ["k", "r1", "d", CLAIM], ["k", "r2", "d", CLAIM], ["k", "r3", "e", CLAIM]),
+                         ["", HELD, "other body"])
+        batch("2", 0, ["k", "r2", "d", RELEASE])
+        self.assertEqual(batch("3", 0, ["k", "r2", "d", CLAIM]), [HELD])
+        batch("4", 0, ["k", "r1", "d", FINISH])
+        self.assertEqual(batch("5", 50, ["k", "r2", "d", CLAIM]), [OVER])
+        batch("6", 60)
+        self.assertEqual(batch("7", 0, ["k", "r2", "d", CLAIM]), [""])
--- /dev/null
+++ b/swiftdeck/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process and configurations of the fleet, checked by msgspec."""
--- /dev/null
+++ b/swiftdeck/config/settings.py
@@ -0,0 +1,93 @@
+"""The settings of a process: a TOML file or flags, checked, with a default for each but the addresses."""
+import ipaddress
+import tomllib
+import unittest
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from swiftdeck.fault import BAD_SETTING, isFault
+
+Ms = Annotated[int, msgspec.Meta(ge=10, le=600000)]
+
+
+class Settings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Where a process stands and how it keeps time; every duration is in milliseconds."""
+
+    name: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,63}$")]
+    inner: str
+    http: str
+    seeds: list[str] = []
+    zone: str = "z1"
+    dataFolder: str = ""
+    platform: str = ""
+    store: str = ""
+    cores: Annotated[int, msgspec.Meta(ge=3, le=3)] = 3
+    operatorKey: str = ""
+    probeMs: Ms = 500
+    suspectMs: Ms = 2000
+    viewLicenceMs: Ms = 2000
+    configLicenceMs: Ms = 4000
+    dutyLicenceMs: Ms = 3000
+    listMs: Ms = 500
+    listOldMs: Ms = 2500
+    holdMs: Ms = 500
+    holdLicenceMs: Ms = 3000
+    grantMs: Ms = 1500
+    stopMs: Ms = 20000
+    virtualPlaces: Annotated[int, msgspec.Meta(ge=1, le=2000)] = 128
+    placesWeighed: Annotated[int, msgspec.Meta(ge=1, le=16)] = 3
+    budgetShare: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
+    budgetExtra: Annotated[int, msgspec.Meta(ge=0, le=1000)] = 3
+    callsOpen: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 2000
+    bodyBytes: Annotated[int, msgspec.Meta(ge=1024, le=64 << 20)] = 4 << 20
+    partsMost: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 2000
+
+    def faults(self):
+        """What is wrong beyond the types."""
+        for name in ("inner", "http"):
+            yield from self._addrFaults(name, getattr(self, name))
+        for at, seed in enumerate(self.seeds):
+            yield from self._addrFaults(f"seeds[{at}]", seed)
+        for name in ("platform", "store"):
+            if getattr(self, name):
+                yield from self._addrFaults(name, getattr(self, name))
+        if self.configLicenceMs <= self.viewLicenceMs:
+            yield "configLicenceMs: must be above viewLicenceMs"
+        if self.inner == self.http:
+            yield "http: is the same as inner"
+
+    @staticmethod
+    def _addrFaults(name, addr):
+        ip, _, port = addr.rpartition(":")
+        try:
+            ipaddress.ip_address(ip)
+            if not 0 < int(port) < 65536:
+                raise ValueError("port out of range")
+        except ValueError as error:
+            yield f"{name}: `{addr}` is not IP:PORT ({error})"
+
+
+def readSettings(path: str = "", flags: dict | None = None):
+    """Checked settings from a file, from flags, or from both, the flags going first; or a fault."""
+    try:
+        values = tomllib.loads(Path(path).read_text()) if path else {}
+        values |= {name: value for name, value in (flags or {}).items() if value not in (None, [], "")}
+        settings = msgspec.convert(values, Settings)
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.ValidationError) as error:
+        return BAD_SETTING.because(f"{path}: {error}" if path else error)
+    first = next(settings.faults(), None)
+    return settings if first is None else BAD_SETTING.because(first)
+
+
+class SettingsTest(unittest.TestCase):
+    def testEachFaultIsNamed(self):
+        good = {"name": "r1", "inner": "127.0.0.1:7000", "http": "127.0.0.1:8000"}
+        self.assertEqual(readSettings(flags=good).configLicenceMs, 4000)
+        for wrong, word in [({"inner": "localhost:1"}, "inner"), ({"seeds": ["127.0.0.1"]}, "seeds[0]"),
+                            ({"probeMs": "fast"}, "probeMs"), ({"foo": 1}, "foo"), ({"http": "127.0.0.1:7000"}, "http"),
+                            ({"configLicenceMs": 1000}, "configLicenceMs")]:
+            fault = readSettings(flags=good | wrong)
+            self.assertTrue(isFault(fault))
+            self.assertIn(word, fault.reason)
--- /dev/null
+++ b/swiftdeck/control/__init__.py
@@ -0,0 +1,1 @@
+"""The library of the control plane."""
--- /dev/null
+++ b/swiftdeck/control/core.py
@@ -0,0 +1,81 @@
+"""A core process: a member of the chain, a voter, and a door for operators."""
+import asyncio
+
+from swiftdeck.chain.agreement import Agreement
+from swiftdeck.chain.chain import Chain
+from swiftdeck.chain.chart import Chart
+from swiftdeck.chain.mender import Mender
+from swiftdeck.chain.scribe import Scribe
+from swiftdeck.control.node import Node
+from swiftdeck.control.operators import Operators
+from swiftdeck.duty.ballots import Ballots
+from swiftdeck.fault import DAMAGED, isFault
+from swiftdeck.http.server import HttpServer
+
+
+class Core(Node):
+    """One of three machines with a disk that keep the control state."""
+
+    def __init__(self, settings, folder, random, log=None):
+        super().__init__(settings, "core", random, log)
+        self.folder = folder
+        self.agreement = Agreement(folder, self.mesh, settings.inner, random, settings.viewLicenceMs, self.board)
+        self.chain = Chain(folder, self.mesh, self.agreement, self.board, settings.configLicenceMs)
+        self.ballots = Ballots(self.mesh, self.agreement, settings.dutyLicenceMs)
+        self.chart = Chart(self.mesh, self.membership, self.news)
+        self.scribe = Scribe(self.mesh, self.chart)
+        self.mender = Mender(self.me, self.mesh, self.membership, self.agreement, self.chain, self.board, random,
+                             settings.cores)
+        self.operators = Operators(self)
+        self.http = HttpServer(self.operators.handle, settings.bodyBytes * 4, note=self.board.note)
+        self.agreement.watchers.append(self.onView)
+
+    async def start(self):
+        """Come up with what the disk has, and join the fleet."""
+        fault = await self.agreement.start()
+        if isFault(fault) and fault.code == DAMAGED.code:
+            self.board.note("agreement damaged, begins as a new core", reason=fault.reason)
+            await self.agreement.journal.rewrite([])
+            fault = await self.agreement.start()
+        if isFault(fault):
+            return fault
+        self.me.coreId = self.agreement.coreId
+        await self.mesh.start()
+        await self.chain.start()
+        self.ballots.start()
+        self.membership.start()
+        self.news.start()
+        self.chart.learn(self.agreement.decided)
+        self.chart.start()
+        self.mender.start()
+        ip, _, port = self.settings.http.rpartition(":")
+        await self.http.start(ip, int(port))
+        self.board.note("core started", coreId=self.agreement.coreId, addr=self.settings.inner)
+        return None
+
+    def onView(self, view):
+        """Tell the fleet of a new view."""
+        self.chart.learn(view)
+        self.news.post("view", view.number, bytes(view))
+
+    async def stop(self):
+        """Finish what operators asked, then leave."""
+        self.http.stop()
+        endS = asyncio.get_running_loop().time() + 2
+        while self.http.open and asyncio.get_running_loop().time() < endS:
+            await asyncio.sleep(0.05)
+        self.mesh.close()
+
+    def status(self):
+        """What doctor and operators want to know of this process."""
+        view, chain = self.agreement.decided, self.chain
+        return {
+            "name": self.me.name, "role": "core", "zone": self.me.zone, "coreId": self.agreement.coreId,
+            "view": {"number": view.number, "members": [ref.addr for ref in view.members],
+                     "voters": [ref.addr for ref in view.voters]},
+            "position": self.agreement.position(), "mayServe": self.agreement.mayServe(), "whole": chain.isWhole(),
+            "serial": chain.serial, "version": chain.state.stored.version, "trouble": self.agreement.trouble(),
+            "diskFreeBytes": self.folder.freeBytes(), "logBytes": chain.journal.size,
+            "claims": len(chain.state.stored.claims), "licences": len(chain.holders),
+            "neighbours": self.neighbours(), "seeds": self.membership.seeds, "counters": self.counters(),
+        }
--- /dev/null
+++ b/swiftdeck/control/node.py
@@ -0,0 +1,35 @@
+"""What every process of the fleet has: mesh, neighbours, news, board."""
+from swiftdeck.board.board import Board
+from swiftdeck.member.membership import Membership
+from swiftdeck.member.news import NewsTable
+from swiftdeck.wire.mesh import Mesh
+from swiftdeck.wire.messages import Member
+
+
+class Node:
+    """The parts that a core and a router share."""
+
+    def __init__(self, settings, role, random, log=None):
+        self.settings, self.random = settings, random
+        self.board = Board(log)
+        self.mesh = Mesh(settings.inner, self.board.note)
+        self.me = Member(addr=settings.inner, name=settings.name, role=role, zone=settings.zone,
+                         httpAddr=settings.http, incarnation=random.getrandbits(62) + 1)
+        self.membership = Membership(self.me, self.mesh, settings.seeds, random, settings.probeMs,
+                                     settings.suspectMs, self.board)
+        self.news = NewsTable(self.mesh, self.membership)
+
+    async def startNode(self):
+        """Listen, join and follow the news."""
+        await self.mesh.start()
+        self.membership.start()
+        self.news.start()
+
+    def counters(self):
+        """All counters of the process by name."""
+        return dict(self.board.count + self.mesh.count)
+
+    def neighbours(self):
+        """The neighbours in their outward form."""
+        return [{"name": each.name, "role": each.role, "zone": each.zone, "addr": each.addr, "http": each.httpAddr,
+                 "state": ("alive", "suspect", "gone")[each.state]} for each in self.membership.everyone()]
--- /dev/null
+++ b/swiftdeck/control/operators.py
@@ -0,0 +1,116 @@
+"""The operators' HTTP API of a core: changes in, configuration and status out."""
+import msgspec
+
+from swiftdeck.fault import (BAD_METHOD, BAD_OPERATOR, BAD_REQUEST, LOST_RACE, NOT_FOUND, UNKNOWN_CHANGE, isFault)
+from swiftdeck.wire.messages import ConfigAsk
+
+
+class Operators:
+    """Answers operators; each change has an id, a base version and an author."""
+
+    def __init__(self, core):
+        self.core = core
+
+    async def handle(self, exchange):
+        """One exchange with an operator."""
+        key = self.core.settings.operatorKey
+        if key and exchange.headers.get("authorization") != f"Bearer {key}":
+            return BAD_OPERATOR
+        self.core.board.count["operatorExchanges"] += 1
+        path, method = exchange.path.rstrip("/"), exchange.method
+        if path == "/v1/config":
+            return await self._config(exchange, method)
+        if path == "/v1/changes" and method == "POST":
+            return await self._stream(exchange)
+        if path.startswith("/v1/changes/") and method == "GET":
+            return await self._outcome(exchange, path.rsplit("/", 1)[1])
+        if path == "/v1/status" and method == "GET":
+            return await exchange.give(200, self.core.status())
+        if path == "/v1/counters" and method == "GET":
+            return await exchange.give(200, self.core.counters())
+        if path == "/v1/seeds" and method == "PUT":
+            return await self._seeds(exchange)
+        return BAD_METHOD if path in ("/v1/changes", "/v1/status", "/v1/counters", "/v1/seeds") else NOT_FOUND
+
+    async def _config(self, exchange, method):
+        if method == "GET":
+            got = await self.core.scribe.readTail(ConfigAsk())
+            if isFault(got):
+                return got
+            document = msgspec.json.decode(got.document or b"{}")
+            return await exchange.give(200, {"version": got.version, "document": document})
+        if method not in ("PUT", "PATCH"):
+            return BAD_METHOD
+        body = exchange.json()
+        if isFault(body):
+            return body
+        change = {"id": exchange.headers.get("change-id") or self._newId(), "op": "put" if method == "PUT" else "patch",
+                  "base": exchange.query.get("base"), "author": exchange.headers.get("author", ""), "document": body}
+        status, answer, headers = await self.change(change)
+        return await exchange.give(status, answer, headers)
+
+    def _newId(self):
+        return "%020x" % self.core.random.getrandbits(80)
+
+    async def change(self, asked):
+        """Put one change through the chain: (status, answer, headers)."""
+        fault = self._malformed(asked)
+        if fault is None:
+            entry = {"t": "config", "base": int(asked["base"]), "op": asked["op"],
+                     "author": asked.get("author", ""), "document": asked["document"]}
+            got = await self.core.scribe.write(asked["id"], entry)
+            if not isFault(got):
+                self.core.board.count["changesTaken"] += 1
+                return 200, {"code": 0, "changeId": asked["id"], "version": got.version}, []
+            fault = got
+        self.core.board.count["faults.%d" % fault.code] += 1
+        answer = fault.asBody()
+        if isinstance(asked, dict) and isinstance(asked.get("id"), str):
+            answer["changeId"] = asked["id"]
+        wait = [("retry-after", str(max(1, fault.retryMs // 1000)))] if fault.retryMs else []
+        return fault.status, answer, wait
+
+    def _malformed(self, asked):
+        if not isinstance(asked, dict):
+            return BAD_REQUEST.because("a change is an object")
+        unknown = set(asked) - {"id", "op", "base", "author", "document"}
+        if unknown:
+            return BAD_REQUEST.because(f"unknown field {min(unknown)}")
+        if asked.get("op") not in ("put", "patch"):
+            return BAD_REQUEST.because("op is put or patch")
+        if not isinstance(asked.get("id"), str) or not 0 < len(asked["id"]) <= 100:
+            return BAD_REQUEST.because("id is a text of 1 to 100 characters")
+        if not isinstance(asked.get("author", ""), str) or len(asked.get("author", "")) > 200:
+            return BAD_REQUEST.because("author is a text of at most 200 characters")
+        if not str(asked.get("base", "")).isdecimal() or len(str(asked["base"])) > 15:
+            return BAD_REQUEST.because("base is the version that the change builds on")
+        if not isinstance(asked.get("document"), dict):
+            return BAD_REQUEST.because("document is an object")
+        return None
+
+    async def _stream(self, exchange):
+        exchange.begin(200, [("content-type", "application/x-ndjson"), ("transfer-encoding", "chunked")])
+        for line in exchange.body.splitlines():
+            if line.strip():
+                try:
+                    asked = msgspec.json.decode(line)
+                    _, answer, _ = await self.change(({"id": self._newId()} | asked) if isinstance(asked, dict) else asked)
+                except (msgspec.DecodeError, RecursionError) as error:
+                    answer = BAD_REQUEST.because(f"line is not JSON: {error}").asBody()
+                await exchange.piece(msgspec.json.encode(answer) + b"\n")
+        exchange.finish()
+
+    async def _outcome(self, exchange, changeId):
+        got = await self.core.scribe.outcome(changeId, 1500)
+        if isFault(got):
+            return got
+        return await exchange.give(200, {"code": 0, "changeId": changeId, "version": got.version})
+
+    async def _seeds(self, exchange):
+        body = exchange.json()
+        if isFault(body):
+            return body
+        if not isinstance(body, list) or not all(isinstance(each, str) and ":" in each for each in body):
+            return BAD_REQUEST.because("seeds are a list of IP:PORT")
+        self.core.membership.setSeeds(body)
+        return await exchange.give(200, {"seeds": body})
--- /dev/null
+++ b/swiftdeck/disk/__init__.py
@@ -0,0 +1,1 @@
+"""Files of checksummed records."""
--- /dev/null
+++ b/swiftdeck/disk/folder.py
@@ -0,0 +1,95 @@
+"""The data folder of a real process."""
+import asyncio
+import os
+import tempfile
+import typing
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+
+class Folder(typing.Protocol):
+    """What a process asks of its disk."""
+
+    def read(self, name: str) -> bytes: ...
+    def append(self, name: str, data: bytes): ...
+    async def sync(self, name: str): ...
+    async def replace(self, name: str, data: bytes): ...
+    def truncate(self, name: str, length: int): ...
+    def freeBytes(self) -> int: ...
+
+
+class DataFolder:
+    """Files under one folder; syncing waits on one helper thread, so that a stalled disk does not silence the node."""
+
+    def __init__(self, path):
+        self.path = Path(path)
+        self.path.mkdir(parents=True, exist_ok=True)
+        self.files = {}
+        self.pool = ThreadPoolExecutor(1)
+
+    def read(self, name: str) -> bytes:
+        """All bytes of a file; empty when there is none."""
+        target = self.path / name
+        return target.read_bytes() if target.exists() else b""
+
+    def _open(self, name):
+        if name not in self.files:
+            self.files[name] = open(self.path / name, "ab", buffering=0)
+        return self.files[name]
+
+    def append(self, name: str, data: bytes):
+        """Add bytes to the end of a file."""
+        view = memoryview(data)
+        while view:
+            view = view[self._open(name).write(view):]
+
+    async def sync(self, name: str):
+        """Make a file last."""
+        await asyncio.get_running_loop().run_in_executor(self.pool, os.fsync, self._open(name).fileno())
+
+    async def replace(self, name: str, data: bytes):
+        """Put new contents in place of a file, whole or not at all."""
+        await asyncio.get_running_loop().run_in_executor(self.pool, self._replace, name, data)
+
+    def _replace(self, name, data):
+        fresh = self.path / (name + ".new")
+        with open(fresh, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        old = self.files.pop(name, None)
+        os.replace(fresh, self.path / name)
+        folder = os.open(self.path, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+        if old:
+            old.close()
+
+    def truncate(self, name: str, length: int):
+        """Cut a file off."""
+        os.truncate(self.path / name, length)
+
+    def freeBytes(self) -> int:
+        """Room left."""
+        room = os.statvfs(self.path)
+        return room.f_bavail * room.f_frsize
+
+
+class DataFolderTest(unittest.TestCase):
+    def testReplaceThenAppendGoesToTheNewFile(self):
+        with tempfile.TemporaryDirectory() as path:
+            folder = DataFolder(path)
+
+            async def main():
+                folder.append("f", b"old")
+                await folder.sync("f")
+                await folder.replace("f", b"new")
+                folder.append("f", b"er")
+                await folder.sync("f")
+            asyncio.run(main())
+            self.assertEqual(folder.read("f"), b"newer")
+            [file.close() for file in folder.files.values()]
+            folder.pool.shutdown()
--- /dev/null
+++ b/swiftdeck/duty/__init__.py
@@ -0,0 +1,1 @@
+"""Duties that one node does, won by ballots."""
--- /dev/null
+++ b/swiftdeck/duty/duty.py
@@ -0,0 +1,70 @@
+"""A duty that this process may hold: won by ballots, held by licence."""
+import asyncio
+import json
+
+from swiftdeck.fault import isFault
+from swiftdeck.wire.messages import Nominate
+
+
+class Duty:
+    """Stands for a duty whenever it is vacant, and renews it while held."""
+
+    def __init__(self, name, me, mesh, news, chart, random, licenceMs=3000, board=None):
+        self.name, self.me, self.mesh, self.news, self.chart = name, me, mesh, news, chart
+        self.random, self.licenceMs, self.board = random, licenceMs, board
+        self.holder = f"{me.name}/{me.incarnation:x}"
+        self.term, self.untilS, self.seenTerm = 0, -1.0, 0
+        self.vacantS, self.wants = 0.0, True
+
+    def start(self):
+        """Go on standing or renewing."""
+        self.loop = asyncio.get_running_loop()
+        self.task = asyncio.ensure_future(self._holding())
+
+    def isHeld(self):
+        """Whether the duty is held at this moment."""
+        return self.loop.time() < self.untilS
+
+    async def _holding(self):
+        while True:
+            if self.isHeld():
+                await self._ask(self.term)
+                await asyncio.sleep(0.5)
+            elif self.wants and self.chart.voters():
+                await self._stand()
+            else:
+                await asyncio.sleep(0.2)
+
+    async def _stand(self):
+        term = self.seenTerm + 1
+        won, votes = await self._ask(term)
+        if won:
+            self.term = self.seenTerm = term
+            self.news.post(f"duty/{self.name}", term, json.dumps({"addr": self.me.addr, "name": self.me.name}).encode())
+            if self.board:
+                self.board.put(f"duty.{self.name}", term)
+            return
+        leftMs = max((vote.leftMs for vote in votes), default=0)
+        await self._ask(term, release=True)
+        await asyncio.sleep(min(max(leftMs, 100), 1000) / 1000 + self.random.uniform(0.02, 0.4))
+
+    async def _ask(self, term, release=False):
+        view, sentS = self.chart.view, self.loop.time()
+        ask = Nominate(view=view.number, duty=self.name, term=term, holder=self.holder, addr=self.me.addr,
+                       licenceMs=self.licenceMs, release=release)
+        got = await asyncio.gather(*(self.mesh.ask(ref.addr, ask, 800) for ref in view.voters))
+        votes = [vote for vote in got if not isFault(vote)]
+        if any(isFault(vote) for vote in got):
+            self.chart.refresh()
+        self.seenTerm = max([self.seenTerm, *(vote.term for vote in votes)])
+        won = sum(vote.granted for vote in votes) * 2 > len(view.voters) > 0
+        if won and not release:
+            self.untilS = sentS + self.licenceMs / 1000 * 0.95
+        return won, votes
+
+    async def handBack(self):
+        """Give the duty up, so that another may win it at once."""
+        self.wants = False
+        if self.isHeld():
+            self.untilS = -1.0
+            await self._ask(self.term, release=True)
--- /dev/null
+++ b/swiftdeck/http/server.py
@@ -0,0 +1,281 @@
+"""HTTP/1.1 towards callers and operators, as an asyncio protocol over h11."""
+import asyncio
+import unittest
+from collections import Counter
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import h11
+import msgspec
+
+from swiftdeck.fault import BAD_REQUEST, HANDLER_FAILED, SLOW_REQUEST, TOO_LARGE, Fault, isFault
+from swiftdeck.sim.world import World
+
+HEAD_LIMIT = 32768
+
+
+class HttpExchange:
+    """One request and the return to it."""
+
+    def __init__(self, conversation, request, body):
+        self.conversation = conversation
+        self.method = request.method.decode("ascii")
+        target = urlsplit(request.target.decode("ascii"))
+        self.path = unquote(target.path)
+        self.query = dict(parse_qsl(target.query))
+        self.headers = {name.decode("ascii"): value.decode("latin-1") for name, value in request.headers}
+        self.body = body
+        self.begun = self.finished = False
+
+    def json(self):
+        """The body as JSON, or a fault."""
+        try:
+            return msgspec.json.decode(self.body)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            return BAD_REQUEST.because(f"body is not JSON: {error}")
+
+    async def give(self, status, body, headers=()):
+        """A whole return with a JSON body."""
+        if self.begun:
+            return
+        data = msgspec.json.encode(body) + b"\n"
+        self.begin(status, [("content-type", "application/json"), ("content-length", str(len(data))), *headers])
+        await self.piece(data)
+        self.finish()
+
+    async def giveFault(self, fault: Fault, headers=(), **more):
+        """A fault as the return, with Retry-After where it says when to come back."""
+        wait = [("retry-after", str(max(1, -(-fault.retryMs // 1000))))] if fault.retryMs else []
+        await self.give(fault.status, fault.asBody() | more, [*wait, *headers])
+
+    def begin(self, status, headers):
+        """Start a return; its pieces follow."""
+        self.begun = True
+        self.conversation.send(h11.Response(status_code=status, headers=[(n, v) for n, v in headers]))
+
+    async def piece(self, data: bytes):
+        """One piece of the body; waits while the other side is slow."""
+        self.conversation.send(h11.Data(data=data))
+        await self.conversation.writable()
+
+    def finish(self):
+        """End the return."""
+        if not self.finished:
+            self.finished = True
+            self.conversation.send(h11.EndOfMessage())
+
+
+class HttpConversation(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, server):
+        self.server = server
+        self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
+        self.loop = asyncio.get_running_loop()
+        self.request, self.body, self.bodySize = None, [], 0
+        self.task = self.wakeup = self.transport = None
+        self.paused = None
+        self.gone = self.dropping = False
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.server.open.add(self)
+        self.rest(self.server.idleMs)
+
+    def rest(self, ms):
+        """Set the wakeup that ends a connection that is too slow."""
+        if self.wakeup:
+            self.wakeup.cancel()
+        self.wakeup = self.loop.call_later(ms / 1000, self.tooSlow)
+
+    def tooSlow(self):
+        if self.task is None:
+            if self.request or self.conn.trailing_data[0]:
+                self.drop(SLOW_REQUEST)
+            else:
+                self.transport.close()
+
+    def data_received(self, data):
+        if self.dropping:
+            return
+        if self.request is None and self.task is None and not self.conn.trailing_data[0]:
+            self.rest(self.server.slowMs)
+        try:
+            self.conn.receive_data(data)
+            self.step()
+        except h11.RemoteProtocolError as error:
+            self.drop(BAD_REQUEST.because(str(error)), error.error_status_hint)
+        if self.task and len(self.conn.trailing_data[0]) > HEAD_LIMIT:
+            self.transport.pause_reading()
+
+    def step(self):
+        """Handle what h11 has."""
+        while self.task is None and not self.dropping:
+            event = self.conn.next_event()
+            if isinstance(event, h11.Request):
+                self.request, self.body, self.bodySize = event, [], 0
+                if self.conn.they_are_waiting_for_100_continue:
+                    self.send(h11.InformationalResponse(status_code=100, headers=[]))
+            elif isinstance(event, h11.Data):
+                self.bodySize += len(event.data)
+                if self.bodySize > self.server.bodyLimit:
+                    return self.drop(TOO_LARGE.because(f"body is over {self.server.bodyLimit} bytes"))
+                self.body.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self.wakeup.cancel()
+                request, self.request = self.request, None
+                self.task = self.loop.create_task(self.serve(request, b"".join(self.body)))
+                self.body = []
+            else:
+                return
+
+    async def serve(self, request, body):
+        exchange = None
+        try:
+            exchange = HttpExchange(self, request, body)
+            fault = await self.server.handler(exchange)
+            if isFault(fault):
+                await exchange.giveFault(fault)
+        except asyncio.CancelledError:
+            self.abort()
+            return
+        except (ConnectionError, h11.LocalProtocolError):
+            self.abort()
+        except UnicodeDecodeError:
+            return self.drop(BAD_REQUEST.because("target or headers are not text"))
+        except Exception as error:
+            self.server.count["faults.%d" % HANDLER_FAILED.code] += 1
+            self.server.note("exchange failed", code=HANDLER_FAILED.code, reason=repr(error))
+            if exchange is None or exchange.begun:
+                self.abort()
+            else:
+                await exchange.giveFault(HANDLER_FAILED)
+        finally:
+            self.task = None
+        self.next()
+
+    def next(self):
+        """Go on with the next request of the connection."""
+        if self.gone or self.dropping:
+            return
+        if self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE and not self.server.stopping:
+            self.conn.start_next_cycle()
+            self.rest(self.server.idleMs)
+            self.transport.resume_reading()
+            try:
+                self.step()
+            except h11.RemoteProtocolError as error:
+                self.drop(BAD_REQUEST.because(str(error)), error.error_status_hint)
+        else:
+            self.transport.close()
+
+    def drop(self, fault, status=None):
+        """Answer a request that cannot be read, and close."""
+        self.dropping = True
+        self.server.count["faults.%d" % fault.code] += 1
+        if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            data = msgspec.json.encode(fault.asBody())
+            self.send(h11.Response(status_code=status if status and status >= 400 else fault.status, headers=[
+                ("content-type", "application/json"), ("content-length", str(len(data))), ("connection", "close")]))
+            self.send(h11.Data(data=data))
+            self.send(h11.EndOfMessage())
+        self.transport.close()
+
+    def send(self, event):
+        if self.gone:
+            raise ConnectionResetError("caller is gone")
+        data = self.conn.send(event)
+        if data:
+            self.transport.write(data)
+
+    async def writable(self):
+        """Wait until the other side takes more; one that takes nothing for too long is cut off."""
+        if self.paused:
+            try:
+                async with asyncio.timeout(self.server.slowWriteMs / 1000):
+                    await self.paused
+            except TimeoutError:
+                self.server.count["slowCallers"] += 1
+                self.abort()
+                raise ConnectionResetError("caller takes nothing")
+
+    def pause_writing(self):
+        self.paused = self.loop.create_future()
+
+    def resume_writing(self):
+        if self.paused and not self.paused.done():
+            self.paused.set_result(None)
+        self.paused = None
+
+    def eof_received(self):
+        return False
+
+    def abort(self):
+        if self.transport and not self.gone:
+            self.transport.abort()
+
+    def connection_lost(self, error):
+        self.gone = True
+        self.server.open.discard(self)
+        self.resume_writing()
+        if self.wakeup:
+            self.wakeup.cancel()
+        if self.task:
+            self.task.cancel()
+
+
+class HttpServer:
+    """Listens for callers and hands each exchange to one handler."""
+
+    def __init__(self, handler, bodyLimit=4 << 20, idleMs=60000, slowMs=10000, slowWriteMs=20000,
+                 note=lambda *_, **__: None):
+        self.handler, self.bodyLimit, self.note = handler, bodyLimit, note
+        self.idleMs, self.slowMs, self.slowWriteMs = idleMs, slowMs, slowWriteMs
+        self.open, self.stopping, self.server = set(), False, None
+        self.count = Counter()
+
+    async def start(self, ip, port):
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: HttpConversation(self), ip, port)
+
+    def stop(self):
+        """Take no more connections and close the idle ones."""
+        self.stopping = True
+        self.server.close()
+        [each.transport.close() for each in list(self.open) if each.task is None]
+
+
+class HttpServerTest(unittest.TestCase):
+    def talk(self, data, **settings):
+        world, got = World(), bytearray()
+
+        async def handler(exchange):
+            await exchange.give(200, {"path": exchange.path, "size": len(exchange.body)})
+
+        class Sink(asyncio.Protocol):
+            def data_received(self, data):
+                got.extend(data)
+
+        async def serve():
+            await HttpServer(handler, **settings).start("10.0.0.1", 80)
+
+        async def call():
+            transport, _ = await asyncio.get_running_loop().create_connection(Sink, "10.0.0.1", 80)
+            transport.write(data)
+        world.start("s", "10.0.0.1", serve)
+        world.start("c", "10.0.0.2", call)
+        world.run(30)
+        self.assertEqual(world.faults, [])
+        return bytes(got)
+
+    def testKeptAliveConnectionServesPipelinedRequests(self):
+        got = self.talk(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual((got.count(b"200"), got.index(b'"/a"') < got.index(b'"/b"')), (2, True))
+
+    def testBadInputGetsANumberedCodeAndNeverHangs(self):
+        self.assertIn(b'"code":100', self.talk(b"NONSENSE\r\n\r\n"))
+        self.assertIn(b'"code":100', self.talk(b"GET / HTTP/1.1\r\nHost: x\r\nX: " + b"a" * 40000))
+        self.assertIn(b'"code":106', self.talk(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc"))
+        self.assertIn(b'"code":103', self.talk(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99\r\n\r\n" + b"a" * 99,
+                                               bodyLimit=50))
+        self.assertIn(b'"code":100', self.talk(b"GET / HTTP/1.1\r\n\r\n"))
--- /dev/null
+++ b/swiftdeck/member/__init__.py
@@ -0,0 +1,1 @@
+"""Who is in the fleet, by probes, and how news is passed on."""
--- /dev/null
+++ b/swiftdeck/member/membership.py
@@ -0,0 +1,236 @@
+"""Who is in the fleet: probes in turn, second opinions, suspicion before removal."""
+import asyncio
+import unittest
+
+import attrs
+
+from swiftdeck.fault import isFault
+from swiftdeck.sim.world import World
+from swiftdeck.wire.mesh import Mesh
+from swiftdeck.wire.messages import Done, Member, Probe, ProbeReturn, Roster
+
+ALIVE, SUSPECT, GONE = 0, 1, 2
+STATES = ("alive", "suspect", "gone")
+
+
+@attrs.define
+class Known:
+    """A neighbour and what this process thinks of it."""
+
+    member: Member
+    sinceS: float
+    tells: int = 0
+
+
+class Membership:
+    """The table of neighbours by incarnation; an opinion here is advice, licences decide."""
+
+    def __init__(self, me: Member, mesh, seeds, random, probeMs=500, suspectMs=2000, board=None):
+        self.me, self.mesh, self.seeds, self.random = me, mesh, list(seeds), random
+        self.probeMs, self.suspectMs, self.board = probeMs, suspectMs, board
+        self.known, self.turn, self.waiting, self.serial = {}, [], {}, 0
+        self.watchers = []
+        mesh.on(Probe, self.onProbe)
+        mesh.on(ProbeReturn, self.onProbeReturn)
+        mesh.on(Roster, self.onRoster)
+
+    def start(self):
+        """Join and go on probing."""
+        self.loop = asyncio.get_running_loop()
+        self.tasks = [asyncio.ensure_future(self._probing()), asyncio.ensure_future(self._seeking())]
+
+    def alive(self, role=None):
+        """Neighbours that are not gone."""
+        return [each.member for each in self.known.values()
+                if each.member.state != GONE and (role is None or each.member.role == role)]
+
+    def everyone(self):
+        """This process and its neighbours that are not gone."""
+        return [self.me, *self.alive()]
+
+    def some(self, count, role=None):
+        """A few neighbours at random."""
+        found = self.alive(role)
+        return self.random.sample(found, min(count, len(found)))
+
+    def byAddr(self, addr):
+        """The neighbour at an address that is not gone."""
+        return next((each for each in self.alive() if each.addr == addr), None)
+
+    def _about(self):
+        fresh = sorted((each for each in self.known.values() if each.tells > 0), key=lambda each: -each.tells)[:6]
+        for each in fresh:
+            each.tells -= 1
+        return [each.member for each in fresh]
+
+    def learn(self, member: Member, isDirect=False):
+        """Take in what was heard of a process."""
+        if not member.addr or not member.incarnation:
+            return
+        if member.incarnation == self.me.incarnation:
+            if member.state != ALIVE and member.refuted >= self.me.refuted:
+                self.me.refuted = member.refuted + 1
+            return
+        if isDirect:
+            for other in [each.member for each in self.known.values()
+                          if each.member.addr == member.addr and each.member.incarnation != member.incarnation]:
+                self._set(other, GONE)
+        old = self.known.get(member.incarnation)
+        if old is None:
+            if member.state != GONE:
+                self.known[member.incarnation] = Known(member, self.loop.time(), 8)
+                self._changed(member)
+            return
+        newer = (member.refuted, member.state) > (old.member.refuted, old.member.state)
+        if newer:
+            before = old.member.state
+            old.member, old.tells = member, 8
+            if before != member.state:
+                old.sinceS = self.loop.time()
+                self._changed(member)
+
+    def _set(self, member, state):
+        if member.state != state:
+            changed = Member().parse(bytes(member))
+            changed.state = state
+            self.learn(changed)
+
+    def _changed(self, member):
+        if self.board:
+            self.board.put(f"neighbour.{member.name}", STATES[member.state])
+        [watch(member) for watch in self.watchers]
+
+    def onProbe(self, probe, sender):
+        self.learn(probe.sender, True)
+        [self.learn(each) for each in probe.about]
+        if probe.target and probe.target != self.me.addr:
+            return asyncio.ensure_future(self._secondOpinion(probe, sender))
+        about = self._about()
+        mine = self.known.get(probe.sender.incarnation)
+        if mine and mine.member.state != ALIVE:
+            about.append(mine.member)
+        self.mesh.cast(sender, ProbeReturn(sender=self.me, target=self.me.addr, serial=probe.serial, about=about))
+
+    async def _secondOpinion(self, probe, sender):
+        if await self._reach(probe.target, self.probeMs * 0.4):
+            self.mesh.cast(sender, ProbeReturn(sender=self.me, target=probe.target, serial=probe.serial))
+
+    def onProbeReturn(self, answer, sender):
+        self.learn(answer.sender, True)
+        [self.learn(each) for each in answer.about]
+        done = self.waiting.get(answer.serial)
+        if done and not done.done():
+            done.set_result(True)
+
+    def onRoster(self, roster, sender):
+        [self.learn(each) for each in roster.members]
+        return Roster(members=[self.me, *(each.member for each in self.known.values())])
+
+    async def _reach(self, addr, waitMs, through=None):
+        self.serial += 1
+        number, done = self.serial, self.loop.create_future()
+        self.waiting[number] = done
+        probe = Probe(sender=self.me, target=addr, serial=number, about=self._about())
+        [self.mesh.cast(each, probe) for each in (through or [addr])]
+        try:
+            async with asyncio.timeout(waitMs / 1000):
+                return await done
+        except TimeoutError:
+            return False
+        finally:
+            del self.waiting[number]
+
+    def _nominateNext(self):
+        self.turn = [each for each in self.turn if each in self.known and self.known[each].member.state != GONE]
+        if not self.turn:
+            self.turn = [each.incarnation for each in self.alive()]
+            self.random.shuffle(self.turn)
+        return self.known[self.turn.pop()] if self.turn else None
+
+    async def _probing(self):
+        while True:
+            startS = self.loop.time()
+            target = self._nominateNext()
+            if target:
+                await self._probe(target.member)
+            self._expire()
+            await asyncio.sleep(max(0.05, self.probeMs / 1000 - (self.loop.time() - startS)))
+
+    async def _probe(self, member):
+        startS = self.loop.time()
+        if await self._reach(member.addr, self.probeMs * 0.4):
+            return
+        others = [each.addr for each in self.some(3) if each.addr != member.addr][:2]
+        heard = await self._reach(member.addr, self.probeMs * 0.6, others) if others else False
+        isLate = self.loop.time() - startS > 2 * self.probeMs / 1000
+        now = self.known.get(member.incarnation)
+        if not heard and not isLate and now and now.member.state == ALIVE:
+            self._set(now.member, SUSPECT)
+
+    def _expire(self):
+        nowS = self.loop.time()
+        for each in list(self.known.values()):
+            if each.member.state == SUSPECT and nowS - each.sinceS > self.suspectMs / 1000:
+                self._set(each.member, GONE)
+            elif each.member.state == GONE and nowS - each.sinceS > 600:
+                del self.known[each.member.incarnation]
+
+    async def _seeking(self):
+        while True:
+            lost = [each.member.addr for each in self.known.values() if each.member.state == GONE]
+            targets = set(self.seeds) | set(self.random.sample(lost, min(1, len(lost))))
+            targets = targets - {self.me.addr} - {each.addr for each in self.alive()}
+            some = [each.addr for each in self.some(1)]
+            await asyncio.gather(*(self._join(addr) for addr in [*sorted(targets), *some]))
+            await asyncio.sleep(0.5 if not self.alive() else 3.0)
+
+    async def _join(self, addr):
+        got = await self.mesh.ask(addr, Roster(members=[self.me, *self.alive()]))
+        if not isFault(got) and not isinstance(got, Done):
+            [self.learn(each) for each in got.members]
+
+    def setSeeds(self, seeds):
+        """Exchange the seeds at run time."""
+        self.seeds = list(seeds)
+
+
+class MembershipTest(unittest.TestCase):
+    def build(self, count):
+        world, found = World(3), {}
+        addrs = [f"10.0.0.{number + 1}:7000" for number in range(count)]
+
+        def process(number):
+            async def main():
+                mesh = Mesh(addrs[number])
+                await mesh.start()
+                me = Member(addr=addrs[number], name=f"n{number}", role="router",
+                            incarnation=world.random.getrandbits(62) + 1)
+                found[number] = Membership(me, mesh, addrs[:3], world.random)
+                found[number].start()
+            return main
+        for number in range(count):
+            world.start(f"n{number}", f"10.0.0.{number + 1}", process(number))
+        return world, found, process
+
+    def testAllFindEachOtherAndACrashIsSeenByAll(self):
+        world, found, _ = self.build(6)
+        world.run(5)
+        self.assertEqual([len(each.alive()) for each in found.values()], [5] * 6)
+        world.kill("n5")
+        world.run(8)
+        self.assertEqual([len(found[number].alive()) for number in range(5)], [4] * 5)
+
+    def testAHealedCutIsFoundAgainAndANewStartTakesTheOldPlace(self):
+        world, found, process = self.build(5)
+        world.run(4)
+        far, near = [f"10.0.0.{n}" for n in (4, 5)], [f"10.0.0.{n}" for n in (1, 2, 3)]
+        world.net.cut(far, near)
+        world.run(12)
+        self.assertEqual((len(found[0].alive()), len(found[4].alive())), (2, 1))
+        world.net.heal()
+        world.run(12)
+        self.assertEqual([len(each.alive()) for each in found.values()], [4] * 5)
+        world.kill("n4")
+        world.start("n4", "10.0.0.5", process(4))
+        world.run(8)
+        self.assertEqual([len(each.alive()) for each in found.values()], [4] * 5)
--- /dev/null
+++ b/swiftdeck/member/news.py
@@ -0,0 +1,82 @@
+"""News: pushed to a few others, gaps mended by comparing digests."""
+import asyncio
+import unittest
+
+from swiftdeck.fault import isFault
+from swiftdeck.sim.world import World
+from swiftdeck.wire.messages import News, NewsDigest, NewsItem
+
+
+class NewsTable:
+    """Items by key; of two items with one key the higher stamp stands."""
+
+    def __init__(self, mesh, membership, fanOut=3, digestMs=1000):
+        self.mesh, self.membership, self.fanOut, self.digestMs = mesh, membership, fanOut, digestMs
+        self.items, self.watchers = {}, {}
+        mesh.on(News, self.onNews)
+        mesh.on(NewsDigest, self.onDigest)
+
+    def start(self):
+        """Go on mending gaps."""
+        self.task = asyncio.ensure_future(self._mending())
+
+    def watch(self, prefix, watcher):
+        """Call `watcher(key, stamp, body)` for each new item whose key starts so."""
+        self.watchers[prefix] = watcher
+
+    def post(self, key, stamp, body=b""):
+        """Bring news into the fleet."""
+        self._take([NewsItem(key=key, stamp=stamp, body=body)])
+
+    def onNews(self, news, sender):
+        self._take(news.items, sender)
+
+    def onDigest(self, digest, sender):
+        theirs = dict(zip(digest.keys, digest.stamps))
+        return News(items=[item for key, item in self.items.items() if item.stamp > theirs.get(key, -1)])
+
+    def _take(self, items, sender=None):
+        fresh = [item for item in items if item.key not in self.items or item.stamp > self.items[item.key].stamp]
+        for item in fresh:
+            self.items[item.key] = item
+            [watcher(item.key, item.stamp, item.body) for prefix, watcher in self.watchers.items()
+             if item.key.startswith(prefix)]
+        if fresh:
+            [self.mesh.tell(each.addr, News(items=fresh)) for each in self.membership.some(self.fanOut)
+             if each.addr != sender]
+
+    async def _mending(self):
+        while True:
+            await asyncio.sleep(self.digestMs / 1000)
+            for each in self.membership.some(1):
+                got = await self.mesh.ask(each.addr, NewsDigest(keys=list(self.items),
+                                                                 stamps=[item.stamp for item in self.items.values()]))
+                if isinstance(got, News) and not isFault(got):
+                    self._take(got.items, each.addr)
+
+
+class NewsTest(unittest.TestCase):
+    def testHigherStampStandsAndAMissedOneIsMended(self):
+        from swiftdeck.member.membership import MembershipTest
+        world, found, _ = MembershipTest.build(self, 5)
+        tables = {}
+
+        def begin(number):
+            async def main():
+                tables[number] = NewsTable(found[number].mesh, found[number])
+                tables[number].start()
+            return main
+        world.run(3)
+        [world.do(f"n{number}", begin(number)) for number in range(5)]
+        world.net.cut(["10.0.0.5"], [f"10.0.0.{n}" for n in range(1, 5)])
+
+        async def post():
+            tables[0].post("view", 2, b"two")
+            tables[0].post("view", 1, b"one")
+        world.do("n0", post)
+        world.run(1)
+        self.assertEqual([table.items["view"].body for table in list(tables.values())[:4]], [b"two"] * 4)
+        self.assertNotIn("view", tables[4].items)
+        world.net.heal()
+        world.run(12)
+        self.assertEqual(tables[4].items["view"].body, b"two")
--- /dev/null
+++ b/swiftdeck/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Thin programs that put the planes together."""
--- /dev/null
+++ b/swiftdeck/sim/__init__.py
@@ -0,0 +1,1 @@
+"""A loop, network, clock and disk that are simulated."""
--- /dev/null
+++ b/swiftdeck/sim/net.py
@@ -0,0 +1,306 @@
+"""Simulated streams and datagrams, with cuts, delays and resets."""
+import asyncio
+import unittest
+
+from swiftdeck.sim.world import World
+
+HIGH_WATER = 65536
+
+
+class SimTransport(asyncio.Transport):
+    """One end of a simulated stream."""
+
+    def __init__(self, net, loop, local, remote):
+        super().__init__({"sockname": local, "peername": remote})
+        self.net, self.loop, self.local, self.remote = net, loop, local, remote
+        self.protocol = self.other = None
+        self.closing = self.gone = self.readPaused = self.writePaused = False
+        self.inbox, self.outstanding, self.readyAt = [], 0, 0.0
+
+    def get_protocol(self):
+        return self.protocol
+
+    def set_protocol(self, protocol):
+        self.protocol = protocol
+
+    def is_closing(self):
+        return self.closing
+
+    def get_write_buffer_size(self):
+        return self.outstanding
+
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
+    def write(self, data):
+        if self.closing or not data:
+            return
+        self.outstanding += len(data)
+        self._post(bytes(data))
+        if self.outstanding > HIGH_WATER and not self.writePaused:
+            self.writePaused = True
+            self.protocol.pause_writing()
+
+    def write_eof(self):
+        pass
+
+    def can_write_eof(self):
+        return False
+
+    def _post(self, item):
+        self.net.send(self, item)
+
+    def close(self):
+        if not self.closing:
+            self.closing = True
+            self._post(None)
+            self.loop.call_soon(self._lost, None)
+
+    def abort(self):
+        if not self.closing:
+            self.closing = True
+            self._post(ConnectionResetError("reset by peer"))
+            self.loop.call_soon(self._lost, None)
+
+    def _lost(self, error):
+        if not self.gone:
+            self.gone = self.closing = True
+            self.net.open.discard(self)
+            self.protocol.connection_lost(error)
+
+    def pause_reading(self):
+        self.readPaused = True
+
+    def resume_reading(self):
+        self.readPaused = False
+        self.loop.call_soon(self._drain)
+
+    def is_reading(self):
+        return not self.readPaused
+
+    def arrive(self, item):
+        """Take what came over the network."""
+        self.inbox.append(item)
+        self._drain()
+
+    def _drain(self):
+        while self.inbox and not self.gone:
+            item = self.inbox[0]
+            if isinstance(item, bytes) and self.readPaused and not self.closing:
+                return
+            self.inbox.pop(0)
+            if isinstance(item, bytes):
+                self.other._taken(len(item))
+                if not self.closing:
+                    self.protocol.data_received(item)
+            elif item is None:
+                if not self.closing and not self.protocol.eof_received():
+                    self.closing = True
+                    self._post(None)
+                    self._lost(None)
+            else:
+                self._lost(item)
+
+    def _taken(self, count):
+        self.outstanding -= count
+        if self.writePaused and self.outstanding <= HIGH_WATER // 4:
+            self.writePaused = False
+            if not self.gone and not self.loop.dead:
+                self.loop.call_soon(self.protocol.resume_writing)
+
+
+class SimDatagram(asyncio.DatagramTransport):
+    """A simulated datagram endpoint."""
+
+    def __init__(self, net, loop, local):
+        super().__init__({"sockname": local})
+        self.net, self.loop, self.local, self.closing = net, loop, local, False
+
+    def sendto(self, data, addr=None):
+        self.net.sendDatagram(self, bytes(data), addr)
+
+    def close(self):
+        self.closing = True
+        self.net.datagrams.pop(self.local, None)
+
+    abort = close
+
+    def is_closing(self):
+        return self.closing
+
+
+class SimServer:
+    """A simulated listener."""
+
+    def __init__(self, net, key):
+        self.net, self.key = net, key
+
+    def close(self):
+        self.net.listeners.pop(self.key, None)
+
+    async def wait_closed(self):
+        return None
+
+
+class SimNet:
+    """The network between simulated processes."""
+
+    def __init__(self, world):
+        self.world = world
+        self.listeners, self.datagrams, self.open = {}, {}, set()
+        self.cuts, self.stuck, self.slow = set(), [], {}
+        self.lossRate, self.nextPort = 0.0, 40000
+
+    def cut(self, sources, targets, both=True):
+        """Lose all that goes from some addresses to others."""
+        pairs = {(a, b) for a in sources for b in targets if a != b}
+        self.cuts |= pairs | ({(b, a) for a, b in pairs} if both else set())
+
+    def heal(self):
+        """Undo all cuts; streams go on where they stuck."""
+        self.cuts.clear()
+        stuck, self.stuck = self.stuck, []
+        for transport, item in stuck:
+            self.send(transport, item)
+
+    def isCut(self, a, b):
+        """Whether what `a` sends to `b` is lost."""
+        return (a, b) in self.cuts
+
+    def delayS(self, a, b):
+        """How long one piece takes from `a` to `b`."""
+        return self.slow.get((a, b), 0.0) + (0.0002 if a == b else self.world.random.uniform(0.0003, 0.0009))
+
+    def listen(self, loop, factory, host, port):
+        """Open a listener; port 0 takes the next free one."""
+        if not port:
+            self.nextPort += 1
+            port = self.nextPort
+        if (host, port) in self.listeners:
+            raise OSError(98, "address in use")
+        self.listeners[(host, port)] = (loop, factory)
+        server = SimServer(self, (host, port))
+        return server
+
+    async def connect(self, loop, factory, host, port):
+        """Open a stream, as a process does."""
+        done = loop.create_future()
+        if not self.isCut(loop.ip, host):
+            self.world.at(self.delayS(loop.ip, host), lambda: self._reach(loop, factory, host, port, done))
+        return await done
+
+    def _reach(self, loop, factory, host, port, done):
+        if loop.dead or done.done():
+            return
+        found = self.listeners.get((host, port))
+        if found is None:
+            if any(other.ip == host for other in self.world.loops.values()) or host not in self.world.net.vanished:
+                loop.call_soon(self._finish, done, ConnectionRefusedError(111, "refused"))
+            return
+        if self.isCut(host, loop.ip):
+            return
+        server, serverFactory = found
+        self.nextPort += 1
+        local, remote = (loop.ip, self.nextPort), (host, port)
+        near, far = SimTransport(self, loop, local, remote), SimTransport(self, server, remote, local)
+        near.other, far.other = far, near
+        self.open |= {near, far}
+
+        def accept():
+            far.protocol = serverFactory()
+            far.protocol.connection_made(far)
+
+        def made():
+            if done.done():
+                near.protocol = asyncio.Protocol()
+                near.abort()
+                return
+            near.protocol = factory()
+            near.protocol.connection_made(near)
+            done.set_result((near, near.protocol))
+        server.call_soon(accept)
+        self.world.at(self.delayS(host, loop.ip), lambda: None if loop.dead else loop.call_soon(made))
+
+    vanished: set = set()
+
+    def _finish(self, done, error):
+        if not done.done():
+            done.set_exception(error)
+
+    def send(self, transport, item):
+        """Carry one piece of a stream to its other end, in order."""
+        a, b = transport.local[0], transport.remote[0]
+        if self.isCut(a, b) or any(entry[0] is transport for entry in self.stuck):
+            self.stuck.append((transport, item))
+            return
+        at = max(transport.readyAt, self.world.now + self.delayS(a, b))
+        transport.readyAt = at
+        other = transport.other
+
+        def land():
+            if not other.loop.dead and not other.gone:
+                other.loop.call_soon(self._arrive, other, item)
+        self.world.at(at - self.world.now, land)
+
+    def _arrive(self, transport, item):
+        if not transport.gone:
+            if transport.protocol is None:
+                transport.loop.call_soon(self._arrive, transport, item)
+            else:
+                transport.arrive(item)
+
+    def datagram(self, loop, factory, local):
+        """Open a datagram endpoint."""
+        transport, protocol = SimDatagram(self, loop, local), factory()
+        self.datagrams[local] = (loop, protocol)
+        protocol.connection_made(transport)
+        return transport, protocol
+
+    def sendDatagram(self, transport, data, addr):
+        """Carry one datagram, or lose it."""
+        a, b = transport.local[0], addr[0]
+        if self.isCut(a, b) or (self.lossRate and self.world.random.random() < self.lossRate):
+            return
+
+        def land():
+            found = self.datagrams.get(tuple(addr))
+            if found and not found[0].dead:
+                found[0].call_soon(found[1].datagram_received, data, transport.local)
+        self.world.at(self.delayS(a, b), land)
+
+    def drop(self, loop, silent):
+        """Take all ends of a dead process away."""
+        self.listeners = {key: value for key, value in self.listeners.items() if value[0] is not loop}
+        self.datagrams = {key: value for key, value in self.datagrams.items() if value[0] is not loop}
+        for transport in [each for each in self.open if each.loop is loop]:
+            self.open.discard(transport)
+            if not silent and not transport.gone and not transport.closing:
+                transport._post(ConnectionResetError("reset by peer"))
+            transport.gone = transport.closing = True
+
+
+class SimNetTest(unittest.TestCase):
+    def testStreamsKeepOrderAcrossACut(self):
+        world, got = World(), []
+
+        class Sink(asyncio.Protocol):
+            def data_received(self, data):
+                got.append(data)
+
+        async def serve():
+            await asyncio.get_running_loop().create_server(Sink, "10.0.0.1", 80)
+
+        async def call():
+            transport, _ = await asyncio.get_running_loop().create_connection(asyncio.Protocol, "10.0.0.1", 80)
+            for number in range(6):
+                transport.write(b"%d" % number)
+                await asyncio.sleep(1)
+        world.start("s", "10.0.0.1", serve)
+        world.start("c", "10.0.0.2", call)
+        world.run(2.5)
+        world.net.cut(["10.0.0.2"], ["10.0.0.1"])
+        world.run(2)
+        self.assertEqual(b"".join(got), b"012")
+        world.net.heal()
+        world.run(3)
+        self.assertEqual(b"".join(got), b"012345")
--- /dev/null
+++ b/swiftdeck/sim/world.py
@@ -0,0 +1,169 @@
+"""Virtual time: many simulated processes, each with a loop of its own, in one test process."""
+import asyncio
+import heapq
+import random
+import unittest
+
+
+class SimLoop(asyncio.AbstractEventLoop):
+    """The asyncio loop of one simulated process; its clock and its callbacks belong to a world."""
+
+    def __init__(self, world, name, ip):
+        self.world, self.name, self.ip = world, name, ip
+        self.dead = self.frozen = False
+        self.held = []
+        self.offset = world.random.uniform(1000, 100000)
+        self.rate = 1.0
+        self.faults = []
+
+    def time(self):
+        return self.offset + self.world.now * self.rate
+
+    def call_soon(self, callback, *args, context=None):
+        handle = asyncio.Handle(callback, args, self, context)
+        self.world.push(self.world.now, self, handle)
+        return handle
+
+    call_soon_threadsafe = call_soon
+
+    def call_later(self, delay, callback, *args, context=None):
+        return self.call_at(self.time() + max(0, delay), callback, *args, context=context)
+
+    def call_at(self, when, callback, *args, context=None):
+        handle = asyncio.TimerHandle(when, callback, args, self, context)
+        self.world.push(max(self.world.now, (when - self.offset) / self.rate), self, handle)
+        return handle
+
+    def _timer_handle_cancelled(self, handle):
+        pass
+
+    def create_future(self):
+        return asyncio.Future(loop=self)
+
+    def create_task(self, coro, *, name=None, context=None):
+        return asyncio.Task(coro, loop=self, name=name, context=context)
+
+    def get_debug(self):
+        return False
+
+    def is_running(self):
+        return True
+
+    def is_closed(self):
+        return self.dead
+
+    def call_exception_handler(self, context):
+        if not self.dead and "was destroyed" not in context.get("message", ""):
+            self.faults.append(context)
+            self.world.faults.append((self.name, context))
+
+    async def create_server(self, factory, host=None, port=None, **_):
+        return self.world.net.listen(self, factory, host, port)
+
+    async def create_connection(self, factory, host=None, port=None, **_):
+        return await self.world.net.connect(self, factory, host, port)
+
+    async def create_datagram_endpoint(self, factory, local_addr=None, **_):
+        return self.world.net.datagram(self, factory, local_addr)
+
+
+class World:
+    """The clock, the queue of events and the randomness that all simulated processes share."""
+
+    def __init__(self, seed=1):
+        from swiftdeck.sim.net import SimNet
+        self.now, self.serial, self.heap = 0.0, 0, []
+        self.random = random.Random(seed)
+        self.loops, self.faults, self.steps = {}, [], 0
+        self.net = SimNet(self)
+
+    def push(self, when, loop, handle):
+        """Queue a callback of one process."""
+        self.serial += 1
+        heapq.heappush(self.heap, (when, self.serial, loop, handle))
+
+    def start(self, name, ip, main) -> SimLoop:
+        """Start a process: `main` is a function that returns a coroutine."""
+        loop = SimLoop(self, name, ip)
+        self.loops[name] = loop
+        self._within(loop, lambda: setattr(loop, "main", loop.create_task(main())))
+        return loop
+
+    def _within(self, loop, action):
+        asyncio._set_running_loop(loop)
+        try:
+            action()
+        finally:
+            asyncio._set_running_loop(None)
+
+    def kill(self, name, silent=False):
+        """End a process at once; `silent` when its machine vanishes, so that no reset is sent."""
+        loop = self.loops.pop(name, None)
+        if loop:
+            loop.dead = True
+            self.net.drop(loop, silent)
+
+    def freeze(self, name):
+        """Stop a process in its tracks; its clock goes on."""
+        self.loops[name].frozen = True
+
+    def thaw(self, name):
+        """Wake a frozen process with all that came meanwhile."""
+        loop = self.loops[name]
+        loop.frozen, held, loop.held = False, loop.held, []
+        for handle in held:
+            self.push(self.now, loop, handle)
+
+    def at(self, delayS, action):
+        """Run a plain function later, outside any process."""
+        self.push(self.now + delayS, None, action)
+
+    def run(self, seconds=None, until=None, limitS=600.0):
+        """Let time pass; returns whether `until` came true (or the time has passed)."""
+        end = self.now + (limitS if seconds is None else seconds)
+        while self.heap and self.heap[0][0] <= end:
+            when, _, loop, handle = heapq.heappop(self.heap)
+            self.now = max(self.now, when)
+            if loop is None:
+                handle()
+            elif loop.dead or handle.cancelled():
+                continue
+            elif loop.frozen:
+                loop.held.append(handle)
+                continue
+            else:
+                self._within(loop, handle._run)
+            self.steps += 1
+            if until is not None and until():
+                return True
+        self.now = max(self.now, end)
+        return until is None
+
+    def do(self, name, make, limitS=60.0):
+        """Run a coroutine inside a process until it is done and give its result."""
+        loop, box = self.loops[name], []
+        self._within(loop, lambda: box.append(loop.create_task(make())))
+        if not self.run(until=box[0].done, limitS=limitS):
+            raise TimeoutError(f"{name} did not finish within {limitS} simulated seconds")
+        return box[0].result()
+
+
+class WorldTest(unittest.TestCase):
+    def testTimeIsVirtualAndFreezeHoldsCallbacks(self):
+        world, seen = World(), []
+
+        async def beat():
+            while True:
+                await asyncio.sleep(1)
+                seen.append(round(world.now, 3))
+        world.start("a", "10.0.0.1", beat)
+        world.run(2.5)
+        world.freeze("a")
+        world.run(5)
+        self.assertEqual(seen, [1, 2])
+        world.thaw("a")
+        world.run(1.2)
+        self.assertEqual(seen, [1, 2, 7.5, 8.5])
+        world.kill("a")
+        world.run(3)
+        self.assertEqual(len(seen), 4)
--- /dev/null
+++ b/swiftdeck/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""The library of the data plane."""
--- /dev/null
+++ b/swiftdeck/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, frames and links between the system's own processes."""
--- /dev/null
+++ b/swiftdeck/wire/mesh.py
@@ -0,0 +1,277 @@
+"""Links between processes: framed messages over TCP, single ones over UDP."""
+import asyncio
+import inspect
+import struct
+import unittest
+from collections import Counter
+
+from swiftdeck.fault import (BAD_FRAME, BUSY, HANDLER_FAILED, TIMED_OUT, UNKNOWN_KIND, UNREACHABLE, faultOf, isFault)
+from swiftdeck.sim.world import World
+from swiftdeck.wire.messages import KINDS, NUMBERS, Done, FaultReturn, ListAsk, ListReturn
+
+FRAME_LIMIT = 32 << 20
+OPEN_LIMIT = 8192
+HEAD = struct.Struct(">HQBB")
+
+
+def splitAddr(addr: str):
+    """The IP and the port of "ip:port"."""
+    ip, _, port = addr.rpartition(":")
+    return ip, int(port)
+
+
+class Link(asyncio.Protocol):
+    """One stream between two processes."""
+
+    def __init__(self, mesh, addr=None):
+        self.mesh, self.addr = mesh, addr
+        self.transport, self.buffer = None, bytearray()
+        self.handled = {}
+        self.heardS = asyncio.get_running_loop().time()
+        self.gone = False
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.mesh.links.add(self)
+
+    def pause_writing(self):
+        pass
+
+    def resume_writing(self):
+        pass
+
+    def eof_received(self):
+        return False
+
+    def data_received(self, data):
+        self.heardS = asyncio.get_running_loop().time()
+        self.buffer += data
+        at = 0
+        while len(self.buffer) - at >= 4:
+            length = int.from_bytes(self.buffer[at:at + 4], "big")
+            if length > FRAME_LIMIT:
+                return self.refuse("frame over the limit")
+            if len(self.buffer) - at - 4 < length:
+                break
+            frame = bytes(self.buffer[at + 4:at + 4 + length])
+            at += 4 + length
+            if not self.mesh.take(frame, self):
+                return self.refuse("frame does not parse")
+        del self.buffer[:at]
+
+    def refuse(self, reason):
+        """Close the link on a malformed frame."""
+        self.mesh.count["faults.%d" % BAD_FRAME.code] += 1
+        self.mesh.note("link refused", code=BAD_FRAME.code, reason=reason)
+        self.transport.abort()
+
+    def send(self, data):
+        """Put one message on the stream."""
+        if self.gone or self.transport.get_write_buffer_size() > 2 * FRAME_LIMIT:
+            return False
+        self.transport.write(len(data).to_bytes(4, "big") + data)
+        return True
+
+    def connection_lost(self, error):
+        self.gone = True
+        self.mesh.links.discard(self)
+        [task.cancel() for task, isBound in list(self.handled.values()) if isBound]
+        if self.addr and self.mesh.dialled.get(self.addr) is self:
+            del self.mesh.dialled[self.addr]
+        for number, (link, done) in list(self.mesh.asked.items()):
+            if link is self and not done.done():
+                done.set_result(TIMED_OUT.because("link lost"))
+
+
+class Mesh:
+    """The inner endpoint of a process: asks neighbours, tells them, and hands what comes to its handlers."""
+
+    def __init__(self, addr, note=lambda *_, **__: None):
+        self.addr, self.note = addr, note
+        self.links, self.dialled, self.dialling = set(), {}, {}
+        self.asked, self.serial = {}, 0
+        self.handlers = {}
+        self.count = Counter()
+        self.server = self.datagrams = None
+
+    async def start(self):
+        """Listen on TCP and UDP."""
+        loop = asyncio.get_running_loop()
+        ip, port = splitAddr(self.addr)
+        self.server = await loop.create_server(lambda: Link(self), ip, port)
+        self.datagrams, _ = await loop.create_datagram_endpoint(lambda: Datagrams(self), local_addr=(ip, port))
+
+    def close(self):
+        """Stop listening and drop all links."""
+        self.server.close()
+        self.datagrams.close()
+        [link.transport.abort() for link in list(self.links)]
+
+    def on(self, kind, handler, isBound=False):
+        """Hand messages of a kind to `handler(message, senderAddr)`; a bound one is cancelled with its link."""
+        self.handlers[kind] = (handler, isBound)
+
+    async def _link(self, addr):
+        link = self.dialled.get(addr)
+        if link and not link.gone:
+            return link
+        if addr not in self.dialling:
+            self.dialling[addr] = asyncio.ensure_future(self._dial(addr))
+        return await asyncio.shield(self.dialling[addr])
+
+    async def _dial(self, addr):
+        try:
+            ip, port = splitAddr(addr)
+            async with asyncio.timeout(1.0):
+                _, link = await asyncio.get_running_loop().create_connection(lambda: Link(self, addr), ip, port)
+            self.dialled[addr] = link
+            return link
+        except (OSError, ValueError, TimeoutError) as error:
+            return UNREACHABLE.because(f"{addr}: {error or 'no connection in time'}")
+        finally:
+            self.dialling.pop(addr, None)
+
+    def _envelope(self, message, exchange=0, isReturn=False):
+        sender = self.addr.encode()
+        return HEAD.pack(NUMBERS[type(message)], exchange, isReturn, len(sender)) + sender + bytes(message)
+
+    async def ask(self, addr, message, timeoutMs=1000):
+        """Send a message and give what comes back: a message or a fault; UNREACHABLE means it was never sent."""
+        loop = asyncio.get_running_loop()
+        startS = loop.time()
+        self.serial += 1
+        number, link, done = self.serial, None, loop.create_future()
+        try:
+            async with asyncio.timeout(timeoutMs / 1000):
+                link = await self._link(addr)
+                if isFault(link):
+                    return link
+                self.asked[number] = (link, done)
+                if not link.send(self._envelope(message, number)):
+                    return UNREACHABLE.because("link is full")
+                return await done
+        except TimeoutError:
+            if link is None:
+                return UNREACHABLE.because(f"{addr}: no connection in time")
+            if loop.time() - max(link.heardS, startS) >= min(1.0, timeoutMs / 1000):
+                link.transport.abort()
+            return TIMED_OUT.because(f"{type(message).__name__} to {addr}")
+        finally:
+            self.asked.pop(number, None)
+
+    def tell(self, addr, message):
+        """Send a message without waiting for anything."""
+        link = self.dialled.get(addr)
+        if link and not link.gone:
+            link.send(self._envelope(message))
+        else:
+            asyncio.ensure_future(self._tellLater(addr, message))
+
+    async def _tellLater(self, addr, message):
+        link = await self._link(addr)
+        if not isFault(link):
+            link.send(self._envelope(message))
+
+    def cast(self, addr, message):
+        """Send a message as one datagram; it may be lost."""
+        try:
+            self.datagrams.sendto(self._envelope(message), splitAddr(addr))
+        except (OSError, ValueError):
+            self.count["castsFailed"] += 1
+
+    def take(self, frame, link):
+        """Handle one arrived frame; false when it does not parse."""
+        try:
+            number, exchange, isReturn, length = HEAD.unpack_from(frame)
+            sender = frame[HEAD.size:HEAD.size + length].decode("ascii")
+            kind = KINDS.get(number)
+            message = kind().parse(frame[HEAD.size + length:]) if kind else None
+        except Exception:
+            return False
+        if isReturn:
+            _, done = self.asked.get(exchange, (None, None))
+            if done and not done.done():
+                done.set_result(faultOf(message.code, message.reason, message.retryMs or None)
+                                if isinstance(message, FaultReturn) else message)
+            return kind is not None
+        handler, isBound = self.handlers.get(kind, (None, False))
+        if handler is None:
+            self._giveBack(link, exchange, UNKNOWN_KIND.because(str(number)))
+            return exchange != 0
+        if link and len(link.handled) >= OPEN_LIMIT:
+            self._giveBack(link, exchange, BUSY)
+        else:
+            self._handle(handler, isBound, message, sender, exchange, link)
+        return True
+
+    def _handle(self, handler, isBound, message, sender, exchange, link):
+        try:
+            got = handler(message, sender)
+        except Exception as error:
+            got = self._failed(error, message)
+        if inspect.iscoroutine(got):
+            task = asyncio.ensure_future(self._finish(got, message, exchange, link))
+            if link:
+                link.handled[id(task)] = (task, isBound)
+                task.add_done_callback(lambda task: link.handled.pop(id(task), None))
+        else:
+            self._giveBack(link, exchange, got)
+
+    async def _finish(self, coro, message, exchange, link):
+        try:
+            got = await coro
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            got = self._failed(error, message)
+        self._giveBack(link, exchange, got)
+
+    def _failed(self, error, message):
+        self.count["faults.%d" % HANDLER_FAILED.code] += 1
+        self.note("handler failed", code=HANDLER_FAILED.code, kind=type(message).__name__, reason=repr(error))
+        return HANDLER_FAILED.because(type(message).__name__)
+
+    def _giveBack(self, link, exchange, got):
+        if link is None or not exchange:
+            return
+        if isFault(got):
+            got = FaultReturn(code=got.code, reason=got.reason, retryMs=got.retryMs)
+        link.send(self._envelope(got if got is not None else Done(), exchange, True))
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """The UDP side of a mesh."""
+
+    def __init__(self, mesh):
+        self.mesh = mesh
+
+    def datagram_received(self, data, addr):
+        if not self.mesh.take(data, None):
+            self.mesh.count["faults.%d" % BAD_FRAME.code] += 1
+
+    def error_received(self, error):
+        self.mesh.count["castsFailed"] += 1
+
+
+class MeshTest(unittest.TestCase):
+    def testAskReturnsAndBadFramesDoNotHarm(self):
+        world, meshes = World(), {}
+
+        async def serve():
+            mesh = meshes["a"] = Mesh("10.0.0.1:7000")
+            mesh.on(ListAsk, lambda message, sender: ListReturn(ageMs=5))
+            await mesh.start()
+
+        async def ask():
+            mesh = Mesh("10.0.0.2:7000")
+            await mesh.start()
+            transport, _ = await asyncio.get_running_loop().create_connection(asyncio.Protocol, "10.0.0.1", 7000)
+            transport.write(b"\x00\x00\x00\x05\xff\xff\xff\xff\xff")
+            first = await mesh.ask("10.0.0.1:7000", ListAsk())
+            second = await mesh.ask("10.0.0.1:7000", Done())
+            third = await mesh.ask("10.0.0.9:7000", ListAsk())
+            return first.ageMs, second.code, third.code
+        world.start("a", "10.0.0.1", serve)
+        world.start("b", "10.0.0.2", lambda: asyncio.sleep(0))
+        self.assertEqual(world.do("b", ask), (5, UNKNOWN_KIND.code, UNREACHABLE.code))
+        self.assertEqual(meshes["a"].count["faults.%d" % BAD_FRAME.code], 1)
--- /dev/null
+++ b/swiftdeck/wire/messages.py
@@ -0,0 +1,377 @@
+"""Every message between the system's own processes; the number of its kind never changes."""
+import unittest
+from dataclasses import dataclass
+
+import betterproto as bp
+
+
+def message(cls):
+    """Make a class a message."""
+    return dataclass(eq=False, repr=False)(cls)
+
+
+@message
+class FaultReturn(bp.Message):
+    code: int = bp.uint32_field(1)
+    reason: str = bp.string_field(2)
+    retryMs: int = bp.uint32_field(3)
+
+
+@message
+class Done(bp.Message):
+    count: int = bp.uint64_field(1)
+
+
+@message
+class Member(bp.Message):
+    addr: str = bp.string_field(1)
+    name: str = bp.string_field(2)
+    role: str = bp.string_field(3)
+    zone: str = bp.string_field(4)
+    httpAddr: str = bp.string_field(5)
+    incarnation: int = bp.uint64_field(6)
+    refuted: int = bp.uint32_field(7)
+    state: int = bp.uint32_field(8)
+    coreId: str = bp.string_field(9)
+
+
+@message
+class Probe(bp.Message):
+    sender: Member = bp.message_field(1)
+    target: str = bp.string_field(2)
+    serial: int = bp.uint64_field(3)
+    about: list[Member] = bp.message_field(4)
+
+
+@message
+class ProbeReturn(bp.Message):
+    sender: Member = bp.message_field(1)
+    target: str = bp.string_field(2)
+    serial: int = bp.uint64_field(3)
+    about: list[Member] = bp.message_field(4)
+
+
+@message
+class Roster(bp.Message):
+    members: list[Member] = bp.message_field(1)
+
+
+@message
+class NewsItem(bp.Message):
+    key: str = bp.string_field(1)
+    stamp: int = bp.uint64_field(2)
+    body: bytes = bp.bytes_field(3)
+
+
+@message
+class News(bp.Message):
+    items: list[NewsItem] = bp.message_field(1)
+
+
+@message
+class NewsDigest(bp.Message):
+    keys: list[str] = bp.string_field(1)
+    stamps: list[int] = bp.uint64_field(2)
+
+
+@message
+class CoreRef(bp.Message):
+    coreId: str = bp.string_field(1)
+    addr: str = bp.string_field(2)
+
+
+@message
+class View(bp.Message):
+    number: int = bp.uint64_field(1)
+    members: list[CoreRef] = bp.message_field(2)
+    voters: list[CoreRef] = bp.message_field(3)
+
+
+@message
+class Prepare(bp.Message):
+    slot: int = bp.uint64_field(1)
+    ballot: int = bp.uint64_field(2)
+    coreId: str = bp.string_field(3)
+
+
+@message
+class Promise(bp.Message):
+    granted: bool = bp.bool_field(1)
+    ballot: int = bp.uint64_field(2)
+    acceptedBallot: int = bp.uint64_field(3)
+    accepted: View = bp.message_field(4)
+    decided: View = bp.message_field(5)
+    coreId: str = bp.string_field(6)
+
+
+@message
+class Accept(bp.Message):
+    slot: int = bp.uint64_field(1)
+    ballot: int = bp.uint64_field(2)
+    view: View = bp.message_field(3)
+
+
+@message
+class Decided(bp.Message):
+    view: View = bp.message_field(1)
+
+
+@message
+class ViewAsk(bp.Message):
+    coreId: str = bp.string_field(1)
+    addr: str = bp.string_field(2)
+
+
+@message
+class ViewReturn(bp.Message):
+    view: View = bp.message_field(1)
+    coreId: str = bp.string_field(2)
+    fresh: bool = bp.bool_field(3)
+    fault: str = bp.string_field(4)
+
+
+@message
+class ViewLicenceAsk(bp.Message):
+    number: int = bp.uint64_field(1)
+    coreId: str = bp.string_field(2)
+
+
+@message
+class ViewLicenceReturn(bp.Message):
+    granted: bool = bp.bool_field(1)
+    decided: View = bp.message_field(2)
+
+
+@message
+class ChainEntry(bp.Message):
+    serial: int = bp.uint64_field(1)
+    body: bytes = bp.bytes_field(2)
+
+
+@message
+class Pass(bp.Message):
+    view: int = bp.uint64_field(1)
+    entries: list[ChainEntry] = bp.message_field(2)
+    last: int = bp.uint64_field(3)
+
+
+@message
+class PassReturn(bp.Message):
+    last: int = bp.uint64_field(1)
+
+
+@message
+class JoinAsk(bp.Message):
+    coreId: str = bp.string_field(1)
+    addr: str = bp.string_field(2)
+    view: int = bp.uint64_field(3)
+
+
+@message
+class CopyAsk(bp.Message):
+    coreId: str = bp.string_field(1)
+
+
+@message
+class CopyReturn(bp.Message):
+    serial: int = bp.uint64_field(1)
+    state: bytes = bp.bytes_field(2)
+    view: int = bp.uint64_field(3)
+
+
+@message
+class Write(bp.Message):
+    changeId: str = bp.string_field(1)
+    body: bytes = bp.bytes_field(2)
+
+
+@message
+class WriteReturn(bp.Message):
+    serial: int = bp.uint64_field(1)
+    view: int = bp.uint64_field(2)
+
+
+@message
+class OutcomeAsk(bp.Message):
+    changeId: str = bp.string_field(1)
+    waitMs: int = bp.uint32_field(2)
+
+
+@message
+class OutcomeReturn(bp.Message):
+    code: int = bp.uint32_field(1)
+    reason: str = bp.string_field(2)
+    version: int = bp.uint64_field(3)
+    results: list[str] = bp.string_field(4)
+
+
+@message
+class ConfigAsk(bp.Message):
+    pass
+
+
+@message
+class ConfigReturn(bp.Message):
+    version: int = bp.uint64_field(1)
+    document: bytes = bp.bytes_field(2)
+
+
+@message
+class LicenceAsk(bp.Message):
+    router: str = bp.string_field(1)
+    addr: str = bp.string_field(2)
+    held: int = bp.uint64_field(3)
+    handBack: bool = bp.bool_field(4)
+
+
+@message
+class LicenceReturn(bp.Message):
+    licenceMs: int = bp.uint32_field(1)
+    version: int = bp.uint64_field(2)
+    document: bytes = bp.bytes_field(3)
+    view: int = bp.uint64_field(4)
+
+
+@message
+class Relay(bp.Message):
+    ask: LicenceAsk = bp.message_field(1)
+
+
+@message
+class Nudge(bp.Message):
+    version: int = bp.uint64_field(1)
+
+
+@message
+class Nominate(bp.Message):
+    view: int = bp.uint64_field(7)
+    duty: str = bp.string_field(1)
+    term: int = bp.uint64_field(2)
+    holder: str = bp.string_field(3)
+    addr: str = bp.string_field(4)
+    licenceMs: int = bp.uint32_field(5)
+    release: bool = bp.bool_field(6)
+
+
+@message
+class Vote(bp.Message):
+    granted: bool = bp.bool_field(1)
+    term: int = bp.uint64_field(2)
+    holder: str = bp.string_field(3)
+    addr: str = bp.string_field(4)
+    leftMs: int = bp.uint32_field(5)
+
+
+@message
+class ListAsk(bp.Message):
+    pass
+
+
+@message
+class ListReturn(bp.Message):
+    ageMs: int = bp.uint64_field(1)
+    body: bytes = bp.bytes_field(2)
+
+
+@message
+class GrantAsk(bp.Message):
+    router: str = bp.string_field(1)
+    call: str = bp.string_field(2)
+    leg: int = bp.uint32_field(3)
+    tenant: str = bp.string_field(4)
+    model: str = bp.string_field(5)
+    group: str = bp.string_field(6)
+    chain: list[bytes] = bp.bytes_field(7)
+    weights: str = bp.string_field(8)
+    waitMs: int = bp.uint32_field(9)
+    avoid: list[str] = bp.string_field(10)
+    single: bool = bp.bool_field(11)
+    config: int = bp.uint64_field(12)
+    conversation: str = bp.string_field(13)
+
+
+@message
+class GrantReturn(bp.Message):
+    term: int = bp.uint64_field(1)
+    worker: str = bp.string_field(2)
+    url: str = bp.string_field(3)
+    conversation: str = bp.string_field(4)
+    isStart: bool = bp.bool_field(5)
+    fetchFrom: str = bp.string_field(6)
+    fetchPrefix: bytes = bp.bytes_field(7)
+    fetchMs: int = bp.uint32_field(8)
+    waitedMs: int = bp.uint32_field(9)
+    why: str = bp.string_field(10)
+
+
+@message
+class LegEnd(bp.Message):
+    router: str = bp.string_field(1)
+    call: str = bp.string_field(2)
+    leg: int = bp.uint32_field(3)
+    conversation: str = bp.string_field(4)
+    model: str = bp.string_field(5)
+    isOver: bool = bp.bool_field(6)
+    hits: int = bp.uint32_field(7)
+    parts: int = bp.uint32_field(8)
+    neverSent: bool = bp.bool_field(9)
+
+
+@message
+class GrantDrop(bp.Message):
+    router: str = bp.string_field(1)
+    call: str = bp.string_field(2)
+    model: str = bp.string_field(3)
+
+
+@message
+class OpenConversation(bp.Message):
+    conversation: str = bp.string_field(1)
+    tenant: str = bp.string_field(2)
+    group: str = bp.string_field(3)
+    worker: str = bp.string_field(4)
+    last: bytes = bp.bytes_field(5)
+    parts: int = bp.uint32_field(6)
+    call: str = bp.string_field(7)
+    idleMs: int = bp.uint64_field(8)
+    weights: str = bp.string_field(9)
+    leg: int = bp.uint32_field(10)
+    turns: int = bp.uint32_field(11)
+
+
+@message
+class OpenAsk(bp.Message):
+    term: int = bp.uint64_field(1)
+    model: str = bp.string_field(2)
+    keeper: str = bp.string_field(3)
+
+
+@message
+class OpenReturn(bp.Message):
+    conversations: list[OpenConversation] = bp.message_field(1)
+
+
+@message
+class Hold(bp.Message):
+    router: str = bp.string_field(1)
+    model: str = bp.string_field(2)
+    calls: list[str] = bp.string_field(3)
+    term: int = bp.uint64_field(4)
+
+
+KINDS = {
+    1: FaultReturn, 2: Done, 3: Member, 4: Probe, 5: ProbeReturn, 6: Roster, 7: NewsItem, 8: News, 9: NewsDigest,
+    10: View, 11: Prepare, 12: Promise, 13: Accept, 14: Decided, 15: ViewAsk, 16: ViewReturn, 17: ViewLicenceAsk,
+    18: ViewLicenceReturn, 20: Pass, 21: PassReturn, 22: JoinAsk, 23: CopyAsk, 24: CopyReturn, 25: Write,
+    26: WriteReturn, 27: OutcomeAsk, 28: OutcomeReturn, 29: ConfigAsk, 30: ConfigReturn, 31: LicenceAsk,
+    32: LicenceReturn, 33: Relay, 34: Nudge, 40: Nominate, 41: Vote, 50: ListAsk,
+    51: ListReturn, 60: GrantAsk, 61: GrantReturn, 62: LegEnd, 63: GrantDrop, 64: OpenAsk, 65: OpenReturn, 66: Hold,
+}
+NUMBERS = {cls: number for number, cls in KINDS.items()}
+
+
+class MessagesTest(unittest.TestCase):
+    def testMessagesComeBackWhole(self):
+        sent = Probe(sender=Member(addr="a:1", incarnation=7), serial=3, about=[Member(name="x"), Member(name="y")])
+        got = Probe().parse(bytes(sent))
+        self.assertEqual((got.sender.incarnation, got.serial, [each.name for each in got.about]), (7, 3, ["x", "y"]))
