--- /dev/null
+++ b/swiftdeck/bench/cache.py
@@ -0,0 +1,59 @@
+"""A finite prefix cache that drops the least recently used."""
+import unittest
+from collections import OrderedDict
+
+import attrs
+
+
+@attrs.frozen
+class Entry:
+    """One kept link of a chain and who made it."""
+
+    tokens: int
+    tenant: str
+    weights: str
+
+
+class PrefixCache:
+    """Links by digest; an earlier link of a chain is always used later than what follows it."""
+
+    def __init__(self, room: int, onChange=lambda kind, link: None):
+        self.room, self.used, self.onChange = room, 0, onChange
+        self.entries: OrderedDict[bytes, Entry] = OrderedDict()
+
+    def depth(self, chain) -> int:
+        """How many links from the first on are kept."""
+        return next((at for at, link in enumerate(chain) if link not in self.entries), len(chain))
+
+    def touch(self, chain):
+        """Use links, so that they are dropped last."""
+        for link in reversed(chain):
+            if link in self.entries:
+                self.entries.move_to_end(link)
+
+    def keep(self, chain, entries):
+        """Keep links that were made or fetched."""
+        for link, entry in zip(chain, entries):
+            if link not in self.entries:
+                self.entries[link] = entry
+                self.used += entry.tokens
+                self.onChange("kept", link)
+        self.touch(chain)
+        while self.used > self.room:
+            link, entry = self.entries.popitem(last=False)
+            self.used -= entry.tokens
+            self.onChange("dropped", link)
+
+    def clear(self):
+        """Drop everything."""
+        self.entries.clear()
+        self.used = 0
+
+
+class PrefixCacheTest(unittest.TestCase):
+    def testTheLeastRecentlyUsedLeafGoesFirst(self):
+        cache, entry = PrefixCache(30), Entry(10, "t", "w")
+        cache.keep([b"a", b"b"], [entry] * 2)
+        cache.keep([b"a", b"c"], [entry] * 2)
+        cache.keep([b"a", b"d"], [entry] * 2)
+        self.assertEqual((cache.depth([b"a", b"b"]), cache.depth([b"a", b"c"]), cache.depth([b"a", b"d"])), (1, 2, 2))
--- /dev/null
+++ b/swiftdeck/bench/record.py
@@ -0,0 +1,46 @@
+"""What a stand-in saw, a line of JSON each."""
+import time
+import typing
+
+import msgspec
+
+
+class Sink(typing.Protocol):
+    """Takes what a stand-in saw."""
+
+    def __call__(self, kind: str, **fields): ...
+
+
+def bootMs() -> int:
+    """The clock that all processes of one machine share."""
+    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
+
+
+class FileRecord:
+    """Appends to a file."""
+
+    def __init__(self, path, who):
+        self.file, self.who = open(path, "ab", buffering=0), who
+
+    def __call__(self, kind: str, **fields):
+        self.file.write(msgspec.json.encode({"atMs": bootMs(), "who": self.who, "kind": kind} | fields) + b"\n")
+
+
+class ListRecord:
+    """Appends to a list that all simulated stand-ins share."""
+
+    def __init__(self, items, who, clock):
+        self.items, self.who, self.clock = items, who, clock
+
+    def __call__(self, kind: str, **fields):
+        self.items.append({"atMs": int(self.clock() * 1000), "who": self.who, "kind": kind} | fields)
+
+
+def readRecords(paths):
+    """All records of some files, in the order of their time; a torn last line is passed over."""
+    def lines():
+        for path in paths:
+            with open(path, "rb") as file:
+                yield from file
+    return sorted((msgspec.json.decode(line) for line in lines() if line.endswith(b"\n")),
+                  key=lambda item: item["atMs"])
--- /dev/null
+++ b/swiftdeck/bench/site.py
@@ -0,0 +1,77 @@
+"""The two sites of the brief as plans: machines, zones, workers, tenants and a configuration."""
+import unittest
+
+import attrs
+
+from swiftdeck.config.document import Document, keyDigest, readDocument
+from swiftdeck.fault import isFault
+
+TENANTS = {
+    "hinokuni": ["chikugo", "hitoyoshi", "kumamoto", "miyazaki", "nagasaki", "oita", "saga", "yatsushiro"],
+    "serraria": ["araucaria", "bracatinga", "canela", "cedro", "imbuia", "ipe", "jatoba", "peroba"],
+}
+
+
+@attrs.frozen
+class Site:
+    """Where everything of a site stands."""
+
+    name: str
+    model: str
+    cores: list
+    routers: list
+    workers: list
+    platform: str
+    store: str
+    keys: dict
+    apart: str
+    agents: dict
+
+    def document(self, weights="w1", cap=4, **model) -> dict:
+        """The first configuration of the site."""
+        return {
+            "models": {self.model: {"weights": weights, "cap": cap} | model},
+            "tenants": {tenant: {"keys": [keyDigest(key)], "apart": tenant == self.apart} for tenant, key in self.keys.items()},
+            "routes": {"check": {"model": self.model, "waitMs": 10000},
+                       "tag": {"model": self.model, "repeatable": True, "single": True, "waitMs": 8000}},
+        }
+
+    def seeds(self):
+        """Three addresses by which processes find the others."""
+        return [core["inner"] for core in self.cores]
+
+
+def planSite(name="hinokuni", ip=lambda machine: "127.0.0.1", basePort=21000, routers=9, workers=None):
+    """Plan a site; with one IP for all machines each process gets ports of its own."""
+    isHinokuni = name == "hinokuni"
+    ports = iter(range(basePort, basePort + 1000))
+    perMachine = ip("a") != ip("b")
+
+    def addr(machine, port):
+        return f"{ip(machine)}:{port if perMachine else next(ports)}"
+
+    def node(role, number):
+        machine = f"{role}{number}"
+        return {"name": machine, "inner": addr(machine, 7000), "http": addr(machine, 8000), "zone": f"z{(number - 1) % 3 + 1}"}
+    count = workers or (6 if isHinokuni else 9)
+    model = "screener" if isHinokuni else "classifier"
+    tenants = TENANTS[name]
+    return Site(
+        name=name, model=model, cores=[node("core", number) for number in (1, 2, 3)],
+        routers=[node("router", number) for number in range(1, routers + 1)],
+        workers=[{"name": f"worker{number}", "addr": addr(f"worker{number}", 9000), "model": model,
+                  "zone": f"z{(number - 1) % 3 + 1}", "draining": False} for number in range(1, count + 1)],
+        platform=addr("platform", 9000), store=addr("store", 9000),
+        keys={tenant: f"key-{tenant}" for tenant in tenants}, apart=tenants[2],
+        agents={tenant: 4 if at < 2 else 1 for at, tenant in enumerate(tenants)})
+
+
+class SiteTest(unittest.TestCase):
+    def testBothSitesHaveSoundConfigurations(self):
+        import msgspec
+        for name, workers in (("hinokuni", 6), ("serraria", 9)):
+            site = planSite(name)
+            self.assertEqual((len(site.workers), len(site.routers), len(site.keys)), (workers, 9, 8))
+            document = readDocument(msgspec.json.encode(site.document()))
+            self.assertFalse(isFault(document))
+            self.assertIsInstance(document, Document)
--- /dev/null
+++ b/swiftdeck/bench/worker.py
@@ -0,0 +1,176 @@
+"""A stand-in for a model worker: a finite prefix cache, dear prefill, cheap extension, and a record of what it ran."""
+import asyncio
+import json
+import re
+
+from swiftdeck.bench.cache import Entry, PrefixCache
+from swiftdeck.fault import BAD_REQUEST, NOT_FOUND, isFault
+from swiftdeck.http.client import fetchJson
+from swiftdeck.http.server import HttpServer
+from swiftdeck.traffic.prefix import chainOf
+
+MARKER = re.compile(r"\[\[([^\]]*)\]\]")
+
+
+def tokensOf(part: str) -> int:
+    """How long a part counts."""
+    return max(1, len(part) // 4)
+
+
+class Worker:
+    """Serves one model over the workers' protocol of docs/protocols.md."""
+
+    def __init__(self, name, addr, record, random, weights="w1", store="", room=1_000_000, speed=1.0, loadS=1.0):
+        self.name, self.addr, self.record, self.random = name, addr, record, random
+        self.weights, self.store, self.speed, self.loadS = weights, store, speed, loadS
+        self.cache = PrefixCache(room, self._report)
+        self.events, self.number, self.watching = [], 0, []
+        self.computed = self.hitTokens = 0
+        self.quirk, self.linkS = "", 0.0
+        self.engine = None
+        self.http = HttpServer(self.handle, bodyLimit=16 << 20)
+
+    async def start(self):
+        """Listen."""
+        self.engine = asyncio.Lock()
+        ip, _, port = self.addr.rpartition(":")
+        await self.http.start(ip, int(port))
+        self.record("up", weights=self.weights)
+
+    def _report(self, kind, link=b"", **more):
+        self.number += 1
+        self.events.append({"n": self.number, "kind": kind} | ({"prefix": link.hex()} if link else {}) | more)
+        del self.events[:-5000]
+        waiting, self.watching = self.watching, []
+        [done.set_result(None) for done in waiting if not done.done()]
+
+    async def handle(self, exchange):
+        """One exchange of the workers' protocol."""
+        path = exchange.path
+        if path == "/v1/kept":
+            return await exchange.give(200, {"n": self.number, "weights": self.weights,
+                                             "kept": [link.hex() for link in self.cache.entries]})
+        if path == "/v1/events":
+            return await self._events(exchange, int(exchange.query.get("since", "0")))
+        body = exchange.json()
+        if isFault(body) or not isinstance(body, dict):
+            return BAD_REQUEST
+        if path == "/v1/run":
+            return await self._run(exchange, body)
+        if path == "/v1/weights":
+            return await self._load(exchange, body["weights"])
+        if path == "/v1/fetch":
+            return await self._fetch(exchange, body)
+        if path == "/v1/lookup":
+            return await self._lookup(exchange, body)
+        if path == "/v1/quirk":
+            self.quirk, self.linkS = body.get("quirk", ""), body.get("linkS", 0.0)
+            self.record("quirk", quirk=self.quirk)
+            return await exchange.give(200, {})
+        return NOT_FOUND
+
+    async def _events(self, exchange, at):
+        exchange.begin(200, [("content-type", "application/x-ndjson"), ("transfer-encoding", "chunked")])
+        while True:
+            items = [each for each in self.events if each["n"] > at]
+            for item in items:
+                if self.quirk == "lose reports" and self.random.random() < 0.3:
+                    continue
+                for _ in range(2 if self.quirk == "double reports" else 1):
+                    await exchange.piece(json.dumps(item).encode() + b"\n")
+            at = items[-1]["n"] if items else at
+            done = asyncio.get_running_loop().create_future()
+            self.watching.append(done)
+            await asyncio.wait([done], timeout=1.0)
+            if self.quirk == "late reports":
+                await asyncio.sleep(2.0)
+            if not done.done():
+                await exchange.piece(json.dumps({"n": at, "kind": "beat"}).encode() + b"\n")
+
+    async def _load(self, exchange, weights):
+        if weights != self.weights:
+            await asyncio.sleep(self.loadS)
+            self.weights = weights
+            self.cache.clear()
+            self._report("weights", weights=weights)
+            self.record("weights", weights=weights)
+        await exchange.give(200, {"weights": self.weights})
+
+    async def _fetch(self, exchange, body):
+        chain = [bytes.fromhex(link) for link in body["chain"]]
+        got = await fetchJson(body["from"], "POST", "/v1/lookup", {"chain": body["chain"], "above": self.cache.depth(chain)},
+                              timeoutMs=body["withinMs"])
+        entries = [Entry(*each) for each in got[1]["entries"]] if not isFault(got) and got[0] == 200 else []
+        if entries and body["weights"] == self.weights:
+            self.cache.keep(chain[:len(entries)], entries)
+        self.record("fetch", call=body.get("call", ""), source=body["from"], parts=len(entries))
+        await exchange.give(200, {"parts": len(entries)})
+
+    async def _lookup(self, exchange, body):
+        chain = [bytes.fromhex(link) for link in body["chain"]]
+        depth = self.cache.depth(chain)
+        entries = [self.cache.entries[link] for link in chain[:depth]]
+        tokens = sum(entry.tokens for entry in entries[body.get("above", 0):])
+        await asyncio.sleep(self.linkS + tokens * 2e-6 * self.speed)
+        await exchange.give(200, {"entries": [[each.tokens, each.tenant, each.weights] for each in entries]})
+
+    def prefillS(self, total, new):
+        """Seconds to compute the last `new` of `total` tokens: the paper's times fitted by a square law."""
+        kept = (total - new) / 1000
+        whole = total / 1000
+        return (0.05 + 0.03025 * (whole - kept) + 8.126e-5 * (whole * whole - kept * kept)) * self.speed
+
+    async def _run(self, exchange, body):
+        run, call, parts = body["run"], body["call"], body["parts"]
+        marker = (MARKER.findall(parts[-1]) or [""])[-1]
+        shown = {"run": run, "call": call, "tenant": body["tenant"], "group": body["group"], "weights": body["weights"],
+                 "route": body["route"], "marker": marker}
+        if body["weights"] != self.weights:
+            self.record("refused", **shown)
+            return BAD_REQUEST.because("other weights")
+        self.record("run", **shown, loaded=self.weights)
+        whole = False
+        try:
+            if self.quirk == "hang":
+                await asyncio.sleep(3600)
+            chain = chainOf(body["weights"], body["group"], parts)
+            tokens = [tokensOf(part) for part in parts]
+            async with self.engine:
+                depth = self.cache.depth(chain)
+                self.cache.touch(chain[:depth])
+                origins = sorted({(self.cache.entries[link].tenant, self.cache.entries[link].weights)
+                                  for link in chain[:depth]})
+                new = sum(tokens[depth:])
+                self.computed, self.hitTokens = self.computed + new, self.hitTokens + sum(tokens[:depth])
+                self.record("prefill", run=run, hitParts=depth, parts=len(parts), newTokens=new, origins=origins)
+                await asyncio.sleep(self.prefillS(sum(tokens), new))
+                if body["weights"] == self.weights:
+                    self.cache.keep(chain, [Entry(count, body["tenant"], body["weights"]) for count in tokens])
+            whole = await self._stream(exchange, run, marker, body["maxTokens"], depth, len(parts), new)
+            if self.store and whole:
+                asyncio.ensure_future(self._save(chain, tokens, body))
+        finally:
+            self.record("ran", run=run, call=call, whole=whole)
+
+    async def _stream(self, exchange, run, marker, count, depth, parts, new):
+        exchange.begin(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")])
+        pieces = max(1, count // 16)
+        for seq in range(pieces):
+            await asyncio.sleep(0.01 * min(16, count) * self.speed)
+            if self.quirk == "die midway" and seq == pieces // 2:
+                exchange.conversation.abort()
+                return False
+            if self.quirk == "malformed" and seq == pieces // 2:
+                await exchange.piece(b"data: {nonsense\n\n")
+            named = "foreign-1" if self.quirk == "foreign" and seq == pieces // 2 else run
+            for _ in range(2 if self.quirk == "repeat" and seq == pieces // 2 else 1):
+                await exchange.piece(b"data: " + json.dumps({"run": named, "seq": seq, "text": f"[[{marker}]]{seq} "}).encode() + b"\n\n")
+        await exchange.piece(b"data: " + json.dumps({"run": run, "seq": pieces, "end": True, "usage": {
+            "hitParts": depth, "parts": parts, "newTokens": new}}).encode() + b"\n\n")
+        exchange.finish()
+        return True
+
+    async def _save(self, chain, tokens, body):
+        await fetchJson(self.store, "POST", "/v1/save", {
+            "chain": [link.hex() for link in chain],
+            "entries": [[count, body["tenant"], body["weights"]] for count in tokens]}, timeoutMs=2000)
--- /dev/null
+++ b/swiftdeck/sim/town.py
@@ -0,0 +1,154 @@
+"""A whole site in one process: cores, routers and stand-ins on simulated machines."""
+import asyncio
+import random
+
+from swiftdeck.bench.caller import Caller
+from swiftdeck.bench.platform import Platform
+from swiftdeck.bench.record import ListRecord
+from swiftdeck.bench.site import planSite
+from swiftdeck.bench.store import Store
+from swiftdeck.bench.worker import Worker
+from swiftdeck.config.settings import Settings
+from swiftdeck.control.core import Core
+from swiftdeck.http.client import fetchJson
+from swiftdeck.sim.folder import SimFolder
+from swiftdeck.sim.world import World
+from swiftdeck.traffic.router import Router
+
+
+class Town:
+    """Starts, breaks and mends the processes of a site in virtual time, and collects the records."""
+
+    def __init__(self, seed=1, site="hinokuni", routers=3, workers=2, speed=0.2, **settings):
+        self.world = World(seed)
+        self.ips = {}
+        self.site = planSite(site, self.ip, routers=routers, workers=workers)
+        self.settings, self.speed = settings, speed
+        self.records, self.folders, self.up = [], {}, {}
+        self.addresses = {node["name"]: node for node in [*self.site.cores, *self.site.routers]}
+        self.seeds = self.site.seeds()
+        self.version = 0
+
+    def ip(self, machine):
+        """The address of a machine."""
+        return self.ips.setdefault(machine, f"10.0.{len(self.ips) // 200}.{len(self.ips) % 200 + 1}")
+
+    def record(self, who):
+        return ListRecord(self.records, who, lambda: self.world.now)
+
+    def _settings(self, node):
+        return Settings(name=node["name"], inner=node["inner"], http=node["http"], zone=node["zone"], seeds=self.seeds,
+                        platform=self.site.platform, store=self.site.store, **self.settings)
+
+    def startCore(self, name):
+        """Start a core on what its disk has."""
+        node = self.addresses[name]
+        folder = self.folders.setdefault(name, SimFolder())
+
+        async def main():
+            self.up[name] = Core(self._settings(node), folder, random.Random(self.world.random.random()))
+            await self.up[name].start()
+        self.world.start(name, node["inner"].rpartition(":")[0], main)
+
+    def startRouter(self, name):
+        """Start a router."""
+        node = self.addresses[name]
+
+        async def main():
+            self.up[name] = Router(self._settings(node), random.Random(self.world.random.random()))
+            await self.up[name].start()
+        self.world.start(name, node["inner"].rpartition(":")[0], main)
+
+    def startWorker(self, name, weights="w1", **more):
+        """Start a worker stand-in with an empty cache."""
+        plan = next(worker for worker in self.site.workers if worker["name"] == name)
+
+        async def main():
+            self.up[name] = Worker(name, plan["addr"], self.record(name), random.Random(self.world.random.random()),
+                                   weights, self.site.store, **({"speed": self.speed} | more))
+            await self.up[name].start()
+        self.world.start(name, plan["addr"].rpartition(":")[0], main)
+
+    def startStore(self):
+        """Start the store, empty."""
+        async def main():
+            self.up["store"] = Store(self.site.store, self.record("store"))
+            await self.up["store"].start()
+        self.world.start("store", self.site.store.rpartition(":")[0], main)
+
+    def start(self, **model):
+        """Start everything and put the first configuration."""
+        [self.startCore(node["name"]) for node in self.site.cores]
+
+        async def platform():
+            self.up["platform"] = Platform(self.site.platform, self.record("platform"), self.site.workers)
+            await self.up["platform"].start()
+        self.world.start("platform", self.site.platform.rpartition(":")[0], platform)
+        self.startStore()
+        [self.startWorker(worker["name"]) for worker in self.site.workers]
+        [self.startRouter(node["name"]) for node in self.site.routers]
+        self.world.start("operator", self.ip("operator"), lambda: asyncio.sleep(0))
+        self.world.start("callers", self.ip("callers"), lambda: asyncio.sleep(0))
+        doors = [node["http"] for node in self.site.routers]
+        self.caller = Caller("c", doors, self.record("caller"), random.Random(self.world.random.random()), self.site.keys)
+        self.world.run(until=self.coresServe, limitS=30)
+        got = self.change("PUT", self.site.document(**model))
+        assert got[0] == 200, got
+        self.world.run(until=lambda: self.keeper() is not None, limitS=30)
+        self.world.run(0.5)
+        return self
+
+    def coresServe(self):
+        """Whether some core may answer for the chain."""
+        return any(self.up[name].chain.mayAnswer() for name in self.coreNames() if name in self.up)
+
+    def coreNames(self):
+        """Cores that run."""
+        return [node["name"] for node in self.site.cores if node["name"] in self.world.loops]
+
+    def routerNames(self):
+        """Routers that run."""
+        return [node["name"] for node in self.site.routers if node["name"] in self.world.loops]
+
+    def keeper(self):
+        """The name of the router that keeps the books, if one does."""
+        for name in self.routerNames():
+            for keeper in self.up[name].keepers.values():
+                if keeper._isReady() and not self.world.loops[name].frozen:
+                    return name
+        return None
+
+    def books(self):
+        """The books of the present keeper."""
+        return next(iter(self.up[self.keeper()].keepers.values())).books
+
+    def ask(self, method, path, body=None, name=None, headers=(), timeoutMs=15000):
+        """An operator's exchange with a process."""
+        name = name or self.coreNames()[0]
+        return self.world.do("operator", lambda: fetchJson(self.addresses[name]["http"], method, path, body, headers, timeoutMs))
+
+    def change(self, method, document, base=None, name=None, changeId=None):
+        """An operator's change on the newest version, recorded with what came back."""
+        name = name or self.coreNames()[0]
+        base = self.version if base is None else base
+        headers = [("change-id", changeId)] if changeId else []
+        got = self.ask(method, f"/v1/config?base={base}", document, name, headers)
+        if got and got[0] == 200:
+            self.version = max(self.version, got[1]["version"])
+        self.record("operator")("change", method=method, base=base, document=document,
+                                status=got[0] if got else 0, answer=got[1] if got else {})
+        return got
+
+    def call(self, tenant, route, parts, **more):
+        """One call, to its return."""
+        return self.world.do("callers", lambda: self.caller.call(tenant, route, parts, **more), limitS=200)
+
+    def spawn(self, make):
+        """Run a coroutine of the callers beside all else; gives a list that will hold its result."""
+        box = []
+
+        async def main():
+            box.append(await make())
+        loop = self.world.loops["callers"]
+        self.world._within(loop, lambda: loop.create_task(main()))
+        return box
--- /dev/null
+++ b/swiftdeck/traffic/call.py
@@ -0,0 +1,280 @@
+"""One call on its way through a router: a ledger of legs from which the next move is derived."""
+import asyncio
+import hashlib
+import json
+from typing import Annotated
+
+import msgspec
+
+from swiftdeck.fault import (BAD_REQUEST, BAD_RETURN, HORIZON, NO_KEEPER, NO_LICENCE, STALE_LIST, UNREACHED, WAITED_OUT,
+                             WORKER_BAD, WORKER_HANGS, WORKER_LOST, WORKER_REFUSED, isFault)
+from swiftdeck.http.client import connect, fetchJson
+from swiftdeck.traffic.ledger import Leg, Ledger, Move, nextMove
+from swiftdeck.traffic.prefix import chainOf, groupOf
+from swiftdeck.wire.messages import GrantAsk, GrantDrop, LegEnd
+
+
+class CallBody(msgspec.Struct):
+    """What a caller sends."""
+
+    model: Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
+    parts: Annotated[list[str], msgspec.Meta(min_length=1)]
+    stream: bool = True
+    maxTokens: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 256
+
+
+class Call:
+    """Drives one exchange to its final return."""
+
+    def __init__(self, router, exchange, held, tenant, route, body):
+        self.router, self.exchange, self.held = router, exchange, held
+        self.tenant, self.route, self.body = tenant, route, body
+        self.loop = asyncio.get_running_loop()
+        self.name = "%020x" % router.random.getrandbits(80)
+        self.startS = self.loop.time()
+        key = exchange.headers.get("idempotency-key", "")
+        self.claimKey = f"{tenant}:{key}" if key and not route.repeatable else ""
+        self.digest = hashlib.sha256(exchange.body).hexdigest()[:32] if self.claimKey else ""
+        self.ledger = Ledger(route.repeatable, bool(self.claimKey), self.nowMs() + route.waitMs,
+                             self.nowMs() + route.horizonMs)
+        self.isLast = exchange.headers.get("conversation-end", "") not in ("", "0", "false")
+        self.conversation, self.avoid, self.pieces, self.begun = "", [], [], False
+        self.chain, self.weights, self.link = [], "", None
+
+    def nowMs(self):
+        return self.loop.time() * 1000
+
+    def run(self):
+        """The id of the present leg's run, which the worker echoes."""
+        return f"{self.name}-{self.ledger.legs[-1].number}"
+
+    async def serve(self):
+        """Make moves until the call has its final return."""
+        acts = {Move.CLAIM: self._claim, Move.NOMINATE: self._nominate, Move.SEND: self._send}
+        try:
+            while True:
+                move, fault = nextMove(self.ledger, self.nowMs())
+                if move in acts:
+                    await acts[move]()
+                else:
+                    return await self._end(move, fault)
+        finally:
+            self._settle()
+
+    def _settle(self):
+        if self.link:
+            self.link.close()
+        if self.ledger.claim is True:
+            (self.router.claims.finish if self.ledger.sent() else self.router.claims.release)(
+                self.claimKey, self.name, self.digest)
+        leg = self.ledger.legs[-1] if self.ledger.legs else None
+        if leg and leg.grant is None and leg.fault is None:
+            self.router.tellKeeper(self.route.model, GrantDrop(call=self.name, model=self.route.model))
+        self._closeLeg()
+
+    def _closeLeg(self):
+        leg = self.ledger.legs[-1] if self.ledger.legs else None
+        if leg and leg.grant is not None and self.name in self.router.running:
+            self.router.legEnded(self, leg)
+
+    async def _claim(self):
+        untilS = self.ledger.waitUntilMs / 1000
+        self.ledger.claim = await self.router.claims.claim(self.claimKey, self.name, self.digest, untilS)
+
+    async def _nominate(self):
+        last = self.ledger.legs[-1] if self.ledger.legs else None
+        if last and last.grant is None:
+            self.ledger.legs.pop()
+            await asyncio.sleep(min(0.2, (last.fault.retryMs or 100) / 1000))
+        leg = Leg(len(self.ledger.legs) + 1)
+        self.ledger.legs.append(leg)
+        if not await self.router.licence.wait(self.ledger.waitUntilMs / 1000):
+            leg.fault = NO_LICENCE
+            return
+        self.held = self.router.licence.held
+        model = self.held.document.models.get(self.route.model)
+        tenant = self.held.document.tenants.get(self.tenant)
+        if model is None or tenant is None:
+            leg.fault = BAD_REQUEST.because("the route or the tenant was taken away")
+            return
+        if not self.router.workers.isFresh():
+            leg.fault = STALE_LIST
+            return
+        group = groupOf(self.tenant, tenant.apart)
+        if (self.weights, group) != (model.weights, getattr(self, "group", None)):
+            self.weights, self.group = model.weights, group
+            self.chain = chainOf(model.weights, group, self.body.parts)
+        leg.fault = await self._askKeeper(leg)
+
+    async def _askKeeper(self, leg):
+        keeper = self.router.keeperOf(self.route.model)
+        if keeper is None:
+            return NO_KEEPER
+        leftMs = max(1, int(min(self.ledger.waitUntilMs, self.ledger.horizonMs) - self.nowMs()))
+        ask = GrantAsk(router=self.router.me.name, call=self.name, leg=leg.number, tenant=self.tenant,
+                       model=self.route.model, group=self.group, chain=self.chain, weights=self.weights,
+                       waitMs=leftMs, avoid=self.avoid, conversation=self.conversation)
+        got = await self.router.askKeeper(keeper, ask, leftMs + 300)
+        if isFault(got):
+            return got
+        fault = self.router.takeGrant(self, leg, got, keeper)
+        if fault is None:
+            leg.grant, self.conversation = got, got.conversation
+        return fault
+
+    def _mayBeSent(self, leg):
+        """Looked at right before the bytes go: everything that a frozen process could have outlived."""
+        router, model = self.router, None
+        if not router.licence.isHeld():
+            return NO_LICENCE
+        model = router.licence.held.document.models.get(self.route.model)
+        if model is None or model.weights != self.weights or router.licence.held.tenantByKey.get(self.keyDigest) != self.tenant:
+            return NO_LICENCE.because("configuration changed meanwhile", 200)
+        if not router.workers.mayTake(leg.grant.worker):
+            return STALE_LIST.because("worker drains, is gone, or the list is old", 200)
+        if not router.isGrantValid(self.name):
+            return NO_KEEPER.because("grant lapsed", 200)
+        if self.nowMs() >= self.ledger.horizonMs:
+            return WAITED_OUT
+        return None
+
+    async def _send(self):
+        leg = self.ledger.legs[-1]
+        if leg.grant.fetchFrom:
+            await self._fetch(leg)
+        ip, _, port = leg.grant.url.rpartition(":")
+        self.link = await connect(ip, int(port), 1000)
+        if isFault(self.link):
+            leg.fault, self.link = self.link, None
+            self.avoid.append(leg.grant.worker)
+        else:
+            leg.fault = self._mayBeSent(leg)
+            if leg.fault is None:
+                self.router.board.count["legsSent"] += 1
+                leg.wasSent = True
+                leg.fault = await self._runAtWorker(leg)
+                if leg.fault is not None:
+                    self.router.board.count["legsFailed"] += 1
+                    self.avoid.append(leg.grant.worker)
+            if self.link:
+                self.link.close()
+        if leg.fault is not None:
+            self._closeLeg()
+            if not leg.wasSent and leg.fault.code != UNREACHED.code:
+                leg.grant = None
+
+    async def _fetch(self, leg):
+        boundMs = leg.grant.fetchMs
+        startMs = self.nowMs()
+        got = await fetchJson(leg.grant.url, "POST", "/v1/fetch", {
+            "from": leg.grant.fetchFrom, "chain": [link.hex() for link in self.chain], "weights": self.weights,
+            "group": self.group, "withinMs": boundMs, "call": self.name}, timeoutMs=boundMs)
+        tookMs = int(self.nowMs() - startMs)
+        self.slowFrom = leg.grant.fetchFrom if isFault(got) or tookMs > 0.8 * boundMs else ""
+        parts = got[1].get("parts", 0) if not isFault(got) and isinstance(got[1], dict) else 0
+        self.router.board.count["fetches"] += 1
+        self.router.board.count["fetchedParts"] += parts if isinstance(parts, int) else 0
+        self.router.decisions.add("fetch", call=self.name, source=leg.grant.fetchFrom, worker=leg.grant.worker,
+                                  parts=parts, tookMs=tookMs)
+        self.router.renewGrant(self.name)
+
+    slowFrom, keyDigest, group = "", "", None
+
+    async def _runAtWorker(self, leg):
+        body = json.dumps({"run": self.run(), "call": self.name, "weights": self.weights, "group": self.group,
+                           "parts": self.body.parts, "maxTokens": self.body.maxTokens, "route": self.body.model,
+                           "tenant": self.tenant, "key": self.claimKey}).encode()
+        leftS = max(0.05, self.ledger.horizonMs / 1000 - self.loop.time())
+        try:
+            async with asyncio.timeout(min(leftS, self.route.firstPieceMs / 1000)):
+                got = await self.link.exchange("POST", "/v1/run", [("content-type", "application/json")], body,
+                                               leg.grant.url)
+            if isFault(got):
+                return got if got.code != BAD_RETURN.code else WORKER_BAD.because(got.reason)
+            if got.status != 200:
+                return WORKER_REFUSED.because(f"status {got.status}")
+            return await self._relay(leg, got)
+        except TimeoutError:
+            return self._late()
+
+    def _late(self):
+        return HORIZON if self.nowMs() >= self.ledger.horizonMs else WORKER_HANGS
+
+    async def _relay(self, leg, got):
+        lines, expected = got.lines(), 0
+        while True:
+            leftS = self.ledger.horizonMs / 1000 - self.loop.time()
+            boundMs = self.route.pieceMs if expected else self.route.firstPieceMs
+            try:
+                async with asyncio.timeout(max(0.01, min(leftS, boundMs / 1000))):
+                    line = await anext(lines, None)
+            except TimeoutError:
+                return self._late()
+            if line is None:
+                fault = got.fault if got.fault is not None else WORKER_LOST.because("stream ended early")
+                return fault if fault.code != BAD_RETURN.code else WORKER_BAD.because(fault.reason)
+            if not line.strip():
+                continue
+            piece = self._read(line, expected)
+            if isFault(piece):
+                return piece
+            expected += 1
+            if piece.get("end"):
+                usage = piece.get("usage")
+                self.usage = usage if isinstance(usage, dict) else {}
+                leg.isWhole = True
+                return None
+            leg.delivered += 1 if self.body.stream else 0
+            await self._give(piece)
+
+    def _read(self, line, expected):
+        if not line.startswith(b"data:"):
+            return WORKER_BAD.because("line is not data")
+        try:
+            piece = msgspec.json.decode(line[5:])
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            return WORKER_BAD.because(str(error))
+        if not isinstance(piece, dict) or piece.get("run") != self.run():
+            return WORKER_BAD.because("piece of another run")
+        if piece.get("seq") != expected or not isinstance(piece.get("text", ""), str):
+            return WORKER_BAD.because(f"piece {piece.get('seq')} where {expected} was due")
+        return piece
+
+    usage = {}
+
+    async def _give(self, piece):
+        if not self.body.stream:
+            self.pieces.append(piece.get("text", ""))
+            return
+        self._begin()
+        await self._event({"call": self.name, "run": piece["run"], "seq": piece["seq"], "text": piece.get("text", "")})
+
+    def _begin(self):
+        if not self.begun:
+            self.begun = True
+            self.exchange.begin(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked"),
+                                      ("call-id", self.name)])
+
+    async def _event(self, body, name=""):
+        lead = f"event: {name}\n".encode() if name else b""
+        await self.exchange.piece(lead + b"data: " + msgspec.json.encode(body) + b"\n\n")
+
+    async def _end(self, move, fault):
+        leg = self.ledger.legs[-1] if self.ledger.legs else None
+        self._closeLeg()
+        if move is Move.FINISH:
+            self.router.board.count["callsServed"] += 1
+            body = {"call": self.name, "run": self.run(), "end": True, "legs": len(self.ledger.sent()),
+                    "usage": self.usage, "worker": leg.grant.worker, "waitedMs": leg.grant.waitedMs}
+            if not self.body.stream:
+                text = {"text": "".join(self.pieces)}
+                return await self.exchange.give(200, body | text, [("call-id", self.name)])
+            self._begin()
+            await self._event(body)
+            return self.exchange.finish()
+        self.router.board.count[f"faults.{fault.code}"] += 1
+        self.router.decisions.add("final", call=self.name, tenant=self.tenant, code=fault.code, why=fault.name)
+        if self.begun:
+            await self._event(fault.asBody() | {"call": self.name}, "error")
+            return self.exchange.finish()
+        return await self.exchange.giveFault(fault, [("call-id", self.name)], call=self.name)
--- /dev/null
+++ b/swiftdeck/traffic/decisions.py
@@ -0,0 +1,44 @@
+"""The stream of decisions out: numbered, kept for a while, and honest about what was dropped."""
+import asyncio
+import unittest
+from collections import deque
+
+
+class Decisions:
+    """What this process decided, newest last."""
+
+    def __init__(self, clock, keep=10000):
+        self.clock, self.first, self.items, self.keep = clock, 1, deque(), keep
+        self.waiting = []
+
+    def add(self, kind: str, **fields):
+        """Record a decision."""
+        number = self.first + len(self.items)
+        self.items.append({"n": number, "atMs": int(self.clock() * 1000), "kind": kind} | fields)
+        if len(self.items) > self.keep:
+            self.items.popleft()
+            self.first += 1
+        waiting, self.waiting = self.waiting, []
+        [done.set_result(None) for done in waiting if not done.done()]
+
+    def since(self, number: int):
+        """How many after a number are no longer here, and those that are."""
+        lost = max(0, self.first - 1 - max(0, number))
+        start = max(0, number + 1 - self.first)
+        return lost, [self.items[at] for at in range(start, len(self.items))]
+
+    async def more(self, timeoutS):
+        """Wait for the next decision, or until the time is over."""
+        done = asyncio.get_running_loop().create_future()
+        self.waiting.append(done)
+        await asyncio.wait([done], timeout=timeoutS)
+
+
+class DecisionsTest(unittest.TestCase):
+    def testAResumeSaysHowManyWereDropped(self):
+        decisions = Decisions(lambda: 0.0, keep=3)
+        [decisions.add("start", call=str(number)) for number in range(5)]
+        lost, items = decisions.since(1)
+        self.assertEqual((lost, [item["n"] for item in items]), (1, [3, 4, 5]))
+        self.assertEqual(decisions.since(4)[1][0]["n"], 5)
+        self.assertEqual(decisions.since(9), (0, []))
--- /dev/null
+++ b/swiftdeck/traffic/ledger.py
@@ -0,0 +1,112 @@
+"""The ledger of a call's legs, from which its next move is derived."""
+import enum
+import unittest
+
+import attrs
+
+from swiftdeck.fault import (BUDGET_SPENT, HORIZON, LINE_FULL, NOT_KEEPER, UNREACHED, WAITED_OUT, WORKER_LOST, Fault)
+
+AGAIN = {113, 114, 115, 401, 400, 501, 503, 500, 404}
+
+
+class Move(enum.Enum):
+    """What an exchange does next."""
+
+    CLAIM = "claim"
+    NOMINATE = "nominate"
+    SEND = "send"
+    FINISH = "finish"
+    BREAK = "break"
+    GIVE_UP = "give up"
+
+
+@attrs.define
+class Leg:
+    """One try: a grant, and what became of it at the worker."""
+
+    number: int
+    grant: object = None
+    fault: Fault | None = None
+    wasSent: bool = False
+    delivered: int = 0
+    isWhole: bool = False
+
+
+@attrs.define
+class Ledger:
+    """What was done for one call so far."""
+
+    repeatable: bool
+    needsClaim: bool
+    waitUntilMs: float
+    horizonMs: float
+    claim: Fault | bool | None = None
+    legs: list[Leg] = attrs.Factory(list)
+
+    def sent(self):
+        """Legs of which a byte may have reached a worker."""
+        return [leg for leg in self.legs if leg.wasSent]
+
+    def verdict(self, fault: Fault) -> Fault:
+        """The final fault: one that promises "not run" only if nothing was ever sent."""
+        sent = self.sent()
+        if not sent:
+            return fault if fault.notRun else UNREACHED.because(fault.reason or fault.name, fault.retryMs or 1000)
+        known = next((leg.fault for leg in reversed(sent) if leg.fault is not None), None)
+        return known if known is not None and not known.notRun else WORKER_LOST.because(fault.reason)
+
+
+def nextMove(ledger: Ledger, nowMs: float):
+    """The next move and, when it ends the call, the fault to give; a pure function of the ledger and the time."""
+    if isinstance(ledger.claim, Fault):
+        return Move.GIVE_UP, ledger.claim
+    last = ledger.legs[-1] if ledger.legs else None
+    if last and last.isWhole:
+        return Move.FINISH, None
+    if last and last.delivered:
+        return Move.BREAK, last.fault
+    if last and last.grant is not None and last.fault is None and not last.wasSent:
+        return (Move.SEND, None) if nowMs < ledger.horizonMs else (Move.GIVE_UP, ledger.verdict(WAITED_OUT))
+    if ledger.needsClaim and ledger.claim is None:
+        return Move.CLAIM, None
+    if last is None:
+        return Move.NOMINATE, None
+    if last.grant is None and last.fault.code not in AGAIN:
+        return Move.GIVE_UP, ledger.verdict(last.fault)
+    if last.wasSent and not ledger.repeatable:
+        return Move.GIVE_UP, ledger.verdict(last.fault)
+    if nowMs >= ledger.horizonMs or not ledger.sent() and nowMs >= ledger.waitUntilMs:
+        return Move.GIVE_UP, ledger.verdict(HORIZON if ledger.sent() else last.fault)
+    return Move.NOMINATE, None
+
+
+class LedgerTest(unittest.TestCase):
+    def build(self, *legs, **more):
+        return Ledger(**({"repeatable": False, "needsClaim": False, "waitUntilMs": 1000, "horizonMs": 5000} | more),
+                      legs=list(legs))
+
+    def move(self, *legs, nowMs=0, **more):
+        return nextMove(self.build(*legs, **more), nowMs)
+
+    def testOnceOnlyIsNeverSentTwice(self):
+        lost = Leg(1, grant="g", fault=WORKER_LOST, wasSent=True)
+        self.assertEqual(self.move(lost), (Move.GIVE_UP, WORKER_LOST))
+        self.assertEqual(self.move(lost, repeatable=True)[0], Move.NOMINATE)
+        self.assertEqual(self.move(Leg(1, grant="g", fault=UNREACHED))[0], Move.NOMINATE)
+
+    def testNothingIsTriedAgainOnceAPieceWasDelivered(self):
+        broken = Leg(1, grant="g", fault=WORKER_LOST, wasSent=True, delivered=1)
+        self.assertEqual(self.move(broken, repeatable=True), (Move.BREAK, WORKER_LOST))
+
+    def testNotRunIsPromisedOnlyIfNothingWasSent(self):
+        lost = Leg(1, grant="g", fault=WORKER_LOST, wasSent=True)
+        for second in (Leg(2, fault=BUDGET_SPENT), Leg(2, fault=LINE_FULL)):
+            move, fault = self.move(lost, second, repeatable=True)
+            self.assertEqual((move, fault.notRun), (Move.GIVE_UP, False))
+        move, fault = self.move(Leg(1, fault=NOT_KEEPER), nowMs=2000)
+        self.assertEqual((move, fault.notRun), (Move.GIVE_UP, True))
+
+    def testClaimGoesBeforeTheFirstLeg(self):
+        self.assertEqual(self.move(needsClaim=True)[0], Move.CLAIM)
+        self.assertEqual(self.move(needsClaim=True, claim=True)[0], Move.NOMINATE)
+        self.assertEqual(self.move(Leg(1, grant="g"), nowMs=6000)[0], Move.GIVE_UP)
--- /dev/null
+++ b/swiftdeck/traffic/licence.py
@@ -0,0 +1,118 @@
+"""The licence of a router to serve by the configuration that it holds."""
+import asyncio
+
+import attrs
+
+from swiftdeck.config.document import readDocument
+from swiftdeck.fault import NO_LICENCE, isFault
+from swiftdeck.wire.messages import LicenceAsk, LicenceReturn, Nudge, Relay
+
+
+@attrs.frozen
+class Held:
+    """A version in force, with its names mapped to what the door needs."""
+
+    version: int
+    document: object
+    tenantByKey: dict
+
+
+class ConfigLicence:
+    """Renews from the tail, directly or through a neighbour; without it nothing is sent to a worker."""
+
+    def __init__(self, me, mesh, membership, chart, news, board, random, renewMs=500):
+        self.me, self.mesh, self.membership, self.chart, self.board = me, mesh, membership, chart, board
+        self.random, self.renewMs = random, renewMs
+        self.router = f"{me.name}/{me.incarnation:x}"
+        self.held, self.untilS, self.watchers = None, -1.0, []
+        self.waiting, self.stopping = [], False
+        mesh.on(Nudge, self.onNudge)
+        mesh.on(Relay, self.onRelay)
+
+    def start(self):
+        """Go on renewing."""
+        self.loop, self.kick = asyncio.get_running_loop(), asyncio.Event()
+        self.task = asyncio.ensure_future(self._renewing())
+
+    def isHeld(self) -> bool:
+        """Whether the configuration held may be served by now."""
+        return self.held is not None and self.loop.time() < self.untilS
+
+    def onNudge(self, nudge, sender):
+        if self.held is None or nudge.version > self.held.version:
+            self.kick.set()
+
+    async def _renewing(self):
+        while not self.stopping:
+            wasNew = await self._renew()
+            self.board.put("configLicence", "held" if self.isHeld() else "lapsed")
+            if not wasNew:
+                try:
+                    await asyncio.wait_for(self.kick.wait(), self.renewMs / 1000 if self.isHeld() else 0.15)
+                except TimeoutError:
+                    pass
+            self.kick.clear()
+
+    def _ask(self, handBack=False):
+        return LicenceAsk(router=self.router, addr=self.me.addr, held=self.held.version if self.held else 0,
+                          handBack=handBack)
+
+    async def _renew(self):
+        sentS, ask, tail = self.loop.time(), self._ask(), self.chart.tail()
+        got = NO_LICENCE if tail is None else await self.mesh.ask(tail, ask, 700)
+        if isFault(got):
+            self.chart.refresh()
+            sentS = self.loop.time()
+            got = await self._throughOthers(ask)
+        if isFault(got) or not isinstance(got, LicenceReturn):
+            return False
+        return self._take(got, sentS)
+
+    async def _throughOthers(self, ask):
+        some = self.membership.some(2, "router")
+        asked = [asyncio.ensure_future(self.mesh.ask(each.addr, Relay(ask=ask), 900)) for each in some]
+        for each in asked:
+            got = await each
+            if not isFault(got):
+                return got
+        return NO_LICENCE
+
+    def _take(self, got, sentS):
+        held = self.held.version if self.held else -1
+        isNew = got.version > held
+        if isNew and not self._install(got.version, got.document):
+            return False
+        if got.version >= held and got.licenceMs:
+            self.untilS = max(self.untilS, sentS + got.licenceMs / 1000 * 0.95)
+            waiting, self.waiting = self.waiting, []
+            [done.set_result(None) for done in waiting if not done.done()]
+        return isNew
+
+    def _install(self, version, data):
+        document = readDocument(data or b"{}")
+        if isFault(document):
+            self.board.note("configuration in force does not read", version=version, reason=document.reason)
+            return False
+        byKey = {key: name for name, tenant in document.tenants.items() for key in tenant.keys}
+        self.held = Held(version, document, byKey)
+        self.board.put("config", version)
+        [watch(self.held) for watch in self.watchers]
+        return True
+
+    async def onRelay(self, relay, sender):
+        tail = self.chart.tail()
+        return NO_LICENCE if tail is None else await self.mesh.ask(tail, relay.ask, 700)
+
+    async def wait(self, untilS):
+        """Wait for the licence, but no longer than given; whether it is held."""
+        while not self.isHeld() and self.loop.time() < untilS:
+            done = self.loop.create_future()
+            self.waiting.append(done)
+            await asyncio.wait([done], timeout=max(0.001, untilS - self.loop.time()))
+        return self.isHeld()
+
+    async def handBack(self):
+        """Give the licence up, so that no acknowledgement waits for this router."""
+        self.stopping, self.untilS = True, -1.0
+        if self.chart.tail():
+            await self.mesh.ask(self.chart.tail(), self._ask(True), 500)
--- /dev/null
+++ b/swiftdeck/traffic/ring.py
@@ -0,0 +1,40 @@
+"""Placement: a ring on which each worker holds many virtual places."""
+import bisect
+import hashlib
+import unittest
+
+
+def _hash(data: bytes) -> int:
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "big")
+
+
+class Ring:
+    """The workers of one model in a circle of places; one coming or going moves few conversations."""
+
+    def __init__(self, workers, places=128):
+        self.workers = sorted(workers)
+        spots = sorted((_hash(f"{worker}#{place}".encode()), worker) for worker in self.workers for place in range(places))
+        self.hashes = [spot for spot, _ in spots]
+        self.owners = [worker for _, worker in spots]
+
+    def walk(self, key: bytes):
+        """All workers in the order in which a key meets them."""
+        start, seen = bisect.bisect(self.hashes, _hash(key)), set()
+        for at in range(len(self.owners)):
+            worker = self.owners[(start + at) % len(self.owners)]
+            if worker not in seen:
+                seen.add(worker)
+                yield worker
+                if len(seen) == len(self.workers):
+                    return
+
+
+class RingTest(unittest.TestCase):
+    def testOneWorkerLessMovesOnlyItsOwnKeys(self):
+        names = [f"w{number}" for number in range(9)]
+        keys = [b"%d" % number for number in range(2000)]
+        before, after = Ring(names), Ring(names[:-1])
+        moved = [(next(before.walk(key)), next(after.walk(key))) for key in keys]
+        self.assertTrue(all(old == "w8" for old, new in moved if old != new))
+        self.assertTrue(0.05 < sum(old != new for old, new in moved) / len(keys) < 0.18)
+        self.assertEqual(sorted(before.walk(b"k")), names)
--- /dev/null
+++ b/swiftdeck/traffic/router.py
@@ -0,0 +1,320 @@
+"""A router process: callers' door, legs towards workers, and the duties that it wins."""
+import asyncio
+import json
+
+import attrs
+import msgspec
+
+from swiftdeck.chain.chart import Chart
+from swiftdeck.chain.scribe import Scribe
+from swiftdeck.config.document import keyDigest
+from swiftdeck.control.node import Node
+from swiftdeck.fault import (BAD_METHOD, BAD_OPERATOR, BAD_REQUEST, BUSY, NOT_FOUND, NOT_KEEPER, NO_LICENCE, NO_ROUTE,
+                             OLD_TERM, STOPPING, TOO_LARGE, UNKNOWN_KEY, UNREACHED, isFault)
+from swiftdeck.http.server import HttpServer
+from swiftdeck.traffic.call import Call, CallBody
+from swiftdeck.traffic.claims import Claims
+from swiftdeck.traffic.decisions import Decisions
+from swiftdeck.traffic.keeper import Keeper
+from swiftdeck.traffic.licence import ConfigLicence
+from swiftdeck.traffic.workers import WorkerList
+from swiftdeck.wire.messages import GrantAsk, GrantDrop, Hold, LegEnd, OpenAsk, OpenConversation, OpenReturn
+
+
+@attrs.define
+class Running:
+    """A leg that this router has a grant for."""
+
+    call: object
+    model: str
+    term: int
+    askedS: float
+
+
+@attrs.define
+class Served:
+    """What this router remembers of a conversation, for a keeper that has to gather."""
+
+    told: OpenConversation
+    model: str
+    idleSinceS: float
+
+
+class Router(Node):
+    """One edge machine of the fleet; it needs no disk."""
+
+    def __init__(self, settings, random, log=None):
+        super().__init__(settings, "router", random, log)
+        self.chart = Chart(self.mesh, self.membership, self.news)
+        self.scribe = Scribe(self.mesh, self.chart)
+        self.licence = ConfigLicence(self.me, self.mesh, self.membership, self.chart, self.news, self.board, random)
+        self.workers = WorkerList(settings.platform, self.mesh, self.membership, self.board, settings.listMs,
+                                  settings.listOldMs)
+        self.claims = Claims(self.me.name, self.scribe, random, self.board)
+        self.http = HttpServer(self.handle, settings.bodyBytes, note=self.board.note)
+        self.keepers, self.known, self.running, self.served = {}, {}, {}, {}
+        self.stopping, self.open = False, 0
+        self.news.watch("duty/keeper/", self.onKeeperNews)
+        for kind, handler, isBound in ((GrantAsk, self.onGrantAsk, True), (LegEnd, self.onLegEnd, False),
+                                       (GrantDrop, self.onGrantDrop, False), (OpenAsk, self.onOpenAsk, False),
+                                       (Hold, self.onHold, False)):
+            self.mesh.on(kind, handler, isBound)
+
+    async def start(self):
+        """Join the fleet and serve."""
+        self.loop = asyncio.get_running_loop()
+        self.decisions = Decisions(self.loop.time)
+        self.licence.watchers.append(self.onConfig)
+        await self.startNode()
+        for part in (self.chart, self.licence, self.workers, self.claims):
+            part.start()
+        self.tasks = [asyncio.ensure_future(self._holding())]
+        ip, _, port = self.settings.http.rpartition(":")
+        await self.http.start(ip, int(port))
+        self.board.note("router started", addr=self.settings.inner, http=self.settings.http)
+
+    async def stop(self):
+        """Take no more calls, finish the open ones within the bound, hand licences and duties back."""
+        self.stopping = True
+        self.http.stop()
+        endS = self.loop.time() + self.settings.stopMs / 1000
+        while self.open and self.loop.time() < endS:
+            await asyncio.sleep(0.05)
+        await asyncio.gather(self.licence.handBack(), *(keeper.duty.handBack() for keeper in self.keepers.values()))
+        self.board.note("router stopped", open=self.open)
+        self.mesh.close()
+
+    def onConfig(self, held):
+        """Keep, or stand for keeping, exactly the models of the configuration."""
+        models = held.document.models
+        for name in [name for name in self.keepers if name not in models]:
+            self.keepers.pop(name).stop()
+        for name in [name for name in models if name not in self.keepers]:
+            self.keepers[name] = Keeper(name, self)
+            self.keepers[name].start()
+
+    def onKeeperNews(self, key, stamp, body):
+        model = key.removeprefix("duty/keeper/")
+        if stamp > self.known.get(model, (0, ""))[0]:
+            self.known[model] = (stamp, json.loads(body)["addr"])
+        keeper = self.keepers.get(model)
+        if keeper:
+            keeper.duty.seenTerm = max(keeper.duty.seenTerm, stamp)
+
+    def keeperOf(self, model):
+        """(term, address) of the newest keeper of a model, or None."""
+        keeper = self.keepers.get(model)
+        if keeper and keeper.duty.isHeld():
+            return keeper.duty.term, self.me.addr
+        return self.known.get(model)
+
+    async def askKeeper(self, keeper, ask, timeoutMs):
+        """Ask a keeper, which may be this process."""
+        if keeper[1] == self.me.addr:
+            return await self.onGrantAsk(ask, self.me.addr)
+        return await self.mesh.ask(keeper[1], ask, timeoutMs)
+
+    def tellKeeper(self, model, message):
+        """Tell the keeper of a model something."""
+        keeper = self.keeperOf(model)
+        if keeper is None:
+            return
+        if keeper[1] == self.me.addr:
+            {LegEnd: self.onLegEnd, GrantDrop: self.onGrantDrop}[type(message)](message, self.me.addr)
+        else:
+            self.mesh.tell(keeper[1], message)
+
+    def takeGrant(self, call, leg, grant, keeper):
+        """Note a grant, unless a newer keeper is known."""
+        model = call.route.model
+        if grant.term < self.known.get(model, (0, ""))[0]:
+            return OLD_TERM.because(f"grant of term {grant.term}", 50)
+        self.running[call.name] = Running(call, model, grant.term, self.loop.time())
+        told = OpenConversation(conversation=grant.conversation, tenant=call.tenant, group=call.group,
+                                worker=grant.worker, last=call.chain[-1], parts=len(call.chain), call=call.name,
+                                weights=call.weights, leg=leg.number)
+        self.served[grant.conversation] = Served(told, model, self.loop.time())
+        return None
+
+    def isGrantValid(self, name) -> bool:
+        """Whether a grant may still be acted on."""
+        running = self.running.get(name)
+        return (running is not None and self.loop.time() - running.askedS <= self.settings.grantMs / 1000
+                and running.term >= self.known.get(running.model, (0, ""))[0])
+
+    def renewGrant(self, name):
+        """Count a grant's time anew after a fetch that it allowed; the holds kept it alive meanwhile."""
+        if name in self.running:
+            self.running[name].askedS = self.loop.time()
+
+    def legEnded(self, call, leg):
+        """A leg is over: tell the keeper, and remember the conversation for a while."""
+        del self.running[call.name]
+        served = self.served.get(leg.grant.conversation)
+        if served:
+            served.idleSinceS = self.loop.time()
+            if served.told.call == call.name:
+                served.told.call = ""
+        usage = call.usage if leg.isWhole else {}
+        hits, parts = usage.get("hitParts", 0), usage.get("parts", 0)
+        isCounted = isinstance(hits, int) and isinstance(parts, int) and 0 <= hits <= parts < 1 << 31
+        isOver = (call.isLast or call.route.single) and (leg.isWhole or leg.fault is None or leg.wasSent)
+        if isOver:
+            self.served.pop(leg.grant.conversation, None)
+        self.tellKeeper(call.route.model, LegEnd(
+            router=self.me.name, call=call.name, leg=leg.number, conversation=leg.grant.conversation,
+            model=call.route.model, isOver=isOver, hits=hits if isCounted else 0, parts=parts if isCounted else 0,
+            neverSent=not leg.wasSent, isBad=leg.fault is not None and leg.fault.code == UNREACHED.code,
+            slowFrom=call.slowFrom, earlier=leg.grant.earlier))
+
+    async def onGrantAsk(self, ask, sender):
+        keeper = self.keepers.get(ask.model)
+        if keeper is None or not keeper.duty.isHeld() and keeper.term != keeper.duty.term:
+            return NOT_KEEPER
+        if not ask.chain or not ask.call:
+            return BAD_REQUEST
+        return await keeper.onGrantAsk(ask, sender)
+
+    def onLegEnd(self, end, sender):
+        keeper = self.keepers.get(end.model)
+        return keeper.onLegEnd(end, sender) if keeper else None
+
+    def onGrantDrop(self, drop, sender):
+        keeper = self.keepers.get(drop.model)
+        return keeper.onGrantDrop(drop, sender) if keeper else None
+
+    async def onHold(self, hold, sender):
+        keeper = self.keepers.get(hold.model)
+        return await keeper.onHold(hold, sender) if keeper else NOT_KEEPER
+
+    def onOpenAsk(self, ask, sender):
+        """A new keeper gathers: what runs here, and what ran here a short while ago."""
+        known = self.known.get(ask.model, (0, ""))
+        if ask.term < known[0]:
+            return OLD_TERM.because(f"term {known[0]} is known")
+        self.known[ask.model] = (ask.term, ask.keeper)
+        model = self.licence.held.document.models.get(ask.model) if self.licence.held else None
+        idleS, nowS, told = (model.idleMs / 1000 if model else 10.0), self.loop.time(), []
+        for name, served in list(self.served.items()):
+            if not served.told.call and nowS - served.idleSinceS > idleS:
+                del self.served[name]
+            elif served.model == ask.model:
+                served.told.idleMs = 0 if served.told.call else int((nowS - served.idleSinceS) * 1000)
+                told.append(served.told)
+        return OpenReturn(conversations=told)
+
+    async def _holding(self):
+        while True:
+            await asyncio.sleep(self.settings.holdMs / 1000)
+            byModel = {}
+            for name, running in self.running.items():
+                byModel.setdefault(running.model, []).append(name)
+            for model, calls in byModel.items():
+                keeper = self.keeperOf(model)
+                if keeper:
+                    hold = Hold(router=self.me.name, model=model, calls=calls, term=keeper[0])
+                    if keeper[1] == self.me.addr:
+                        await self.onHold(hold, self.me.addr)
+                    else:
+                        self.mesh.tell(keeper[1], hold)
+            if len(self.served) > 20000:
+                self.served = dict(list(self.served.items())[-10000:])
+
+    async def handle(self, exchange):
+        """One exchange at the callers' door."""
+        path = exchange.path.rstrip("/")
+        if path == "/v1/calls":
+            if exchange.method != "POST":
+                return BAD_METHOD
+            return await self._call(exchange)
+        key = self.settings.operatorKey
+        if key and exchange.headers.get("authorization") != f"Bearer {key}":
+            return BAD_OPERATOR
+        if path == "/v1/status":
+            return await exchange.give(200, self.status())
+        if path == "/v1/counters":
+            return await exchange.give(200, self.counters())
+        if path == "/v1/decisions":
+            return await self._decisions(exchange)
+        return NOT_FOUND
+
+    async def _call(self, exchange):
+        self.board.count["calls"] += 1
+        if self.stopping:
+            return self._refuse(STOPPING)
+        if self.open >= self.settings.callsOpen:
+            return self._refuse(BUSY)
+        self.open += 1
+        try:
+            call = await self._callOf(exchange)
+            return self._refuse(call) if isFault(call) else await call.serve()
+        finally:
+            self.open -= 1
+
+    def _refuse(self, fault):
+        self.board.count[f"faults.{fault.code}"] += 1
+        return fault
+
+    async def _callOf(self, exchange):
+        try:
+            body = msgspec.json.decode(exchange.body, type=CallBody)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            return BAD_REQUEST.because(str(error))
+        if len(body.parts) > self.settings.partsMost:
+            return TOO_LARGE.because(f"more than {self.settings.partsMost} parts")
+        held = self.licence.held
+        route = held.document.routes.get(body.model) if held else None
+        waitS = (route.waitMs if route else 3000) / 1000
+        if not await self.licence.wait(self.loop.time() + waitS):
+            return NO_LICENCE
+        held = self.licence.held
+        scheme, _, key = exchange.headers.get("authorization", "").partition(" ")
+        digest = keyDigest(key.strip())
+        tenant = held.tenantByKey.get(digest) if scheme.lower() == "bearer" else None
+        if tenant is None:
+            return UNKNOWN_KEY
+        route = held.document.routes.get(body.model)
+        if route is None or route.tenants and tenant not in route.tenants:
+            return NO_ROUTE.because(body.model)
+        if len(exchange.headers.get("idempotency-key", "")) > 200:
+            return BAD_REQUEST.because("Idempotency-Key is over 200 characters")
+        call = Call(self, exchange, held, tenant, route, body)
+        call.keyDigest = digest
+        return call
+
+    async def _decisions(self, exchange):
+        since = exchange.query.get("since", "0")
+        if not since.isdecimal():
+            return BAD_REQUEST.because("since is a number")
+        process = f"{self.me.incarnation:x}"
+        at = int(since) if exchange.query.get("process", process) == process else 0
+        exchange.begin(200, [("content-type", "application/x-ndjson"), ("transfer-encoding", "chunked")])
+        await exchange.piece(msgspec.json.encode({"kind": "process", "process": process, "name": self.me.name}) + b"\n")
+        while not self.stopping:
+            lost, items = self.decisions.since(at)
+            lead = [{"kind": "dropped", "count": lost}] if lost else []
+            for item in [*lead, *items]:
+                await exchange.piece(msgspec.json.encode(item) + b"\n")
+            at = items[-1]["n"] if items else at
+            if exchange.query.get("follow", "1") == "0":
+                break
+            await self.decisions.more(5.0)
+            if not self.decisions.since(at)[1]:
+                await exchange.piece(b"\n")
+        exchange.finish()
+
+    def status(self):
+        """What doctor and operators want to know of this process."""
+        view, held = self.chart.view, self.licence.held
+        return {
+            "name": self.me.name, "role": "router", "zone": self.me.zone, "stopping": self.stopping,
+            "view": {"number": view.number, "members": [ref.addr for ref in view.members],
+                     "voters": [ref.addr for ref in view.voters]},
+            "version": held.version if held else 0, "licence": self.licence.isHeld(),
+            "list": {"ageMs": self.workers.ageMs(), "fresh": self.workers.isFresh(), "standing": self.workers.isStanding,
+                     "workers": [msgspec.to_builtins(worker) for worker in self.workers.workers.values()]},
+            "keepers": {model: {"term": term, "addr": addr} for model, (term, addr) in self.known.items()},
+            "keeps": [keeper.status() for keeper in self.keepers.values() if keeper.duty.isHeld()],
+            "open": self.open, "running": len(self.running), "neighbours": self.neighbours(),
+            "seeds": self.membership.seeds, "counters": self.counters(),
+        }
--- /dev/null
+++ b/swiftdeck/traffic/workers.py
@@ -0,0 +1,113 @@
+"""The platform's list of workers as a router knows it, with its age."""
+import asyncio
+import unittest
+from typing import Annotated
+
+import msgspec
+
+from swiftdeck.fault import isFault
+from swiftdeck.http.client import fetchJson
+from swiftdeck.wire.messages import ListAsk, ListReturn
+
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+
+class Worker(msgspec.Struct, frozen=True):
+    """One worker in the list."""
+
+    name: Text
+    addr: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+    model: Text
+    zone: str = ""
+    draining: bool = False
+
+
+class Listing(msgspec.Struct):
+    """The platform's list."""
+
+    workers: list[Worker]
+
+
+class WorkerList:
+    """Reads the list from the platform, and through neighbours when the platform is out of reach."""
+
+    def __init__(self, platform, mesh, membership, board, listMs=500, oldMs=2500):
+        self.platform, self.mesh, self.membership, self.board = platform, mesh, membership, board
+        self.listMs, self.oldMs = listMs, oldMs
+        self.workers, self.readS, self.body = {}, -1e9, b""
+        self.isStanding, self.watchers = False, []
+        mesh.on(ListAsk, self.onListAsk)
+
+    def start(self):
+        """Go on reading."""
+        self.loop = asyncio.get_running_loop()
+        self.task = asyncio.ensure_future(self._reading())
+
+    def ageMs(self) -> int:
+        """Time since the sending of the request that brought the list."""
+        return int((self.loop.time() - self.readS) * 1000)
+
+    def isFresh(self) -> bool:
+        """Whether legs may be sent by the list."""
+        return self.ageMs() <= self.oldMs or bool(self.body) and self.isStanding
+
+    def mayTake(self, name) -> bool:
+        """Whether a worker is listed, not draining, and the list fresh enough to say so."""
+        worker = self.workers.get(name)
+        return worker is not None and not worker.draining and self.isFresh()
+
+    def ofModel(self, model):
+        """All listed workers of a model."""
+        return [worker for worker in self.workers.values() if worker.model == model]
+
+    def onListAsk(self, ask, sender):
+        return ListReturn(ageMs=min(self.ageMs(), 1 << 40), body=self.body)
+
+    async def _reading(self):
+        while True:
+            startS = self.loop.time()
+            got = await fetchJson(self.platform, "GET", "/v1/workers", timeoutMs=1000) if self.platform else None
+            if got and got[0] == 200:
+                self._take(msgspec.json.encode(got[1]), startS)
+            if self.ageMs() > self.oldMs / 2:
+                await self._throughOthers()
+            else:
+                self.isStanding = False
+            self.board.put("list", "fresh" if self.isFresh() else "old")
+            await asyncio.sleep(max(0.05, self.listMs / 1000 - (self.loop.time() - startS)))
+
+    async def _throughOthers(self):
+        others = self.membership.alive("router")
+        sentS = self.loop.time()
+        got = await asyncio.gather(*(self.mesh.ask(each.addr, ListAsk(), 400) for each in others))
+        heard = [each for each in got if not isFault(each)]
+        for each in sorted(heard, key=lambda each: each.ageMs)[:1]:
+            if each.body and sentS - each.ageMs / 1000 > self.readS:
+                self._take(each.body, sentS - each.ageMs / 1000)
+        names = {each.member.name for each in self.membership.known.values() if each.member.role == "router"}
+        blind = 1 + sum(each.ageMs > self.oldMs for each in heard)
+        self.isStanding = self.ageMs() > self.oldMs and blind * 2 > len(names) + 1
+
+    def _take(self, body, readS):
+        try:
+            listing = msgspec.json.decode(body, type=Listing)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            self.board.count["listsMalformed"] += 1
+            self.board.put("listFault", str(error)[:200])
+            return
+        fresh = {worker.name: worker for worker in listing.workers}
+        self.readS, self.body = max(readS, self.readS), body
+        if fresh != self.workers:
+            self.workers = fresh
+            [watch() for watch in self.watchers]
+
+
+class WorkerListTest(unittest.TestCase):
+    def testListsThatDoNotReadAreRefused(self):
+        from swiftdeck.board.board import Board
+        from swiftdeck.wire.mesh import Mesh
+        table = WorkerList("", Mesh("10.0.0.1:1"), None, Board())
+        table._take(b'{"workers":[{"name":"a","addr":"10.0.0.9:80","model":"m"}]}', 1.0)
+        table._take(b'{"workers":[{"name":"a"}]}', 2.0)
+        table._take(b'[]', 3.0)
+        self.assertEqual((list(table.workers), table.readS, table.board.count["listsMalformed"]), (["a"], 1.0, 2))
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -285,9 +285,7 @@
     weights: str = bp.string_field(8)
     waitMs: int = bp.uint32_field(9)
     avoid: list[str] = bp.string_field(10)
-    single: bool = bp.bool_field(11)
-    config: int = bp.uint64_field(12)
-    conversation: str = bp.string_field(13)
+    conversation: str = bp.string_field(11)
 
 
 @message
@@ -298,10 +296,9 @@
     conversation: str = bp.string_field(4)
     isStart: bool = bp.bool_field(5)
     fetchFrom: str = bp.string_field(6)
-    fetchPrefix: bytes = bp.bytes_field(7)
     fetchMs: int = bp.uint32_field(8)
     waitedMs: int = bp.uint32_field(9)
-    why: str = bp.string_field(10)
+    earlier: int = bp.uint32_field(10)
 
 
 @message
@@ -315,6 +312,9 @@
     hits: int = bp.uint32_field(7)
     parts: int = bp.uint32_field(8)
     neverSent: bool = bp.bool_field(9)
+    isBad: bool = bp.bool_field(10)
+    slowFrom: str = bp.string_field(11)
+    earlier: int = bp.uint32_field(12)
 
 
 @message
