--- /dev/null
+++ b/swiftdeck/control/client.py
@@ -0,0 +1,109 @@
+"""The operators' side of the HTTP API."""
+import asyncio
+
+import msgspec
+
+from swiftdeck.fault import isFault
+from swiftdeck.http.client import connect, fetchJson
+
+
+class OperatorClient:
+    """Asks a core, and through it finds every other process."""
+
+    def __init__(self, door, operatorKey=""):
+        self.door = door
+        self.headers = [("authorization", f"Bearer {operatorKey}")] if operatorKey else []
+
+    async def ask(self, method, path, body=None, headers=(), door=None, timeoutMs=12000):
+        """One exchange: (status, body) or a fault."""
+        return await fetchJson(door or self.door, method, path, body, [*self.headers, *headers], timeoutMs)
+
+    async def change(self, method, document, base, changeId="", author=""):
+        """One change on a version."""
+        headers = [("change-id", changeId)] * bool(changeId) + [("author", author)] * bool(author)
+        return await self.ask(method, f"/v1/config?base={base}", document, headers)
+
+    async def stream(self, lines, say) -> int:
+        """Send changes line by line and say each answer; 1 when one was refused."""
+        bad = 0
+        for line in lines:
+            if not line.strip():
+                continue
+            try:
+                asked = msgspec.json.decode(line)
+            except msgspec.DecodeError as error:
+                say(msgspec.json.encode({"code": 100, "fault": "bad request", "reason": str(error)}).decode())
+                bad = 1
+                continue
+            got = await self.ask("POST", "/v1/changes", asked, timeoutMs=15000)
+            answer = got.asBody() if isFault(got) else got[1]
+            bad |= int(bool(answer.get("code")))
+            say(msgspec.json.encode(answer).decode())
+        return bad
+
+    async def statuses(self):
+        """The status of each process by name; None for one that does not say."""
+        first = await self.ask("GET", "/v1/status", timeoutMs=3000)
+        if isFault(first) or first[0] != 200:
+            return first
+        others = [each for each in first[1]["neighbours"] if each["state"] != "gone"]
+        got = await asyncio.gather(*(self.ask("GET", "/v1/status", door=each["http"], timeoutMs=3000) for each in others))
+        return 200, {each["name"]: None if isFault(one) or one[0] != 200 else one[1] for each, one in zip(others, got)}
+
+    async def fleet(self, full=False):
+        """A short status of the whole fleet."""
+        got = await self.statuses()
+        if isFault(got) or got[0] != 200:
+            return got
+        total = {}
+        for each in got[1].values():
+            for name, count in (each or {}).get("counters", {}).items():
+                total[name] = total.get(name, 0) + count
+        shown = ("role", "zone", "version", "position", "mayServe", "trouble", "licence", "open", "running", "stopping")
+        processes = {name: {key: each[key] for key in shown if key in each} if each else "silent"
+                     for name, each in sorted(got[1].items())}
+        some = next((each for each in got[1].values() if each), {})
+        counted = total if full else {name: count for name, count in sorted(total.items()) if name in (
+            "calls", "callsServed", "starts", "waits", "moves", "lineFull", "waitedOut", "slotsReclaimed", "fetches",
+            "legsSent", "legsFailed", "changesTaken", "takeovers")}
+        return 200, {"view": some.get("view"), "processes": processes, "counters": counted,
+                     "books": [book for each in got[1].values() if each for book in each.get("keeps", [])]}
+
+    async def watch(self, say, follow=True) -> int:
+        """Say the decisions of all routers, resuming by number where a stream breaks."""
+        marks = {}
+        while True:
+            got = await self.statuses()
+            if isFault(got) or got[0] != 200:
+                say(msgspec.json.encode(got.asBody() if isFault(got) else got[1]).decode())
+                return 1
+            doors = {each["http"] for status in got[1].values() if status for each in status["neighbours"]
+                     if each["role"] == "router" and each["state"] != "gone"}
+            streams = [asyncio.ensure_future(self._decisions(door, marks, say, follow)) for door in sorted(doors)]
+            await asyncio.wait(streams, timeout=None if not follow else 5.0)
+            [each.cancel() for each in streams]
+            if not follow:
+                return 0
+
+    async def _decisions(self, door, marks, say, follow):
+        ip, _, port = door.rpartition(":")
+        link = await connect(ip, int(port), 1000)
+        if isFault(link):
+            return
+        try:
+            process, at = marks.get(door, ("", 0))
+            path = f"/v1/decisions?since={at}&process={process}&follow={int(follow)}" if process else \
+                f"/v1/decisions?since={at}&follow={int(follow)}"
+            got = await link.exchange("GET", path, self.headers, host=door)
+            if isFault(got) or got.status != 200:
+                return
+            name = ""
+            async for line in got.lines():
+                item = msgspec.json.decode(line) if line.strip() else {}
+                if item.get("kind") == "process":
+                    name, marks[door] = item["name"], (item["process"], at if item["process"] == process else 0)
+                elif item:
+                    marks[door] = (marks[door][0], item.get("n", marks[door][1]))
+                    say(msgspec.json.encode({"router": name} | item).decode())
+        finally:
+            link.close()
--- a/swiftdeck/control/node.py
+++ b/swiftdeck/control/node.py
@@ -1,4 +1,6 @@
 """What every process of the fleet has: mesh, neighbours, news, board."""
+import asyncio
+
 from swiftdeck.board.board import Board
 from swiftdeck.member.membership import Membership
 from swiftdeck.member.news import NewsTable
@@ -29,6 +31,10 @@
         """All counters of the process by name."""
         return dict(self.board.count + self.mesh.count)
 
+    def clockMs(self):
+        """The clock by which this process keeps its licences."""
+        return int(asyncio.get_running_loop().time() * 1000)
+
     def neighbours(self):
         """The neighbours in their outward form."""
         return [{"name": each.name, "role": each.role, "zone": each.zone, "addr": each.addr, "http": each.httpAddr,
--- /dev/null
+++ b/swiftdeck/programs/bench.py
@@ -0,0 +1,106 @@
+"""The command line of the stand-ins and of the one-machine fleet."""
+import asyncio
+import json
+import random
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from swiftdeck.bench.caller import Caller
+from swiftdeck.bench.fleet import Fleet
+from swiftdeck.bench.platform import Platform
+from swiftdeck.bench.record import FileRecord
+from swiftdeck.bench.store import Store
+from swiftdeck.bench.worker import Worker
+from swiftdeck.programs.loop import BootLoop, runUntilSignal
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
+                  help="Stand-ins for callers, workers, store and platform, and a whole site on one machine.")
+Addr = Annotated[str, typer.Option(help="IP:PORT to listen on.")]
+RecordFile = Annotated[str, typer.Option(help="File that takes what the stand-in saw.")]
+
+
+def _serve(part):
+    async def stop():
+        part.http.stop()
+    raise typer.Exit(runUntilSignal(part.start, stop))
+
+
+@app.command()
+def worker(addr: Addr, name: str = "worker1", weights: str = "w1", store: str = "", speed: float = 1.0,
+           room: Annotated[int, typer.Option(help="Tokens that the prefix cache holds.")] = 1_000_000,
+           record: RecordFile = "/dev/null"):
+    """Run a stand-in for a model worker."""
+    _serve(Worker(name, addr, FileRecord(record, name), random.Random(), weights, store, room, speed))
+
+
+@app.command()
+def store(addr: Addr, record: RecordFile = "/dev/null"):
+    """Run a stand-in for the store of prefixes."""
+    _serve(Store(addr, FileRecord(record, "store")))
+
+
+@app.command()
+def platform(addr: Addr, workers: Annotated[str, typer.Option(help="JSON file with the list of workers.")],
+             record: RecordFile = "/dev/null"):
+    """Run a stand-in for the platform."""
+    _serve(Platform(addr, FileRecord(record, "platform"), json.loads(Path(workers).read_text())))
+
+
+@app.command()
+def caller(door: Annotated[list[str], typer.Option(help="HTTP IP:PORT of a router; may be given several times.")],
+           key: str, route: str = "check", turns: int = 3, record: RecordFile = "/dev/null"):
+    """Hold one conversation of some turns, and print what came back."""
+    async def main():
+        one = Caller("caller", door, FileRecord(record, "caller"), random.Random(), {"tenant": key})
+        return await one.agent("tenant", route, turns)
+    served = asyncio.run(main())
+    typer.echo(f"{served} of {turns} turns served")
+    raise typer.Exit(0 if served == turns else 1)
+
+
+@app.command()
+def fleet(folder: Annotated[str, typer.Option(help="Folder for data, records and logs.")], site: str = "hinokuni",
+          seconds: Annotated[float, typer.Option(help="How long the traffic goes on; 0 serves until a signal.")] = 60.0,
+          faults: Annotated[bool, typer.Option(help="Kill a worker, a router, a core and the keeper.")] = False,
+          basePort: int = 21000, routers: int = 9, shortEveryS: float = 0.8):
+    """Run a whole site on loopback, drive its traffic, and check the records."""
+    it = Fleet(folder, site, basePort, routers)
+
+    async def main():
+        it.startAll()
+        got = await it.configure()
+        typer.echo(f"configured: {got}")
+        if got is None:
+            return 1
+        if not seconds:
+            typer.echo(f"serving: core {it.site.cores[0]['http']}, router {it.site.routers[0]['http']}, "
+                       f"key {next(iter(it.site.keys.values()))}")
+            await asyncio.Event().wait()
+        await it.drive(seconds, faults, shortEveryS)
+        return 0
+    status = 1
+    try:
+        with asyncio.Runner(loop_factory=BootLoop) as runner:
+            status = runner.run(main())
+    except KeyboardInterrupt:
+        status = 0
+    finally:
+        it.stopAll()
+    if seconds:
+        breaches, sums = it.verdict()
+        typer.echo(json.dumps(sums))
+        typer.echo(json.dumps({"breaches": breaches}, indent=1))
+        status = status or int(bool(breaches))
+    raise typer.Exit(status)
+
+
+def main():
+    """Entry of the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/swiftdeck/traffic/keeper.py
+++ b/swiftdeck/traffic/keeper.py
@@ -447,7 +447,9 @@
 
     def status(self):
         """The books in their outward form."""
+        config = self.config()
         return {"model": self.model, "held": self.duty.isHeld(), "term": self.duty.term, "ready": self._isReady(),
+                "weights": config.weights if config else "", "lineMax": config.lineMax if config else 0,
                 "books": {name: {"open": len(book.open), "cap": book.cap, "line": len(book.line),
                                  "up": self.index.isUp(name), "weights": self.index.weights(name),
                                  "running": sum(len(each.running) for each in book.open.values())}
