--- a/swiftdeck/chain/agreement.py
+++ b/swiftdeck/chain/agreement.py
@@ -153,14 +153,14 @@
         await self.learn(news.view)
 
     async def learn(self, view):
-        """Take a decided view in, if it is newer."""
+        """Take a decided view in, if it is newer; a disk that fails may forget it, for it can be heard again."""
         async with self.busy:
             if view.number <= self.decided.number:
                 return
             try:
                 await self._keep({"k": "decided", "view": bytes(view)})
             except OSError:
-                return
+                self.board and self.board.put("disk", self.fault.name)
             known = view.number == self.decided.number + 1
             self.dropped = not known or bool(set(ids(self.decided.members)) - set(ids(view.members)))
             self.decided, self.slot = view, Slot()
--- a/swiftdeck/chain/scribe.py
+++ b/swiftdeck/chain/scribe.py
@@ -17,7 +17,7 @@
     def __init__(self, mesh, chart):
         self.mesh, self.chart = mesh, chart
 
-    async def write(self, changeId: str, change: dict, horizonMs=8000):
+    async def write(self, changeId: str, change: dict, horizonMs=11000):
         """The outcome of a change, a refusal, or undecided."""
         loop = asyncio.get_running_loop()
         endS = loop.time() + horizonMs / 1000
--- /dev/null
+++ b/swiftdeck/sim/cases/config.py
@@ -0,0 +1,251 @@
+"""Cases of the configuration and the chain."""
+import asyncio
+import unittest
+
+import msgspec
+
+from swiftdeck.bench.checker import check
+from swiftdeck.config.document import keyDigest
+from swiftdeck.fault import INVALID, LOST_RACE, REUSED_CHANGE, UNDECIDED
+from swiftdeck.http.client import connect, fetchJson
+from swiftdeck.sim.town import Town
+
+
+class ConfigCase(unittest.TestCase):
+    """Changes through a chain whose members fail."""
+
+    def town(self, seed=1, **more):
+        town = Town(seed, **({"routers": 2, "workers": 1} | more))
+        return town.start()
+
+    def settle(self, town, members=3):
+        """Let the chain mend itself to so many members."""
+        def isMended():
+            cores = [town.up[name] for name in town.coreNames()]
+            return all(len(core.agreement.decided.members) == members and core.chain.isWhole() and
+                       core.agreement.mayServe() for core in cores if core.agreement.position() >= 0) and any(
+                           core.agreement.position() >= 0 for core in cores)
+        self.assertTrue(town.world.run(until=isMended, limitS=40), "chain was not mended")
+
+    def cap(self, number):
+        return {"models": {"screener": {"cap": number}}}
+
+    def insist(self, town, number, name=None):
+        """Send one change again and again under one id until it is acknowledged; gives how long that took."""
+        base, startS = town.version, town.world.now
+        for _ in range(10):
+            got = town.change("PATCH", self.cap(number), base, name, changeId=f"insist-{number}")
+            if got and got[0] == 200:
+                return town.world.now - startS
+            self.assertNotIn(got[0] if got else 0, (409, 422), got)
+        self.fail(f"never acknowledged: {got}")
+
+    def member(self, town, position):
+        """The name of the core at a place of the chain."""
+        return next(name for name in town.coreNames() if town.up[name].agreement.position() == position)
+
+    def testRefusalsHaveCodesAndChangeNothing(self):
+        town = self.town()
+        self.assertEqual(town.change("PATCH", self.cap(9), base=0)[1]["code"], LOST_RACE.code)
+        invalid = town.change("PATCH", {"routes": {"check": {"model": "nobody"}}})
+        self.assertEqual((invalid[0], invalid[1]["code"]), (422, INVALID.code))
+        self.assertIn("$.routes.check.model", invalid[1]["reason"])
+        self.assertEqual(town.change("PATCH", self.cap(7), changeId="one")[1]["version"], 2)
+        self.assertEqual(town.change("PATCH", self.cap(7), base=1, changeId="one")[1]["version"], 2)
+        self.assertEqual(town.change("PATCH", self.cap(8), base=1, changeId="one")[1]["code"], REUSED_CHANGE.code)
+        version, document = (town.ask("GET", "/v1/config")[1][name] for name in ("version", "document"))
+        self.assertEqual((version, document["models"]["screener"]["cap"]), (2, 7))
+
+    def testAStreamOfChangesHasAnAnswerEach(self):
+        town = self.town()
+        lines = [{"id": "a", "op": "patch", "base": 1, "document": self.cap(5)}, {"id": "b", "op": "nonsense"},
+                 {"id": "c", "op": "patch", "base": 1, "document": self.cap(6)}]
+        async def send():
+            ip, _, port = town.site.cores[0]["http"].rpartition(":")
+            link = await connect(ip, int(port))
+            body = b"\n".join(map(msgspec.json.encode, lines)) + b"\nnot json\n"
+            got = await link.exchange("POST", "/v1/changes", body=body)
+            return [msgspec.json.decode(line)["code"] async for line in got.lines()]
+        self.assertEqual(town.world.do("operator", send), [0, 100, 200, 100])
+
+    def testEachMemberMayBeKilledInTurn(self):
+        town = self.town()
+        for position in (2, 0, 1):
+            self.settle(town)
+            name = self.member(town, position)
+            town.world.kill(name)
+            town.folders[name].losePower()
+            self.assertLess(self.insist(town, 10 + position), 12)
+            town.startCore(name)
+        self.settle(town)
+        self.assertEqual(len({town.up[name].chain.state.toBytes() for name in town.coreNames()}), 1)
+
+    def testAllCoresLosePowerAndTheConfigurationIsReadBackWhole(self):
+        town = self.town()
+        town.change("PATCH", self.cap(11))
+        names = town.coreNames()
+        for name in names:
+            town.world.kill(name)
+        for name in names:
+            town.folders[name].losePower(torn=5)
+            town.startCore(name)
+        self.settle(town)
+        got = town.ask("GET", "/v1/config")[1]
+        self.assertEqual((got["version"], got["document"]["models"]["screener"]["cap"]), (2, 11))
+
+    def testALostDiskAfterAnAckLosesNothing(self):
+        town = self.town()
+        for position in (0, 2):
+            self.settle(town)
+            self.assertEqual(town.change("PATCH", self.cap(20 + position))[0], 200)
+            name = self.member(town, position)
+            town.world.kill(name)
+            town.folders[name].wipe()
+            town.world.run(1)
+            town.startCore(name)
+            town.world.run(8)
+            got = town.ask("GET", "/v1/config", name=name)[1]
+            self.assertEqual((got["version"], got["document"]["models"]["screener"]["cap"]), (town.version, 20 + position))
+        self.settle(town)
+
+    def testAnEmptiedCoreAtANewAddressTakesTheLostPlaceAndTheSeedsAreExchanged(self):
+        town = self.town()
+        town.world.kill("core1")
+        node = town.addresses["core1"]
+        node |= {"inner": f"{town.ip('core1b')}:7000", "http": f"{town.ip('core1b')}:8000"}
+        town.folders["core1"].wipe()
+        town.seeds = [core["inner"] for core in town.site.cores]
+        for name in ("core2", "core3", "router1", "router2"):
+            town.up[name].membership.setSeeds(town.seeds)
+        town.world.run(3)
+        town.startCore("core1")
+        self.settle(town)
+        voters = {ref.addr for ref in town.up["core2"].agreement.decided.voters}
+        self.assertIn(node["inner"], voters)
+        town.world.kill("core2")
+        self.insist(town, 3, "core3")
+        self.assertEqual(town.ask("GET", "/v1/config", name="core3")[1]["document"]["models"]["screener"]["cap"], 3)
+
+    def testTwoOperatorsWritingAtOnceNeverBothWin(self):
+        town = self.town()
+        for round_ in range(5):
+            base = town.version
+            box = [town.spawn(lambda name=name, number=number: fetchJson(
+                town.addresses[name]["http"], "PATCH", f"/v1/config?base={base}", self.cap(number), timeoutMs=12000))
+                for number, name in ((5, "core1"), (6, "core2"), (7, "core3"))]
+            town.world.run(until=lambda: all(box), limitS=20)
+            self.assertEqual(sorted(each[0][0] for each in box), [200, 409, 409])
+            town.version += 1
+
+    def testACutCoreServesNothingOldAndComesBack(self):
+        town = self.town()
+        tail = self.member(town, 2)
+        others = [town.addresses[name]["inner"].rpartition(":")[0] for name in town.addresses if name != tail]
+        alone = town.addresses[tail]["inner"].rpartition(":")[0]
+        town.world.net.cut([alone], others)
+        town.world.run(8)
+        near = next(name for name in town.coreNames() if name != tail)
+        self.assertEqual(town.change("PATCH", self.cap(13), name=near)[0], 200)
+        self.assertNotEqual(town.ask("GET", "/v1/config", name=tail)[0], 200)
+        self.assertFalse(town.up[tail].chain.mayAnswer())
+        town.world.net.heal()
+        self.settle(town)
+        self.assertEqual(town.ask("GET", "/v1/config", name=tail)[1]["version"], town.version)
+
+    def testAFrozenTailWakesHoldingNothing(self):
+        town = self.town()
+        tail = self.member(town, 2)
+        town.world.freeze(tail)
+        near = next(name for name in town.coreNames() if name != tail)
+        self.insist(town, 14, near)
+        self.assertFalse(town.up[tail].chain.mayAnswer())
+        town.world.thaw(tail)
+        self.assertFalse(town.up[tail].chain.mayAnswer())
+        self.settle(town)
+
+    def testAFullDiskRefusesAndAStalledOneLeavesTheChain(self):
+        town = self.town()
+        head = self.member(town, 0)
+        town.folders[head].full = True
+        self.insist(town, 15)
+        town.world.run(3)
+        self.assertLess(town.up[head].agreement.position(), 0)
+        town.folders[head].full = False
+        self.settle(town)
+        middle = self.member(town, 1)
+        town.folders[middle].stallS = 30.0
+        self.insist(town, 16)
+        town.folders[middle].stallS = 0.0
+        town.world.run(40)
+        self.settle(town)
+        self.assertEqual(check(town.records), {})
+
+    def testDamageOnDiskIsRefusedAndMendedByCopying(self):
+        town = self.town()
+        [town.change("PATCH", self.cap(20 + number)) for number in range(4)]
+        name = self.member(town, 1)
+        town.world.kill(name)
+        data = town.folders[name].written["chain.log"]
+        data[len(data) // 2] ^= 255
+        town.startCore(name)
+        town.world.run(5)
+        self.settle(town)
+        self.assertEqual(town.up[name].board.count["copies"], 1)
+        self.assertEqual(town.up[name].chain.state.stored.version, town.version)
+
+    def testAckMeansInForceAtEveryRouterThatStillServes(self):
+        town = self.town(routers=3)
+        town.world.freeze("router2")
+        atS = town.world.now
+        self.assertEqual(town.change("PATCH", self.cap(17))[0], 200)
+        self.assertGreater(town.world.now - atS, 2.5)
+        served = [name for name in town.routerNames() if town.up[name].licence.isHeld()]
+        self.assertTrue(all(town.up[name].licence.held.version == town.version for name in served))
+        self.assertNotIn("router2", served)
+        town.world.thaw("router2")
+        atS = town.world.now
+        town.world.run(2)
+        self.assertEqual(town.change("PATCH", self.cap(18))[0], 200)
+        self.assertLess(town.world.now - atS, 4.0)
+
+    def testAnUnknownOutcomeIsUndecidedAndSettlesOnce(self):
+        town = self.town()
+        lost = [town.addresses[name]["inner"].rpartition(":")[0] for name in town.coreNames()]
+        head = self.member(town, 0)
+        door = next(name for name in town.coreNames() if name != head)
+        headIp = town.addresses[head]["inner"].rpartition(":")[0]
+        town.world.net.cut([headIp], [ip for ip in lost if ip != headIp], both=False)
+        got = town.change("PATCH", self.cap(19), name=door, changeId="late")
+        town.world.net.heal()
+        town.world.run(6)
+        again = town.change("PATCH", self.cap(19), base=1, name=door, changeId="late")
+        if got[0] != 200:
+            self.assertEqual(got[1]["code"], UNDECIDED.code)
+        self.assertEqual((again[0], again[1]["version"]), (200, 2))
+
+    def testManyRoutesAreCarriedToAll(self):
+        town = self.town()
+        routes = {f"route-{number}": {"model": "screener", "repeatable": True} for number in range(3000)}
+        self.assertEqual(town.change("PATCH", {"routes": routes})[0], 200)
+        self.assertTrue(all(len(town.up[name].licence.held.document.routes) == 3002 for name in town.routerNames()))
+        self.assertEqual(town.call("saga", "route-2999", ["a", "b"])["status"], 200)
+
+    def testARevokedKeyIsRefusedOnAKeptAliveConnection(self):
+        town = self.town()
+        bodies = msgspec.json.encode({"model": "tag", "parts": ["a"], "stream": False})
+
+        async def talk():
+            ip, _, port = town.site.routers[0]["http"].rpartition(":")
+            link, codes = await connect(ip, int(port)), []
+            for number in range(2):
+                got = await link.exchange("POST", "/v1/calls", [("authorization", "Bearer key-saga")], bodies)
+                await got.whole()
+                codes.append(got.status)
+                while not number and town.version < 2:
+                    await asyncio.sleep(0.1)
+            return codes
+        box = town.spawn(talk)
+        town.world.run(1)
+        self.assertEqual(town.change("PATCH", {"tenants": {"saga": {"keys": [keyDigest("other")]}}})[0], 200)
+        town.world.run(until=lambda: box, limitS=10)
+        self.assertEqual(box, [[200, 401]])
