--- a/swiftdeck/chain/agreement.py
+++ b/swiftdeck/chain/agreement.py
@@ -90,6 +90,16 @@
             self.fault = (DISK_FULL if error.errno == 28 else DISK_FAILED).because(error)
             raise
 
+    async def heal(self):
+        """After a fault of the disk: try to write all that must last anew."""
+        if self.fault is not None:
+            async with self.busy:
+                try:
+                    await self.journal.rewrite(list(self._whole()))
+                    self.fault = None
+                except OSError as error:
+                    self.fault = (DISK_FULL if error.errno == 28 else DISK_FAILED).because(error)
+
     def isFresh(self):
         """Whether this core has never known a view nor accepted one."""
         return not self.decided.number and self.slot.accepted is None
--- a/swiftdeck/chain/mender.py
+++ b/swiftdeck/chain/mender.py
@@ -30,6 +30,7 @@
         while True:
             await asyncio.sleep(self.roundMs / 1000 * self.random.uniform(0.8, 1.2))
             await self._ask()
+            await self.agreement.heal()
             await self.chain.heal()
             if not self.agreement.decided.number:
                 await self._found()
--- /dev/null
+++ b/swiftdeck/sim/cases/calls.py
@@ -0,0 +1,202 @@
+"""Cases of calls: legs, final answers, claims, pieces and the retry budget."""
+import asyncio
+import unittest
+
+from swiftdeck.bench.checker import check
+from swiftdeck.fault import (CLAIMED, STALE_LIST, UNKNOWN_KEY, WORKER_BAD, WORKER_HANGS, WORKER_LOST)
+from swiftdeck.http.client import connect
+from swiftdeck.sim.town import Town
+
+
+class CallsCase(unittest.TestCase):
+    """Calls whose workers, callers and routers fail."""
+
+    def town(self, seed=1, **more):
+        return Town(seed, **({"routers": 2, "workers": 2} | more)).start()
+
+    def runs(self, town):
+        return [item for item in town.records if item["kind"] == "run"]
+
+    def quirk(self, town, quirk):
+        for worker in town.site.workers:
+            town.up[worker["name"]].quirk = quirk
+
+    def sound(self, town):
+        self.assertEqual(check(town.records, {town.site.apart}), {})
+        self.assertEqual(town.world.faults, [])
+
+    def testAOnceOnlyCallIsClaimedAcrossRouters(self):
+        town = self.town(routers=3)
+        box = [town.spawn(lambda door=node["http"]: town.caller.call(
+            "saga", "check", ["book", "same"], idempotency="bill-7", door=door)) for node in town.site.routers]
+        town.world.run(until=lambda: all(box), limitS=30)
+        self.assertEqual(sorted(each[0]["status"] for each in box), [200, 409, 409])
+        self.assertEqual({each[0]["code"] for each in box}, {0, CLAIMED.code})
+        self.assertEqual(len(self.runs(town)), 1)
+        self.sound(town)
+
+    def testAWorkerThatDiesMidwayEndsAOnceOnlyStreamWithoutASecondRun(self):
+        town = self.town()
+        self.quirk(town, "die midway")
+        got = town.call("saga", "check", ["book", "x"], idempotency="k")
+        self.assertEqual((got["status"], got["code"], got["whole"], got["pieces"]), (200, WORKER_LOST.code, False, 2))
+        self.assertEqual(len(self.runs(town)), 1)
+        self.sound(town)
+
+    def testMalformedForeignAndRepeatedPiecesNeverReachACaller(self):
+        for quirk in ("malformed", "foreign", "repeat"):
+            town = self.town()
+            self.quirk(town, quirk)
+            got = town.call("saga", "check", ["book", "x"])
+            self.assertEqual((got["code"], got["whole"], got["wrong"]), (WORKER_BAD.code, False, ""), quirk)
+            self.assertLessEqual(got["pieces"], 3)
+            self.sound(town)
+
+    def testAHangingWorkerIsGivenUpAtTheBoundWithoutAPromise(self):
+        town = self.town()
+        town.change("PATCH", {"routes": {"check": {"firstPieceMs": 2000}}})
+        self.quirk(town, "hang")
+        atS = town.world.now
+        got = town.call("saga", "check", ["book", "x"], idempotency="k")
+        self.assertEqual((got["code"], got["notRun"]), (WORKER_HANGS.code, False))
+        self.assertLess(town.world.now - atS, 4.0)
+        self.assertEqual(len(self.runs(town)), 1)
+
+    def testARepeatableCallGoesElsewhereWhenItsWorkerIsGone(self):
+        town = self.town()
+        [town.call("saga", "tag", ["book", str(number)]) for number in range(20)]
+        town.world.run(11)
+        town.world.kill("worker1")
+        got = [town.call("saga", "tag", ["book", f"again {number}"]) for number in range(10)]
+        self.assertEqual([each["status"] for each in got], [200] * 10)
+        self.sound(town)
+
+    def testAnUnreachedWorkerIsNoRunAndMayBeLeftForAnotherOnce(self):
+        town = self.town()
+        town.world.run(11)
+        town.world.kill("worker1")
+        town.world.kill("worker2")
+        got = town.call("saga", "check", ["book", "x"], idempotency="k")
+        self.assertTrue(got["notRun"], got)
+        self.assertTrue(got["retryAfter"])
+        self.assertEqual(self.runs(town), [])
+        town.startWorker("worker1")
+        town.startWorker("worker2")
+        town.world.run(5)
+        self.assertEqual(town.call("saga", "check", ["book", "x"], idempotency="k")["status"], 200)
+        self.sound(town)
+
+    def testTheBudgetBoundsExtraTriesInAnOutage(self):
+        town = self.town(workers=3)
+        self.quirk(town, "die midway")
+        town.change("PATCH", {"models": {"screener": {"cap": 50}}})
+        town.world.run(11)
+        box = [town.spawn(lambda number=number: town.caller.call("oita", "tag", ["book", str(number)], stream=False))
+               for number in range(40)]
+        town.world.run(until=lambda: all(box), limitS=90)
+        tries = [item["run"] for item in self.runs(town)]
+        extra = sum(not run.endswith("-1") for run in tries)
+        self.assertGreater(extra, 0)
+        self.assertLessEqual(extra, 40 // 5 + 3)
+        self.assertEqual({each[0]["code"] for each in box}, {WORKER_LOST.code})
+
+    def testACallerThatGoesAwayFreesItsSlotAndItsRun(self):
+        town = self.town(workers=1)
+        town.change("PATCH", {"models": {"screener": {"cap": 1, "idleMs": 500}}})
+
+        async def leave():
+            ip, _, port = town.site.routers[0]["http"].rpartition(":")
+            link = await connect(ip, int(port))
+            work = asyncio.ensure_future(link.exchange(
+                "POST", "/v1/calls", [("authorization", "Bearer key-saga")],
+                b'{"model": "check", "parts": ["book", "x"], "maxTokens": 6400}'))
+            await asyncio.sleep(1.0)
+            link.close()
+            work.cancel()
+        town.world.do("callers", leave)
+        town.world.run(2)
+        self.assertEqual(sum(len(book.open) for book in town.books().values()), 0)
+        ended = [item for item in town.records if item["kind"] == "ran"]
+        self.assertEqual([item["whole"] for item in ended], [False])
+        self.assertTrue(all(not town.up[name].running for name in town.routerNames()))
+
+    def testASlowCallerIsBoundedAndCutOff(self):
+        town = self.town(workers=1)
+        held = []
+
+        async def slow():
+            ip, _, port = town.site.routers[0]["http"].rpartition(":")
+            link = await connect(ip, int(port))
+            link.transport.pause_reading()
+            got = asyncio.ensure_future(link.exchange("POST", "/v1/calls", [("authorization", "Bearer key-saga")], (
+                b'{"model": "check", "parts": ["book", "[[' + b"z" * 3000 + b']]"], "maxTokens": 16000}')))
+            held.append((link, got))
+            await asyncio.sleep(0.01)
+            link.transport.pause_reading()
+        town.world.do("callers", slow)
+        for _ in range(60):
+            held[0][0].transport.pause_reading()
+            town.world.run(1)
+        self.assertEqual(sum(town.up[name].http.count["slowCallers"] for name in town.routerNames()), 1)
+        self.assertTrue(all(not town.up[name].open for name in town.routerNames()))
+
+    def testBadInputGetsItsCode(self):
+        town = self.town(bodyBytes=4096, partsMost=10)
+        for body, headers, code in [(b"{", [], 100), (b"[]", [], 100), (b'{"model":"tag","parts":[]}', [], 100),
+                                    (b'{"model":"tag","parts":[1]}', [], 100), (b'{"model":"none","parts":["a"]}', [], 102),
+                                    (b'{"model":"tag","parts":["' + b"a" * 5000 + b'"]}', [], 103),
+                                    (b'{"model":"tag","parts":[' + b",".join([b'"a"'] * 11) + b"]}", [], 103),
+                                    (b"\xff\xfe", [], 100)]:
+            async def send():
+                ip, _, port = town.site.routers[0]["http"].rpartition(":")
+                link = await connect(ip, int(port))
+                got = await link.exchange("POST", "/v1/calls", [("authorization", "Bearer key-saga"), *headers], body)
+                return got.status, await got.whole()
+            status, answer = town.world.do("callers", send)
+            self.assertIn(b'"code":%d' % code, answer)
+            self.assertGreaterEqual(status, 400)
+        got = town.call("saga", "tag", ["a", "b"], key="wrong")
+        self.assertEqual((got["status"], got["code"]), (401, UNKNOWN_KEY.code))
+        self.assertEqual(town.world.faults, [])
+
+    def testNoLegGoesOutOnAnOldListUnlessAllAreBlind(self):
+        town = self.town(routers=3)
+        platform = town.site.platform.rpartition(":")[0]
+        alone = town.site.routers[0]
+        ip = alone["inner"].rpartition(":")[0]
+        rest = [town.addresses[name]["inner"].rpartition(":")[0] for name in town.routerNames() if name != alone["name"]]
+        town.world.net.cut([ip], [platform])
+        town.world.run(5)
+        self.assertEqual(town.call("saga", "tag", ["a", "b"], door=alone["http"])["status"], 200)
+        town.world.net.cut([ip], [platform, *rest])
+        town.world.run(5)
+        self.assertFalse(town.up[alone["name"]].workers.isFresh())
+        self.assertEqual(STALE_LIST.code, 114)
+        town.world.net.heal()
+        town.world.kill("platform")
+        town.world.run(5)
+        self.assertEqual(town.call("saga", "tag", ["a", "c"], door=alone["http"])["status"], 200)
+        self.sound(town)
+
+    def testAFrozenRouterWakesAndSendsNothingOld(self):
+        town = self.town(routers=2, workers=1)
+        town.change("PATCH", {"models": {"screener": {"cap": 1}}})
+        keeper = town.keeper()
+        other = next(name for name in town.routerNames() if name != keeper)
+        door = town.addresses[other]["http"]
+        first = town.spawn(lambda: town.caller.call("saga", "check", ["book", "a"], maxTokens=2000,
+                                                    door=town.addresses[keeper]["http"]))
+        town.world.run(0.5)
+        second = town.spawn(lambda: town.caller.call("oita", "check", ["book", "b"], door=door))
+        town.world.run(0.5)
+        town.world.freeze(other)
+        town.world.run(3)
+        got = town.change("PATCH", {"models": {"screener": {"weights": "w2"}}})
+        self.assertEqual(got[0], 200)
+        town.world.run(10)
+        before = len(self.runs(town))
+        town.world.thaw(other)
+        town.world.run(until=lambda: first and second, limitS=60)
+        late = [item for item in self.runs(town)[before:] if item["weights"] == "w1"]
+        self.assertEqual(late, [])
+        self.sound(town)
