--- /dev/null
+++ b/swiftdeck/sim/cases/admission.py
@@ -0,0 +1,219 @@
+"""Cases of admission: books, lines, moves and keepers that fail."""
+import unittest
+
+from swiftdeck.bench.checker import check
+from swiftdeck.fault import LINE_FULL, WAITED_OUT
+from swiftdeck.sim.town import Town
+
+
+class AdmissionCase(unittest.TestCase):
+    """Conversations that start, wait, go on, pause, move and end."""
+
+    def town(self, seed=1, cap=2, **more):
+        settings = {name: more.pop(name) for name in list(more) if name in ("idleMs", "pauseMs", "lineMax", "adapts", "capLeast")}
+        return Town(seed, **({"routers": 3, "workers": 1} | more)).start(cap=cap, **settings)
+
+    def sound(self, town):
+        self.assertEqual(check(town.records, {town.site.apart}), {})
+        self.assertEqual(town.world.faults, [])
+
+    def mostOpen(self, town, until, limitS=120):
+        """Let time pass and give the most conversations that any book had open."""
+        most = 0
+
+        def look():
+            nonlocal most
+            if town.keeper():
+                most = max([most, *(len(book.open) for book in town.books().values())])
+            return until()
+        for _ in range(int(limitS / 0.05)):
+            town.world.run(0.05)
+            if look():
+                return most
+        self.fail("not done in time")
+
+    def open(self, town):
+        return sum(len(book.open) for book in town.books().values())
+
+    def testStartsFromManyRoutersAtOnceNeverPassTheCap(self):
+        town = self.town(cap=3)
+        tenants = list(town.site.keys)
+        box = [town.spawn(lambda number=number: town.caller.agent(tenants[number % 8], turns=3, gap=0.2))
+               for number in range(24)]
+        self.assertEqual(self.mostOpen(town, lambda: all(box)), 3)
+        self.assertEqual([each[0] for each in box], [3] * 24)
+        turns = [item["hitParts"] for item in town.records if item["kind"] == "prefill"]
+        self.assertEqual(len(turns), 72)
+        self.sound(town)
+
+    def testALaterCallOfAnAdmittedConversationNeverWaitsBehindTheLine(self):
+        town = self.town(cap=1, pauseMs=60000, idleMs=60000)
+        got = town.call("saga", "check", ["book", "mine"])
+        waiting = town.spawn(lambda: town.caller.call("oita", "check", ["book", "other"]))
+        town.world.run(1)
+        again = town.call("saga", "check", [*got["parts"], "said", "more"])
+        self.assertEqual((again["status"], again["waitedMs"], again["usage"]["hitParts"]), (200, 0, 2))
+        self.assertFalse(waiting)
+        last = town.call("saga", "check", [*again["parts"], "said", "end"], isLast=True)
+        self.assertTrue(last["whole"])
+        town.world.run(3)
+        self.assertTrue(waiting and waiting[0]["whole"])
+        self.sound(town)
+
+    def testSharingTheLongBookIsNoContinuation(self):
+        town = self.town(cap=8)
+        [town.call("saga", "check", ["the long book", f"case {number}"]) for number in range(3)]
+        self.assertEqual(self.open(town), 3)
+
+    def testTheLineServesTenantsInTurn(self):
+        town = self.town(cap=1, idleMs=300, pauseMs=100)
+        large = [town.spawn(lambda number=number: town.caller.call("chikugo", "check", ["b", str(number)], isLast=True,
+                                                                   maxTokens=320)) for number in range(12)]
+        town.world.run(0.3)
+        small = town.spawn(lambda: town.caller.call("saga", "check", ["b", "small"], isLast=True))
+        town.world.run(until=lambda: small, limitS=60)
+        self.assertLessEqual(sum(bool(each) for each in large), 3)
+        self.assertTrue(small[0]["whole"])
+
+    def testAFullLineAndALongWaitEndAtOnceWithATimeToComeBack(self):
+        town = self.town(cap=1, lineMax=2, idleMs=60000, pauseMs=60000)
+        town.change("PATCH", {"routes": {"check": {"waitMs": 3000}}})
+        town.call("saga", "check", ["b", "first"])
+        atS = town.world.now
+        box = [town.spawn(lambda number=number: town.caller.call("oita", "check", ["b", str(number)])) for number in range(4)]
+        town.world.run(0.5)
+        full = [each[0] for each in box if each]
+        self.assertEqual([each["code"] for each in full], [LINE_FULL.code] * 2)
+        town.world.run(until=lambda: all(box), limitS=10)
+        self.assertLess(town.world.now - atS, 3.5)
+        late = [each[0] for each in box if each[0]["code"] == WAITED_OUT.code]
+        self.assertEqual(len(late), 2)
+        self.assertTrue(all(each["notRun"] and each["retryAfter"] for each in [*full, *late]))
+        self.sound(town)
+
+    def testSlotsComeBackFromPausedAndVanishedAgents(self):
+        town = self.town(cap=2, idleMs=7500, pauseMs=3100)
+        for number in range(2):
+            town.call("saga", "check", ["b", str(number)])
+        atS = town.world.now
+        got = town.call("oita", "check", ["b", "later"])
+        self.assertTrue(got["whole"])
+        self.assertTrue(2.0 < town.world.now - atS < 5.0, town.world.now - atS)
+        town.world.run(9)
+        self.assertEqual(self.open(town), 0)
+        self.sound(town)
+
+    def testSlotsOfADeadRouterComeBackOnceItsLicenceHasRunOut(self):
+        town = self.town(cap=1)
+        keeper = town.keeper()
+        victim = next(name for name in town.routerNames() if name != keeper)
+        town.spawn(lambda: town.caller.call("saga", "check", ["b", "x"], maxTokens=20000,
+                                            door=town.addresses[victim]["http"]))
+        town.world.run(1)
+        self.assertEqual(self.open(town), 1)
+        town.world.kill(victim, silent=True)
+        atS = town.world.now
+        town.caller.doors = [town.addresses[name]["http"] for name in town.routerNames()]
+        got = town.call("oita", "check", ["b", "y"])
+        self.assertTrue(got["whole"], got)
+        self.assertLess(town.world.now - atS, 9)
+
+    def testANewKeeperCountsOpenConversationsBeforeItGrantsAStart(self):
+        for how in ("kill", "freeze", "cut"):
+            town = self.town(cap=2, routers=4, idleMs=60000, pauseMs=60000)
+            old = town.keeper()
+            doors = [town.addresses[name]["http"] for name in town.routerNames() if name != old]
+            town.caller.doors = doors
+            running = [town.spawn(lambda number=number: town.caller.call("saga", "check", ["b", str(number)], maxTokens=20000,
+                                                                         timeoutS=600, door=doors[number])) for number in range(2)]
+            town.world.run(1)
+            ip = town.addresses[old]["inner"].rpartition(":")[0]
+            others = [node["inner"].rpartition(":")[0] for name, node in town.addresses.items() if name != old]
+            {"kill": lambda: town.world.kill(old), "freeze": lambda: town.world.freeze(old),
+             "cut": lambda: town.world.net.cut([ip], others)}[how]()
+            atS = town.world.now
+            start = town.spawn(lambda: town.caller.call("oita", "check", ["b", "new"], timeoutS=5))
+            town.world.run(until=lambda: town.keeper() not in (None, old), limitS=20)
+            self.assertLess(town.world.now - atS, 12, how)
+            town.world.run(1)
+            self.assertEqual(self.open(town), 2, how)
+            if how == "freeze":
+                town.world.thaw(old)
+            town.world.net.heal()
+            town.world.run(5)
+            held = [name for name in town.routerNames() for keeper in town.up[name].keepers.values() if keeper.duty.isHeld()]
+            self.assertEqual(len(held), 1, how)
+            self.assertTrue(not start or not start[0]["whole"], how)
+            self.assertFalse(any(running), how)
+
+    def testConversationsOfADrainingWorkerMoveAndKeepTheirAdmission(self):
+        town = self.town(cap=2, workers=2, idleMs=60000, pauseMs=60000)
+        talks = []
+        for number in range(4):
+            talks.append(town.call("saga", "check", ["b", f"case {number}"]))
+        self.assertEqual(sorted(len(book.open) for book in town.books().values()), [2, 2])
+        stream = town.spawn(lambda: town.caller.call("saga", "check", [*talks[0]["parts"], "a", "b"], maxTokens=4000))
+        town.world.run(0.5)
+        leaving = talks[0]["worker"]
+
+        async def drain():
+            town.up["platform"].drain(leaving)
+        town.world.do("platform", drain)
+        town.world.run(4)
+        again = [town.call("saga", "check", [*talk["parts"], "said", "more"]) for talk in talks[1:]]
+        self.assertTrue(all(each["whole"] and each["worker"] != leaving and each["waitedMs"] == 0 for each in again))
+        town.world.run(until=lambda: stream, limitS=60)
+        self.assertTrue(stream[0]["whole"])
+        late = town.call("oita", "check", ["b", "new"])
+        self.assertEqual(late["code"], WAITED_OUT.code)
+        counters = town.up[town.keeper()].counters()
+        self.assertGreater(counters["movesOverCap"], 0)
+        self.sound(town)
+
+    def testOnlyAdmittedConversationsFetchAndASlowLinkCostsItsBoundOnce(self):
+        town = self.town(cap=4, workers=2, idleMs=60000)
+        long = "long " * 20000
+        first = town.call("saga", "check", [long, "mine"])
+
+        async def drain():
+            town.up["platform"].drain(first["worker"])
+        town.world.do("platform", drain)
+        town.world.run(2)
+        moved = town.call("saga", "check", [*first["parts"], "said", "x"])
+        self.assertEqual((moved["usage"]["hitParts"], moved["whole"]), (2, True))
+        fetches = [item["parts"] for item in town.records if item["kind"] == "fetch"]
+        self.assertEqual(fetches[-1], 2)
+        self.assertEqual(len([item for item in town.records if item["kind"] == "run"]), len(fetches))
+
+        async def swap():
+            town.up["platform"].drain(first["worker"], False)
+            town.up["platform"].drain(moved["worker"])
+        town.world.do("platform", swap)
+        town.world.run(2)
+        town.up[moved["worker"]].linkS = 30.0
+        atS = town.world.now
+        back = town.call("saga", "check", [*moved["parts"], "said", "y"])
+        self.assertTrue(back["whole"])
+        self.assertLess(town.world.now - atS, 1.5 + 4.0)
+        counters = town.up[town.keeper()].counters()
+        self.assertGreaterEqual(sum(town.up[name].counters().get("fetches", 0) for name in town.routerNames()), 3, counters)
+        self.sound(town)
+
+    def testCacheReportsLostDoubledAndLateOnlyCostWarmth(self):
+        for quirk in ("lose reports", "double reports", "late reports"):
+            town = self.town(cap=4, workers=2)
+            for worker in town.site.workers:
+                town.up[worker["name"]].quirk = quirk
+            box = [town.spawn(lambda tenant=tenant: town.caller.agent(tenant, turns=4, gap=0.1)) for tenant in town.site.keys]
+            town.world.run(until=lambda: all(box), limitS=120)
+            self.assertEqual([each[0] for each in box], [4] * 8, quirk)
+            self.sound(town)
+
+    def testTheCapAdaptsToPrefixSurvival(self):
+        town = self.town(cap=8, adapts=True, capLeast=2, pauseMs=8000, idleMs=9000)
+        town.up["worker1"].cache.room = 30000
+        town.caller.book["check"] = "rules "
+        box = [town.spawn(lambda number=number: town.caller.agent("saga", turns=12, grow=2000, gap=0.5)) for number in range(8)]
+        town.world.run(25)
+        self.assertLess(min(book.cap for book in town.books().values()), 8)
+        town.world.run(until=lambda: all(box), limitS=300)
