A view that adds a member keeps the wait of the one that dropped another

Cause: the wait for old view licences hung on the newest view alone. A view that dropped the tail, followed within two seconds by one that only added a member, let the new tail answer while the dropped one still held a licence. Ruled out: the voters, who give no licence for a view once they accepted the next; the licence itself, measured from sending. The end of the wait is now one moment that later views can only move on.

Also: grants count from their question (waits are slices of 700 ms, the place in line outlasts them, holds renew), one member alone acknowledges nothing, and a core that comes back at another address is dropped and joins again. Not reproduced: the frozen-router case passed before as well, since its time-out fires first on waking; that order was luck, now the age of the grant decides.

--- a/swiftdeck/chain/agreement.py
+++ b/swiftdeck/chain/agreement.py
@@ -35,7 +35,7 @@
         self.journal = Journal(folder, "agreement.log")
         self.mesh, self.addr, self.random, self.licenceMs, self.board = mesh, addr, random, licenceMs, board
         self.coreId, self.decided, self.slot = "", View(), Slot()
-        self.learntS, self.dropped = 0.0, False
+        self.waitUntilS = 0.0
         self.licenceUntilS = -1.0
         self.watchers, self.fault, self.troubles = [], None, []
         self.busy = asyncio.Lock()
@@ -57,9 +57,13 @@
                 await self._keep({"k": "me", "id": self.coreId})
         except OSError as error:
             return DISK_FAILED.because(error)
-        self.learntS, self.dropped = self.loop.time(), True
+        self._waitOut()
         return None
 
+    def _waitOut(self):
+        """Let the licences of a view before this one run out first."""
+        self.waitUntilS = self.loop.time() + self.licenceMs / 1000 * 1.05
+
     def _restore(self, record):
         if record["k"] == "me":
             self.coreId = record["id"]
@@ -116,8 +120,7 @@
     def mayServe(self):
         """Whether the view licence holds now; a new view first waits out the licence of the old."""
         nowS = self.loop.time()
-        waitS = self.licenceMs / 1000 * 1.05 if self.dropped else 0
-        return self.decided.number > 0 and nowS < self.licenceUntilS and nowS >= self.learntS + waitS
+        return self.decided.number > 0 and self.waitUntilS <= nowS < self.licenceUntilS
 
     def _mayVote(self, slot):
         if slot != self.decided.number + 1:
@@ -172,9 +175,9 @@
             except OSError:
                 self.board and self.board.put("disk", self.fault.name)
             known = view.number == self.decided.number + 1
-            self.dropped = not known or bool(set(ids(self.decided.members)) - set(ids(view.members)))
+            if not known or set(ids(self.decided.members)) - set(ids(view.members)):
+                self._waitOut()
             self.decided, self.slot = view, Slot()
-            self.learntS = self.loop.time()
             self.licenceUntilS = -1.0
         if self.board:
             self.board.put("view", {"number": view.number, "members": [ref.addr for ref in view.members]})
@@ -282,3 +285,29 @@
         world.run(1)
         self.assertEqual(box[0][0], box[1][0])
         self.assertEqual([each[1].granted for each in box], [True, False])
+
+    def testAViewThatAddsDoesNotForgetTheWaitOfOneThatDropped(self):
+        from swiftdeck.sim.world import World
+        from swiftdeck.wire.mesh import Mesh
+        world, served = World(), []
+        refs = [CoreRef(coreId=name, addr=f"{name}:1") for name in "abc"]
+
+        async def main():
+            agreement = Agreement(SimFolder(), Mesh("10.0.0.1:1"), "10.0.0.1:1", world.random)
+            await agreement.start()
+
+            async def learn(number, members):
+                await agreement.learn(View(number=number, members=members, voters=refs))
+                agreement.licenceUntilS = agreement.loop.time() + 10
+                served.append(agreement.mayServe())
+            await asyncio.sleep(5)
+            await learn(1, refs)
+            await asyncio.sleep(5)
+            await learn(2, refs[:2])
+            await asyncio.sleep(0.5)
+            await learn(3, [*refs[:2], CoreRef(coreId="d", addr="d:1")])
+            await asyncio.sleep(2.0)
+            served.append(agreement.mayServe())
+        world.start("a", "10.0.0.1", main)
+        world.run(30)
+        self.assertEqual(served[1:], [False, False, True])
--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -90,7 +90,7 @@
             staysLast = self.isLast() and self.lastIn == self.wholeIn == view - 1 > 0
             self.wholeIn = view
             if not staysLast:
-                self.wholeSinceS, self.holders = self.loop.time(), {}
+                self.wholeSinceS, self.holders = max(self.loop.time(), self.agreement.waitUntilS), {}
             self.lastIn = view if self.isLast() else 0
 
     def isFirst(self):
@@ -304,7 +304,7 @@
     async def onOutcomeAsk(self, ask, sender):
         endS = self.loop.time() + min(ask.waitMs, 30000) / 1000
         while True:
-            if not self.mayAnswer():
+            if not self.mayAnswer() or len(self.agreement.decided.members) < 2:
                 return NOT_TAIL
             found = self._outcome(ask.changeId)
             if found is not None:
@@ -328,9 +328,7 @@
     def isInForce(self, version):
         """Whether every router that may hold a licence has confirmed a version; without knowledge, all may."""
         nowS = self.loop.time()
-        view = self.agreement
-        serveS = view.learntS + (view.licenceMs / 1000 * 1.05 if view.dropped else 0)
-        if nowS < max(self.wholeSinceS, serveS if self.wholeSinceS >= view.learntS else 0) + self.licenceMs / 1000:
+        if nowS < self.wholeSinceS + self.licenceMs / 1000:
             return False
         return all(holder.held >= version or holder.untilS <= nowS for holder in self.holders.values())
 
--- a/swiftdeck/chain/mender.py
+++ b/swiftdeck/chain/mender.py
@@ -84,9 +84,10 @@
 
     def _isBad(self, ref):
         if ref.coreId == self.agreement.coreId:
-            return bool(self.agreement.trouble())
+            return bool(self.agreement.trouble()) or ref.addr != self.me.addr
         if ref.coreId in self.said:
-            return bool(self.said[ref.coreId][1].fault)
+            addr, said = self.said[ref.coreId]
+            return bool(said.fault) or addr != ref.addr
         return not any(each.coreId == ref.coreId and each.state == 0 for each in self.membership.alive("core"))
 
     async def _join(self):
--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -34,7 +34,7 @@
     listOldMs: Ms = 2500
     holdMs: Ms = 500
     holdLicenceMs: Ms = 3000
-    grantMs: Ms = 1500
+    grantMs: Ms = 2000
     stopMs: Ms = 20000
     virtualPlaces: Annotated[int, msgspec.Meta(ge=1, le=2000)] = 128
     placesWeighed: Annotated[int, msgspec.Meta(ge=1, le=16)] = 3
@@ -55,6 +55,8 @@
                 yield from self._addrFaults(name, getattr(self, name))
         if self.configLicenceMs <= self.viewLicenceMs:
             yield "configLicenceMs: must be above viewLicenceMs"
+        if self.grantMs >= self.holdLicenceMs:
+            yield "grantMs: must be below holdLicenceMs"
         if self.inner == self.http:
             yield "http: is the same as inner"
 
--- a/swiftdeck/sim/cases/admission.py
+++ b/swiftdeck/sim/cases/admission.py
@@ -146,6 +146,28 @@
             self.assertTrue(not start or not start[0]["whole"], how)
             self.assertFalse(any(running), how)
 
+    def testARouterFrozenWithAGrantOnItsWayDoesNotActOnItLater(self):
+        town = self.town(cap=1, routers=4, idleMs=200, pauseMs=100)
+        keeper = town.keeper()
+        frozen, door, other = [town.addresses[name]["http"] for name in town.routerNames() if name != keeper]
+        name = next(name for name in town.routerNames() if town.addresses[name]["http"] == frozen)
+        first = town.spawn(lambda: town.caller.call("saga", "check", ["b", "x"], isLast=True, maxTokens=800, door=door))
+        town.world.run(0.5)
+        late = town.spawn(lambda: town.caller.call("oita", "check", ["b", "y"], door=frozen))
+        town.world.run(until=lambda: any(len(book.line) for book in town.books().values()), limitS=5)
+        town.world.freeze(name)
+        town.world.run(until=lambda: first, limitS=60)
+        town.world.run(5)
+        long = town.spawn(lambda: town.caller.call("saga", "check", ["b", "z"], maxTokens=8000, door=other))
+        town.world.run(2)
+        self.assertEqual(self.open(town), 1)
+        before = len([item for item in town.records if item["kind"] == "run"])
+        town.world.thaw(name)
+        town.world.run(2)
+        self.assertEqual(len([item for item in town.records if item["kind"] == "run"]), before)
+        town.world.run(until=lambda: late and long, limitS=90)
+        self.sound(town)
+
     def testConversationsOfADrainingWorkerMoveAndKeepTheirAdmission(self):
         town = self.town(cap=2, workers=2, idleMs=60000, pauseMs=60000)
         talks = []
--- a/swiftdeck/sim/cases/config.py
+++ b/swiftdeck/sim/cases/config.py
@@ -126,6 +126,22 @@
         self.insist(town, 3, "core3")
         self.assertEqual(town.ask("GET", "/v1/config", name="core3")[1]["document"]["models"]["screener"]["cap"], 3)
 
+    def testAnOldCoreAtANewAddressIsTheSameOne(self):
+        town = self.town()
+        for position in (0, 1):
+            name = self.member(town, position)
+            town.world.kill(name)
+            machine = f"moved-{name}"
+            town.addresses[name] |= {"inner": f"{town.ip(machine)}:7000", "http": f"{town.ip(machine)}:8000"}
+            town.seeds = [core["inner"] for core in town.site.cores]
+            coreId = town.up[name].agreement.coreId
+            town.startCore(name)
+            town.world.run(1)
+            self.insist(town, 30 + position, next(other for other in town.coreNames() if other != name))
+            self.settle(town)
+            members = {ref.coreId: ref.addr for ref in town.up[name].agreement.decided.members}
+            self.assertEqual(members[coreId], town.addresses[name]["inner"])
+
     def testTwoOperatorsWritingAtOnceNeverBothWin(self):
         town = self.town()
         for round_ in range(5):
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -14,6 +14,9 @@
 from swiftdeck.wire.messages import GrantAsk, GrantDrop, LegEnd
 
 
+SLICE_MS = 700
+
+
 class CallBody(msgspec.Struct):
     """What a caller sends."""
 
@@ -68,7 +71,7 @@
             (self.router.claims.finish if self.ledger.sent() else self.router.claims.release)(
                 self.claimKey, self.name, self.digest)
         leg = self.ledger.legs[-1] if self.ledger.legs else None
-        if leg and leg.grant is None and leg.fault is None:
+        if leg and leg.grant is None and (leg.fault is None or leg.fault.code == WAITED_OUT.code):
             self.router.tellKeeper(self.route.model, GrantDrop(call=self.name, model=self.route.model))
         self._closeLeg()
 
@@ -85,7 +88,8 @@
         last = self.ledger.legs[-1] if self.ledger.legs else None
         if last and last.grant is None:
             self.ledger.legs.pop()
-            await asyncio.sleep(min(0.2, (last.fault.retryMs or 100) / 1000))
+            if last.fault.code != WAITED_OUT.code:
+                await asyncio.sleep(min(0.2, (last.fault.retryMs or 100) / 1000))
         leg = Leg(len(self.ledger.legs) + 1)
         self.ledger.legs.append(leg)
         if not await self.router.licence.wait(self.ledger.waitUntilMs / 1000):
@@ -111,13 +115,15 @@
         if keeper is None:
             return NO_KEEPER
         leftMs = max(1, int(min(self.ledger.waitUntilMs, self.ledger.horizonMs) - self.nowMs()))
+        sliceMs, askedS = min(leftMs, SLICE_MS), self.loop.time()
         ask = GrantAsk(router=self.router.me.name, call=self.name, leg=leg.number, tenant=self.tenant,
                        model=self.route.model, group=self.group, chain=self.chain, weights=self.weights,
-                       waitMs=leftMs, avoid=self.avoid, conversation=self.conversation)
-        got = await self.router.askKeeper(keeper, ask, leftMs + 300)
+                       waitMs=sliceMs, avoid=self.avoid, conversation=self.conversation,
+                       waitedMs=int((askedS - self.startS) * 1000))
+        got = await self.router.askKeeper(keeper, ask, sliceMs + 300)
         if isFault(got):
             return got
-        fault = self.router.takeGrant(self, leg, got, keeper)
+        fault = self.router.takeGrant(self, leg, got, askedS)
         if fault is None:
             leg.grant, self.conversation = got, got.conversation
         return fault
@@ -176,7 +182,6 @@
         self.router.board.count["fetchedParts"] += parts if isinstance(parts, int) else 0
         self.router.decisions.add("fetch", call=self.name, source=leg.grant.fetchFrom, worker=leg.grant.worker,
                                   parts=parts, tookMs=tookMs)
-        self.router.renewGrant(self.name)
 
     slowFrom, keyDigest, group = "", "", None
 
--- a/swiftdeck/traffic/keeper.py
+++ b/swiftdeck/traffic/keeper.py
@@ -13,6 +13,9 @@
 from swiftdeck.wire.messages import GrantReturn, OpenAsk
 
 
+WAIT_FORGOTTEN_S = 2.0
+
+
 class Keeper:
     """Held by one router at a time; whoever wins the duty first gathers the open conversations."""
 
@@ -26,7 +29,7 @@
 
     def clear(self):
         """Begin with empty books."""
-        self.books, self.conversations, self.byLast = {}, {}, {}
+        self.books, self.conversations, self.byLast, self.waits = {}, {}, {}, {}
         self.routers, self.readyTerm, self.ring = {}, 0, Ring([])
         self.links, self.loading, self.adaptedS = {}, set(), 0.0
 
@@ -220,22 +223,28 @@
         conversation = self.conversations.get(ask.conversation) or self._continued(ask)
         if conversation is not None:
             return self._goOn(conversation, ask, sender)
-        waiting = Waiting(ask.tenant, ask, self.loop.create_future(), startS, sender)
-        self._placeOrWait(waiting)
-        return await self._waited(waiting, startS + waitS)
-
-    async def _waited(self, waiting, endS):
+        waiting = self.waits.get(ask.call)
+        if waiting is None:
+            waiting = self.waits[ask.call] = Waiting(ask.tenant, ask, self.loop.create_future(),
+                                                     startS - ask.waitedMs / 1000, sender, startS)
+            self._placeOrWait(waiting)
+        else:
+            waiting.ask, waiting.done, waiting.sender, waiting.seenS = ask, self.loop.create_future(), sender, startS
+            [self._pump(book) for book in list(self.books.values()) if book.line.first() is waiting]
+        return await self._waited(waiting, waiting.done, startS + waitS)
+
+    async def _waited(self, waiting, done, endS):
+        """One slice of a wait; the place in line outlasts it, so that a grant is never older than its question."""
         try:
-            await asyncio.wait([waiting.done], timeout=max(0, endS - self.loop.time()))
+            await asyncio.wait([done], timeout=max(0, endS - self.loop.time()))
         finally:
-            if not waiting.done.done():
-                waiting.done.cancel()
-                [book.line.remove(waiting) for book in self.books.values()]
-        if waiting.done.cancelled():
-            self.board.count["waitedOut"] += 1
-            self.router.decisions.add("refuse", call=waiting.ask.call, tenant=waiting.ask.tenant, why="waited out")
+            if not done.done():
+                done.cancel()
+        if done.cancelled():
             return WAITED_OUT
-        return waiting.done.result()
+        if self.waits.get(waiting.ask.call) is waiting:
+            del self.waits[waiting.ask.call]
+        return done.result()
 
     def _isReady(self):
         return self.duty.isHeld() and self.readyTerm == self.term == self.duty.term
@@ -311,15 +320,22 @@
         if not self._isReady() or self.config() is None or not self.router.workers.mayTake(book.worker):
             return
         while len(book.line):
+            first = book.line.first()
+            if not first.isAsking():
+                if self.loop.time() - first.seenS < WAIT_FORGOTTEN_S:
+                    return
+                self._forget(book.line.take())
+                continue
             if not book.hasRoom():
                 paused = book.longestPaused(self.loop.time(), self.config().pauseMs)
                 if paused is None or len(book.open) > book.cap:
                     return
                 self.board.count["slotsReclaimed"] += 1
                 self._close(paused, "paused while others wait")
-            waiting = book.line.take()
-            if not waiting.done.done():
-                self._begin(book, waiting)
+            self._begin(book, book.line.take())
+
+    def _forget(self, waiting):
+        self.waits.pop(waiting.ask.call, None)
 
     def _begin(self, book, waiting):
         ask = waiting.ask
@@ -414,6 +430,7 @@
                       if each.ask.call == drop.call), None)
         if found:
             found[0].line.remove(found[1])
+            self._forget(found[1])
             self._answer(found[1], WAITED_OUT.because("caller went away"))
 
     def _nameAt(self, addr):
--- a/swiftdeck/traffic/ledger.py
+++ b/swiftdeck/traffic/ledger.py
@@ -6,7 +6,7 @@
 
 from swiftdeck.fault import (BUDGET_SPENT, HORIZON, LINE_FULL, NOT_KEEPER, UNREACHED, WAITED_OUT, WORKER_LOST, Fault)
 
-AGAIN = {112, 113, 114, 115, 401, 400, 501, 503, 500, 404}
+AGAIN = {111, 112, 113, 114, 115, 401, 400, 501, 503, 500, 404}
 
 
 class Move(enum.Enum):
--- a/swiftdeck/traffic/line.py
+++ b/swiftdeck/traffic/line.py
@@ -14,6 +14,11 @@
     done: object
     sinceS: float
     sender: str = ""
+    seenS: float = 0.0
+
+    def isAsking(self) -> bool:
+        """Whether its router has a question open, to which a grant can be given."""
+        return not self.done.done()
 
 
 class Line:
@@ -29,14 +34,19 @@
         return (each for line in list(self.tenants.values()) for each in list(line))
 
     def add(self, waiting: Waiting):
-        """Stand at the end of the tenant's line."""
-        self.tenants.setdefault(waiting.tenant, deque()).append(waiting)
+        """Stand in the tenant's line, behind all that have waited as long."""
+        line = self.tenants.setdefault(waiting.tenant, deque())
+        line.append(waiting)
+        if len(line) > 1 and line[-2].sinceS > waiting.sinceS:
+            self.tenants[waiting.tenant] = deque(sorted(line, key=lambda each: each.sinceS))
+
+    def first(self):
+        """The next to begin, or None."""
+        return next((line[0] for line in self.tenants.values()), None)
 
     def take(self):
-        """The next to begin; its tenant then goes behind the others."""
-        tenant = next(iter(self.tenants), None)
-        if tenant is None:
-            return None
+        """Take the next out; its tenant then goes behind the others."""
+        tenant = next(iter(self.tenants))
         line = self.tenants.pop(tenant)
         first = line.popleft()
         if line:
@@ -59,3 +69,8 @@
             line.add(Waiting("large", number, None, 0))
         line.add(Waiting("small", "s", None, 0))
         self.assertEqual([line.take().ask for _ in range(4)], [0, "s", 1, 2])
+
+    def testWhoHasWaitedLongerElsewhereStandsBefore(self):
+        line = Line()
+        [line.add(Waiting("t", sinceS, None, sinceS)) for sinceS in (5, 7, 3)]
+        self.assertEqual([line.first().ask, *(line.take().ask for _ in range(3))], [3, 3, 5, 7])
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -124,12 +124,12 @@
         else:
             self.mesh.tell(keeper[1], message)
 
-    def takeGrant(self, call, leg, grant, keeper):
+    def takeGrant(self, call, leg, grant, askedS):
         """Note a grant, unless a newer keeper is known."""
         model = call.route.model
         if grant.term < self.known.get(model, (0, ""))[0]:
             return OLD_TERM.because(f"grant of term {grant.term}", 50)
-        self.running[call.name] = Running(call, model, grant.term, self.loop.time())
+        self.running[call.name] = Running(call, model, grant.term, askedS)
         told = OpenConversation(conversation=grant.conversation, tenant=call.tenant, group=call.group,
                                 worker=grant.worker, last=call.chain[-1], parts=len(call.chain), call=call.name,
                                 weights=call.weights, leg=leg.number)
@@ -137,16 +137,11 @@
         return None
 
     def isGrantValid(self, name) -> bool:
-        """Whether a grant may still be acted on."""
+        """Whether a grant may still be acted on: its time counts from the question, or from the newest hold."""
         running = self.running.get(name)
         return (running is not None and self.loop.time() - running.askedS <= self.settings.grantMs / 1000
                 and running.term >= self.known.get(running.model, (0, ""))[0])
 
-    def renewGrant(self, name):
-        """Count a grant's time anew after a fetch that it allowed; the holds kept it alive meanwhile."""
-        if name in self.running:
-            self.running[name].askedS = self.loop.time()
-
     def legEnded(self, call, leg):
         """A leg is over: tell the keeper, and remember the conversation for a while."""
         del self.running[call.name]
@@ -212,14 +207,19 @@
             for model, calls in byModel.items():
                 keeper = self.keeperOf(model)
                 if keeper:
-                    hold = Hold(router=self.me.name, model=model, calls=calls, term=keeper[0])
-                    if keeper[1] == self.me.addr:
-                        await self.onHold(hold, self.me.addr)
-                    else:
-                        self.mesh.tell(keeper[1], hold)
+                    asyncio.ensure_future(self._hold(keeper, model, calls))
             if len(self.served) > 20000:
                 self.served = dict(list(self.served.items())[-10000:])
 
+    async def _hold(self, keeper, model, calls):
+        sentS = self.loop.time()
+        hold = Hold(router=self.me.name, model=model, calls=calls, term=keeper[0])
+        got = await (self.onHold(hold, self.me.addr) if keeper[1] == self.me.addr else
+                     self.mesh.ask(keeper[1], hold, 1000))
+        if not isFault(got):
+            for running in [self.running[name] for name in calls if name in self.running]:
+                running.askedS = max(running.askedS, sentS) if running.term == keeper[0] else running.askedS
+
     async def handle(self, exchange):
         """One exchange at the callers' door."""
         path = exchange.path.rstrip("/")
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -286,6 +286,7 @@
     waitMs: int = bp.uint32_field(9)
     avoid: list[str] = bp.string_field(10)
     conversation: str = bp.string_field(11)
+    waitedMs: int = bp.uint64_field(12)
 
 
 @message
