--- a/swiftdeck/traffic/keeper.py
+++ b/swiftdeck/traffic/keeper.py
@@ -470,4 +470,8 @@
                 "books": {name: {"open": len(book.open), "cap": book.cap, "line": len(book.line),
                                  "up": self.index.isUp(name), "weights": self.index.weights(name),
                                  "running": sum(len(each.running) for each in book.open.values())}
-                          for name, book in sorted(self.books.items())} if self.duty.isHeld() else {}}
+                          for name, book in self._allBooks()} if self.duty.isHeld() else {}}
+
+    def _allBooks(self):
+        [self._book(worker.name) for worker in self._mine()]
+        return sorted(self.books.items())
