--- a/swiftdeck/bench/platform.py
+++ b/swiftdeck/bench/platform.py
@@ -8,17 +8,22 @@
 
     def __init__(self, addr, record, workers):
         self.addr, self.record = addr, record
-        self.workers = {worker["name"]: worker for worker in workers}
+        self.workers, self.isShown = {worker["name"]: worker for worker in workers}, False
         self.http = HttpServer(self.handle)
 
     async def start(self):
         """Listen."""
         ip, _, port = self.addr.rpartition(":")
         await self.http.start(ip, int(port))
-        self._note()
 
     def _note(self):
-        self.record("list", workers=list(self.workers.values()))
+        self.isShown = False
+
+    def _show(self):
+        """A change counts from when the list first showed it to somebody."""
+        if not self.isShown:
+            self.isShown = True
+            self.record("list", workers=list(self.workers.values()))
 
     def drain(self, name, isDraining=True):
         """Show a worker as draining, or not any more."""
@@ -38,6 +43,7 @@
     async def handle(self, exchange):
         """One exchange of the platform's protocol, and of the bench with it."""
         if exchange.path == "/v1/workers" and exchange.method == "GET":
+            self._show()
             return await exchange.give(200, {"workers": list(self.workers.values())})
         body = exchange.json()
         if isFault(body) or not isinstance(body, dict):
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -78,7 +78,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
-        self.server.open.add(self)
+        self.server.open[self] = None
         self.rest(self.server.idleMs)
 
     def rest(self, ms):
@@ -215,7 +215,7 @@
 
     def connection_lost(self, error):
         self.gone = True
-        self.server.open.discard(self)
+        self.server.open.pop(self, None)
         self.resume_writing()
         if self.wakeup:
             self.wakeup.cancel()
@@ -230,7 +230,7 @@
                  note=lambda *_, **__: None):
         self.handler, self.bodyLimit, self.note = handler, bodyLimit, note
         self.idleMs, self.slowMs, self.slowWriteMs = idleMs, slowMs, slowWriteMs
-        self.open, self.stopping, self.server = set(), False, None
+        self.open, self.stopping, self.server = {}, False, None
         self.count = Counter()
 
     async def start(self, ip, port):
--- a/swiftdeck/sim/net.py
+++ b/swiftdeck/sim/net.py
@@ -65,7 +65,7 @@
     def _lost(self, error):
         if not self.gone:
             self.gone = self.closing = True
-            self.net.open.discard(self)
+            self.net.open.pop(self, None)
             self.protocol.connection_lost(error)
 
     def pause_reading(self):
@@ -147,9 +147,9 @@
 
     def __init__(self, world):
         self.world = world
-        self.listeners, self.datagrams, self.open = {}, {}, set()
+        self.listeners, self.datagrams, self.open = {}, {}, {}
         self.cuts, self.stuck, self.slow = set(), [], {}
-        self.lossRate, self.nextPort = 0.0, 40000
+        self.lossRate, self.nextPort, self.vanished = 0.0, 40000, set()
 
     def cut(self, sources, targets, both=True):
         """Lose all that goes from some addresses to others."""
@@ -194,7 +194,7 @@
             return
         found = self.listeners.get((host, port))
         if found is None:
-            if any(other.ip == host for other in self.world.loops.values()) or host not in self.world.net.vanished:
+            if host not in self.vanished:
                 loop.call_soon(self._finish, done, ConnectionRefusedError(111, "refused"))
             return
         if self.isCut(host, loop.ip):
@@ -204,7 +204,7 @@
         local, remote = (loop.ip, self.nextPort), (host, port)
         near, far = SimTransport(self, loop, local, remote), SimTransport(self, server, remote, local)
         near.other, far.other = far, near
-        self.open |= {near, far}
+        self.open |= {near: None, far: None}
 
         def accept():
             far.protocol = serverFactory()
@@ -221,8 +221,6 @@
         server.call_soon(accept)
         self.world.at(self.delayS(host, loop.ip), lambda: None if loop.dead else loop.call_soon(made))
 
-    vanished: set = set()
-
     def _finish(self, done, error):
         if not done.done():
             done.set_exception(error)
@@ -273,7 +271,7 @@
         self.listeners = {key: value for key, value in self.listeners.items() if value[0] is not loop}
         self.datagrams = {key: value for key, value in self.datagrams.items() if value[0] is not loop}
         for transport in [each for each in self.open if each.loop is loop]:
-            self.open.discard(transport)
+            del self.open[transport]
             if not silent and not transport.gone and not transport.closing:
                 transport._post(ConnectionResetError("reset by peer"))
             transport.gone = transport.closing = True
--- a/swiftdeck/sim/world.py
+++ b/swiftdeck/sim/world.py
@@ -87,6 +87,7 @@
     def start(self, name, ip, main) -> SimLoop:
         """Start a process: `main` is a function that returns a coroutine."""
         loop = SimLoop(self, name, ip)
+        self.net.vanished.discard(ip)
         self.loops[name] = loop
         self._within(loop, lambda: setattr(loop, "main", loop.create_task(main())))
         return loop
@@ -104,6 +105,8 @@
         if loop:
             loop.dead = True
             self.net.drop(loop, silent)
+            if silent:
+                self.net.vanished.add(loop.ip)
 
     def freeze(self, name):
         """Stop a process in its tracks; its clock goes on."""
--- a/swiftdeck/wire/mesh.py
+++ b/swiftdeck/wire/mesh.py
@@ -32,7 +32,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
-        self.mesh.links.add(self)
+        self.mesh.links[self] = None
 
     def pause_writing(self):
         pass
@@ -74,7 +74,7 @@
 
     def connection_lost(self, error):
         self.gone = True
-        self.mesh.links.discard(self)
+        self.mesh.links.pop(self, None)
         [task.cancel() for task, isBound in list(self.handled.values()) if isBound]
         if self.addr and self.mesh.dialled.get(self.addr) is self:
             del self.mesh.dialled[self.addr]
@@ -88,7 +88,7 @@
 
     def __init__(self, addr, note=lambda *_, **__: None):
         self.addr, self.note = addr, note
-        self.links, self.dialled, self.dialling = set(), {}, {}
+        self.links, self.dialled, self.dialling = {}, {}, {}
         self.asked, self.serial = {}, 0
         self.handlers = {}
         self.count = Counter()
