--- a/swiftdeck/config/document.py
+++ b/swiftdeck/config/document.py
@@ -74,13 +74,33 @@
     try:
         document = msgspec.json.decode(data, type=Document)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        text = str(error)
-        path = re.search(r"`(\$[^`]*)`", text)
-        return INVALID.because(f"{path.group(1)}: {text}" if path else text)
+        return INVALID.because(next(_wrongEntries(data), None) or _told(error, "$"))
     first = next(document.dangling(), None)
     return document if first is None else INVALID.because(first)
 
 
+def _told(error, path):
+    """A fault's text with the path to the field in front."""
+    text = str(error)
+    found = re.search(r" - at `\$([^`]*)`$", text)
+    return f"{path}{found.group(1)}: {text[:found.start()]}" if found else f"{path}: {text}"
+
+
+def _wrongEntries(data):
+    """What is wrong with single entries, by their names, which the faults of a whole table do not tell."""
+    try:
+        tables = msgspec.json.decode(data, type=dict[str, dict[str, msgspec.Raw]])
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return
+    for table, kind in (("models", Model), ("tenants", Tenant), ("routes", Route)):
+        for name, raw in tables.get(table, {}).items():
+            try:
+                msgspec.convert(name, Name)
+                msgspec.json.decode(raw, type=kind)
+            except msgspec.ValidationError as error:
+                yield _told(error, f"$.{table}.{name}")
+
+
 def merge(target, patch):
     """JSON merge patch, RFC 7396."""
     if not isinstance(patch, dict):
@@ -105,9 +125,9 @@
     def testFaultsNameThePath(self):
         model = '"models":{"m":{"weights":"w"}}'
         for text, path in [('{%s,"routes":{"r":{"model":"x"}}}' % model, "$.routes.r.model"),
-                           ('{%s,"routes":{"r":{"model":"m","foo":1}}}' % model, "$.routes[...]"),
+                           ('{%s,"routes":{"r":{"model":"m","foo":1}}}' % model, "$.routes.r"),
                            ('{%s,"routes":{"r":{"model":"m","tenants":["t"]}}}' % model, "$.routes.r.tenants[0]"),
-                           ('{"models":{"m":{"weights":"w","cap":0}}}', "$.models[...].cap"), ("[]", ""), ("{", "")]:
+                           ('{"models":{"m":{"weights":"w","cap":0}}}', "$.models.m.cap"), ("[]", ""), ("{", "")]:
             fault = readDocument(text.encode())
             self.assertTrue(isFault(fault))
             self.assertEqual((fault.code, fault.reason.startswith(path)), (INVALID.code, True), fault.reason)
--- a/swiftdeck/programs/bench.py
+++ b/swiftdeck/programs/bench.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import random
+import signal
 import sys
 import traceback
 from collections import Counter
@@ -95,6 +96,7 @@
         await it.drive(seconds, faults, shortEveryS)
         return 0
     status = 1
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         with asyncio.Runner(loop_factory=BootLoop) as runner:
             status = runner.run(main())
