--- a/swiftdeck/sim/cases/calls.py
+++ b/swiftdeck/sim/cases/calls.py
@@ -55,6 +55,7 @@
     def testAHangingWorkerIsGivenUpAtTheBoundWithoutAPromise(self):
         town = self.town()
         town.change("PATCH", {"routes": {"check": {"firstPieceMs": 2000}}})
+        town.world.run(11)
         self.quirk(town, "hang")
         atS = town.world.now
         got = town.call("saga", "check", ["book", "x"], idempotency="k")
--- a/swiftdeck/sim/cases/config.py
+++ b/swiftdeck/sim/cases/config.py
@@ -246,6 +246,19 @@
         self.assertTrue(all(len(town.up[name].licence.held.document.routes) == 3002 for name in town.routerNames()))
         self.assertEqual(town.call("saga", "route-2999", ["a", "b"])["status"], 200)
 
+    def testARouterCutFromTheCoresHoldsItsLicenceThroughANeighbour(self):
+        town = self.town(routers=3)
+        ip = town.addresses["router1"]["inner"].rpartition(":")[0]
+        cores = [town.addresses[name]["inner"].rpartition(":")[0] for name in town.coreNames()]
+        town.world.net.cut([ip], cores)
+        town.world.run(6)
+        atS = town.world.now
+        self.assertEqual(town.change("PATCH", {"tenants": {"saga": {"keys": [keyDigest("other")]}}})[0], 200)
+        self.assertLess(town.world.now - atS, 2.0)
+        door = town.addresses["router1"]["http"]
+        self.assertEqual(town.call("saga", "tag", ["a", "b"], door=door)["status"], 401)
+        self.assertEqual(town.call("oita", "tag", ["a", "b"], door=door)["status"], 200)
+
     def testARevokedKeyIsRefusedOnAKeptAliveConnection(self):
         town = self.town()
         bodies = msgspec.json.encode({"model": "tag", "parts": ["a"], "stream": False})
--- /dev/null
+++ b/swiftdeck/sim/cases/mutations.py
@@ -0,0 +1,144 @@
+"""Each mechanism taken out in turn: the case that guards it must fail without it."""
+import contextlib
+import json
+import unittest
+from unittest import mock
+
+from swiftdeck.chain.agreement import Agreement
+from swiftdeck.chain.chain import Chain
+from swiftdeck.chain.state import ChainState
+from swiftdeck.config.document import readDocument
+from swiftdeck.disk.journal import Journal
+from swiftdeck.fault import NO_LICENCE, WAITED_OUT
+from swiftdeck.http.server import HttpConversation
+from swiftdeck.sim.cases import admission, calls, config, weights
+from swiftdeck.traffic.book import Book
+from swiftdeck.traffic.budget import Budget
+from swiftdeck.traffic.call import Call
+from swiftdeck.traffic.claims import Claims
+from swiftdeck.traffic.keeper import Keeper
+from swiftdeck.traffic.ledger import Ledger, Move, nextMove
+from swiftdeck.traffic.licence import ConfigLicence
+from swiftdeck.traffic.line import Line
+from swiftdeck.traffic.workers import WorkerList
+
+
+async def _claimed(self, key, run, digest, untilS):
+    return True
+
+
+def _believes(self, line, expected):
+    return json.loads(line[5:]) if line.strip().startswith(b"data: {\"") else {"run": self.run(), "seq": expected, "text": "?"}
+
+
+async def _gathersNothing(self, addr, term):
+    return True
+
+
+def _serves(self):
+    return self.decided.number > 0
+
+
+def _takesFirstTenant(self):
+    tenant = next(iter(self.tenants))
+    first = self.tenants[tenant].popleft()
+    if not self.tenants[tenant]:
+        del self.tenants[tenant]
+    return first
+
+
+async def _syncsNothing(self):
+    return None
+
+
+def _anyBase(self, change, examine=ChainState.examine):
+    return examine(self, change | ({"base": self.stored.version} if change["t"] == "config" else {}))
+
+
+def _oldGroup(tenant, isApart):
+    return "shared"
+
+
+def _holds(self):
+    return self.held is not None
+
+
+async def _noNeighbour(self, ask):
+    return NO_LICENCE
+
+
+def _promises(self, fault):
+    return WAITED_OUT
+
+
+def _again(ledger, nowMs):
+    move, fault = nextMove(ledger, nowMs)
+    last = ledger.legs[-1] if ledger.legs else None
+    return (Move.NOMINATE, None) if move is Move.GIVE_UP and last and last.wasSent and len(ledger.legs) < 3 else (move, fault)
+
+
+MUTATIONS = [
+    ("claims in the chain", calls.CallsCase, "testAOnceOnlyCallIsClaimedAcrossRouters", [(Claims, "claim", _claimed)]),
+    ("once-only legs", calls.CallsCase, "testAHangingWorkerIsGivenUpAtTheBoundWithoutAPromise",
+     [("swiftdeck.traffic.call", "nextMove", _again)]),
+    ("promise only when nothing was sent", calls.CallsCase, "testAHangingWorkerIsGivenUpAtTheBoundWithoutAPromise",
+     [(Ledger, "verdict", _promises)]),
+    ("pieces checked by run and number", calls.CallsCase, "testMalformedForeignAndRepeatedPiecesNeverReachACaller",
+     [(Call, "_read", _believes)]),
+    ("group of a tenant kept apart", weights.WeightsCase, "testATenantKeptApartSharesNothing",
+     [("swiftdeck.traffic.call", "groupOf", _oldGroup)]),
+    ("licence before a leg", config.ConfigCase, "testARouterCutFromTheCoresHoldsItsLicenceThroughANeighbour",
+     [(ConfigLicence, "isHeld", _holds), (ConfigLicence, "_throughOthers", _noNeighbour)]),
+    ("weights that a worker said", weights.WeightsCase, "testAWorkerBackWithOldWeightsGetsNothingUntilItHasLoaded",
+     [("swiftdeck.traffic.index.PrefixIndex", "weights", lambda self, worker: "")]),
+    ("in force before an ack", config.ConfigCase, "testAckMeansInForceAtEveryRouterThatStillServes",
+     [(Chain, "isInForce", lambda self, version: True)]),
+    ("view licence", config.ConfigCase, "testAFrozenTailWakesHoldingNothing", [(Agreement, "mayServe", _serves)]),
+    ("base version compared", config.ConfigCase, "testTwoOperatorsWritingAtOnceNeverBothWin", [(ChainState, "examine", _anyBase)]),
+    ("sync before an ack", config.ConfigCase, "testAllCoresLosePowerAndTheConfigurationIsReadBackWhole",
+     [(Journal, "sync", _syncsNothing)]),
+    ("key on each request", config.ConfigCase, "testARevokedKeyIsRefusedOnAKeptAliveConnection",
+     [("swiftdeck.traffic.licence", "readDocument", None)]),
+    ("no call to a draining worker", admission.AdmissionCase, "testConversationsOfADrainingWorkerMoveAndKeepTheirAdmission",
+     [(WorkerList, "mayTake", lambda self, name: name in self.workers), (Keeper, "onWorkers", lambda self: None)]),
+    ("cap", admission.AdmissionCase, "testStartsFromManyRoutersAtOnceNeverPassTheCap", [(Book, "hasRoom", lambda self: True)]),
+    ("open conversations gathered", admission.AdmissionCase, "testANewKeeperCountsOpenConversationsBeforeItGrantsAStart",
+     [(Keeper, "_gather", _gathersNothing)]),
+    ("tenants in turn", admission.AdmissionCase, "testTheLineServesTenantsInTurn", [(Line, "take", _takesFirstTenant),
+     (Line, "first", lambda self: next((line[0] for line in self.tenants.values()), None))]),
+    ("silent routers' slots", admission.AdmissionCase, "testSlotsOfADeadRouterComeBackOnceItsLicenceHasRunOut",
+     [(Keeper, "_seen", lambda self, addr: None)]),
+    ("budget", calls.CallsCase, "testTheBudgetBoundsExtraTriesInAnOutage", [(Budget, "draw", lambda self, nowS: True)]),
+    ("slow callers", calls.CallsCase, "testASlowCallerIsBoundedAndCutOff", [(HttpConversation, "writable", _syncsNothing)]),
+]
+
+
+def runWithout(changes, case, name) -> bool:
+    """Whether a case passes with these parts replaced."""
+    with contextlib.ExitStack() as stack:
+        for owner, attribute, other in changes:
+            target = f"{owner}.{attribute}" if isinstance(owner, str) else None
+            if other is None:
+                other = _firstDocumentOnly()
+            stack.enter_context(mock.patch(target, other) if target else mock.patch.object(owner, attribute, other))
+        result = unittest.TestResult()
+        case(name).run(result)
+        return result.wasSuccessful()
+
+
+def _firstDocumentOnly():
+    kept = []
+
+    def read(data):
+        document = readDocument(data)
+        if document.tenants:
+            kept.append(document)
+        return kept[0] if kept else document
+    return read
+
+
+class MutationsTest(unittest.TestCase):
+    def testEachMechanismIsMissedByItsCase(self):
+        for what, case, name, changes in MUTATIONS:
+            with self.subTest(what):
+                self.assertFalse(runWithout(changes, case, name), f"{name} passes without: {what}")
