A duty that lapsed is never renewed under its old term

Cause: a keeper frozen for about 2.6 s in the middle of a renewal woke, found its duty lapsed and cleared its books; then the reply came, whose licence (counted from sending) had 0.2 s left, and the same term was held again. Books are gathered once a term, so this keeper never became ready: every call ended with "keeper still gathers" until it lost the duty for good. Ruled out: the voters (nobody else could win meanwhile), recovery itself (it ran for each new term), hash order (the trace was made repeatable first). The new case failed before and passes after. A lapsed term is over: only a higher one may follow, so the books are gathered anew.

--- a/swiftdeck/duty/duty.py
+++ b/swiftdeck/duty/duty.py
@@ -7,7 +7,7 @@
 
 
 class Duty:
-    """Stands for a duty whenever it is vacant, and renews it while held."""
+    """Stands for a duty whenever it is vacant, and renews it while held; a term that has lapsed is never renewed."""
 
     def __init__(self, name, me, mesh, news, chart, random, licenceMs=3000, board=None):
         self.name, self.me, self.mesh, self.news, self.chart = name, me, mesh, news, chart
@@ -58,7 +58,7 @@
             self.chart.refresh()
         self.seenTerm = max([self.seenTerm, *(vote.term for vote in votes)])
         won = sum(vote.granted for vote in votes) * 2 > len(view.voters) > 0
-        if won and not release:
+        if won and not release and (term > self.term or self.isHeld()):
             self.untilS = sentS + self.licenceMs / 1000 * 0.95
         return won, votes
 
--- a/swiftdeck/sim/cases/admission.py
+++ b/swiftdeck/sim/cases/admission.py
@@ -146,6 +146,21 @@
             self.assertTrue(not start or not start[0]["whole"], how)
             self.assertFalse(any(running), how)
 
+    def testAKeeperFrozenWhileItRenewsGathersAnewWhenItWakes(self):
+        town = self.town(routers=1)
+        name = town.keeper()
+        town.call("saga", "check", ["b", "x"])
+        mesh, duty = town.up[name].mesh, next(iter(town.up[name].keepers.values())).duty
+        town.world.freeze("core3")
+        town.world.run(2)
+        self.assertTrue(town.world.run(until=lambda: sum(link.addr in town.seeds for link, _ in mesh.asked.values()) >= 3, limitS=5))
+        leftS = duty.untilS - duty.loop.time()
+        town.world.freeze(name)
+        town.world.run(leftS + 0.1)
+        town.world.thaw(name)
+        self.assertTrue(town.world.run(until=lambda: town.keeper() == name, limitS=8))
+        self.assertTrue(town.call("saga", "check", ["b", "y"])["whole"])
+
     def testARouterFrozenWithAGrantOnItsWayDoesNotActOnItLater(self):
         town = self.town(cap=1, routers=4, idleMs=200, pauseMs=100)
         keeper = town.keeper()
