--- /dev/null
+++ b/swiftdeck/bench/thrash.py
@@ -0,0 +1,72 @@
+"""The paper's effect on our own stand-in: growing conversations on a finite cache, with and without a cap."""
+import asyncio
+import unittest
+
+from swiftdeck.sim.town import Town
+
+ROOM_TOKENS, SCALE = 1_650_000, 50
+
+
+def jain(counts) -> float:
+    """Jain's index of fairness."""
+    total = sum(counts)
+    return total * total / (len(counts) * sum(each * each for each in counts)) if total else 0.0
+
+
+class Thrash:
+    """Many agents on one worker whose cache holds about twenty conversations of the paper's size."""
+
+    def __init__(self, cap, seed, agents=32, seconds=1800.0, room=ROOM_TOKENS, adapts=False, routers=2):
+        self.cap, self.agents, self.seconds = cap, agents, seconds
+        self.town = Town(seed, routers=routers, workers=1, speed=1.0)
+        self.room, self.adapts = room, adapts
+        self.finished = {}
+
+    async def _agent(self, tenant, number):
+        """Conversations by the paper's figures, each begun as the one before ends."""
+        town, caller = self.town, self.town.caller
+        rng = town.world.random
+        while True:
+            parts, turns = [f"case {number} {town.world.now}" + "x" * (25000 // SCALE)], max(4, int(rng.gauss(23, 6)))
+            done = 0
+            while done < turns:
+                got = await caller.call(tenant, "check", parts, maxTokens=144, timeoutS=4000, isLast=done == turns - 1)
+                if not got["whole"]:
+                    await asyncio.sleep(2.0)
+                    continue
+                done += 1
+                parts = [*got["parts"], "y" * int(min(10475, rng.expovariate(1 / 4600)) / SCALE)]
+                await asyncio.sleep(0 if rng.random() < 0.386 else min(7.5, rng.expovariate(1 / 1.9)))
+            self.finished[(tenant, number)] = self.finished.get((tenant, number), 0) + 1
+
+    def run(self) -> dict:
+        """Figures of one run."""
+        town = self.town
+        town.start(cap=self.cap, idleMs=60000, pauseMs=60000, adapts=self.adapts)
+        town.up["worker1"].cache.room, town.up["worker1"].tokensPerChar = self.room, SCALE
+        town.change("PATCH", {"routes": {"check": {"waitMs": 3600000, "horizonMs": 3600000, "firstPieceMs": 3600000,
+                                                   "pieceMs": 3600000}}})
+        tenants = list(town.site.keys)
+        for number in range(self.agents):
+            town.spawn(lambda number=number: self._agent(tenants[number % 8], number))
+        startS, computed = town.world.now, town.up["worker1"].computed
+        town.world.run(self.seconds)
+        turns = self._turns(startS)
+        back = [item for item in town.records if item["kind"] == "return" and item["whole"]]
+        counts = [self.finished.get((tenants[number % 8], number), 0) for number in range(self.agents)]
+        return {"cap": self.cap, "adapts": self.adapts, "finished": sum(counts), "requestsPerS": round(len(back) / self.seconds, 3),
+                "hits": round(sum(turns) / max(1, len(turns)), 4), "fairness": round(jain(counts), 3),
+                "computedPerMin": int((town.up["worker1"].computed - computed) / self.seconds * 60)}
+
+    def _turns(self, startS):
+        """For each call after a conversation's first, whether its whole earlier prompt was kept."""
+        return [item["hitParts"] >= item["parts"] - 1 for item in self.town.records
+                if item["kind"] == "prefill" and item["parts"] > 1 and item["atMs"] > startS * 1000]
+
+
+class ThrashTest(unittest.TestCase):
+    def testACapKeepsPrefixesWhereNoneThrashes(self):
+        capped, free = (Thrash(cap, 1, agents=10, seconds=200.0, room=400000).run() for cap in (3, 1000))
+        self.assertGreater(capped["hits"], 0.99)
+        self.assertLess(free["hits"], 0.6)
+        self.assertGreater(capped["requestsPerS"], 1.5 * free["requestsPerS"])
--- a/swiftdeck/bench/worker.py
+++ b/swiftdeck/bench/worker.py
@@ -12,11 +12,6 @@
 MARKER = re.compile(r"\[\[([^\]]*)\]\]")
 
 
-def tokensOf(part: str) -> int:
-    """How long a part counts."""
-    return max(1, len(part) // 4)
-
-
 class Worker:
     """Serves one model over the workers' protocol of docs/protocols.md."""
 
@@ -26,7 +21,7 @@
         self.cache = PrefixCache(room, self._report)
         self.events, self.number, self.watching = [], 0, []
         self.computed = self.hitTokens = 0
-        self.quirk, self.linkS = "", 0.0
+        self.quirk, self.linkS, self.tokensPerChar = "", 0.0, 0.25
         self.engine = None
         self.http = HttpServer(self.handle, bodyLimit=16 << 20)
 
@@ -134,7 +129,7 @@
             if self.quirk == "hang":
                 await asyncio.sleep(3600)
             chain = chainOf(body["weights"], body["group"], parts)
-            tokens = [tokensOf(part) for part in parts]
+            tokens = [max(1, int(len(part) * self.tokensPerChar)) for part in parts]
             async with self.engine:
                 depth = self.cache.depth(chain)
                 self.cache.touch(chain[:depth])
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -1,29 +1,50 @@
 """Every message between the system's own processes; the number of its kind never changes."""
 import unittest
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 
 import betterproto as bp
 
 
+class Wire(bp.Message):
+    """A message whose defaults are filled in when it is made, so that reading a field needs no look-up of them."""
+
+    __getattribute__ = object.__getattribute__
+
+    def __post_init__(self):
+        fields, isEmpty = self.__dict__, True
+        for name, default in self.defaults:
+            if fields[name] is bp.PLACEHOLDER:
+                fields[name] = default()
+            else:
+                isEmpty = False
+        fields |= {"_serialized_on_wire": not isEmpty, "_unknown_fields": b"", "_group_current": {}}
+
+    def __setattr__(self, name, value):
+        self.__dict__["_serialized_on_wire"] = True
+        self.__dict__[name] = value
+
+
 def message(cls):
     """Make a class a message."""
-    return dataclass(eq=False, repr=False)(cls)
+    made = dataclass(eq=False, repr=False)(cls)
+    made.defaults = [(each.name, made._betterproto.default_gen[each.name]) for each in fields(made)]
+    return made
 
 
 @message
-class FaultReturn(bp.Message):
+class FaultReturn(Wire):
     code: int = bp.uint32_field(1)
     reason: str = bp.string_field(2)
     retryMs: int = bp.uint32_field(3)
 
 
 @message
-class Done(bp.Message):
+class Done(Wire):
     count: int = bp.uint64_field(1)
 
 
 @message
-class Member(bp.Message):
+class Member(Wire):
     addr: str = bp.string_field(1)
     name: str = bp.string_field(2)
     role: str = bp.string_field(3)
@@ -36,7 +57,7 @@
 
 
 @message
-class Probe(bp.Message):
+class Probe(Wire):
     sender: Member = bp.message_field(1)
     target: str = bp.string_field(2)
     serial: int = bp.uint64_field(3)
@@ -44,7 +65,7 @@
 
 
 @message
-class ProbeReturn(bp.Message):
+class ProbeReturn(Wire):
     sender: Member = bp.message_field(1)
     target: str = bp.string_field(2)
     serial: int = bp.uint64_field(3)
@@ -52,50 +73,50 @@
 
 
 @message
-class Roster(bp.Message):
+class Roster(Wire):
     members: list[Member] = bp.message_field(1)
 
 
 @message
-class NewsItem(bp.Message):
+class NewsItem(Wire):
     key: str = bp.string_field(1)
     stamp: int = bp.uint64_field(2)
     body: bytes = bp.bytes_field(3)
 
 
 @message
-class News(bp.Message):
+class News(Wire):
     items: list[NewsItem] = bp.message_field(1)
 
 
 @message
-class NewsDigest(bp.Message):
+class NewsDigest(Wire):
     keys: list[str] = bp.string_field(1)
     stamps: list[int] = bp.uint64_field(2)
 
 
 @message
-class CoreRef(bp.Message):
+class CoreRef(Wire):
     coreId: str = bp.string_field(1)
     addr: str = bp.string_field(2)
 
 
 @message
-class View(bp.Message):
+class View(Wire):
     number: int = bp.uint64_field(1)
     members: list[CoreRef] = bp.message_field(2)
     voters: list[CoreRef] = bp.message_field(3)
 
 
 @message
-class Prepare(bp.Message):
+class Prepare(Wire):
     slot: int = bp.uint64_field(1)
     ballot: int = bp.uint64_field(2)
     coreId: str = bp.string_field(3)
 
 
 @message
-class Promise(bp.Message):
+class Promise(Wire):
     granted: bool = bp.bool_field(1)
     ballot: int = bp.uint64_field(2)
     acceptedBallot: int = bp.uint64_field(3)
@@ -105,25 +126,25 @@
 
 
 @message
-class Accept(bp.Message):
+class Accept(Wire):
     slot: int = bp.uint64_field(1)
     ballot: int = bp.uint64_field(2)
     view: View = bp.message_field(3)
 
 
 @message
-class Decided(bp.Message):
+class Decided(Wire):
     view: View = bp.message_field(1)
 
 
 @message
-class ViewAsk(bp.Message):
+class ViewAsk(Wire):
     coreId: str = bp.string_field(1)
     addr: str = bp.string_field(2)
 
 
 @message
-class ViewReturn(bp.Message):
+class ViewReturn(Wire):
     view: View = bp.message_field(1)
     coreId: str = bp.string_field(2)
     fresh: bool = bp.bool_field(3)
@@ -131,74 +152,74 @@
 
 
 @message
-class ViewLicenceAsk(bp.Message):
+class ViewLicenceAsk(Wire):
     number: int = bp.uint64_field(1)
     coreId: str = bp.string_field(2)
 
 
 @message
-class ViewLicenceReturn(bp.Message):
+class ViewLicenceReturn(Wire):
     granted: bool = bp.bool_field(1)
     decided: View = bp.message_field(2)
 
 
 @message
-class ChainEntry(bp.Message):
+class ChainEntry(Wire):
     serial: int = bp.uint64_field(1)
     body: bytes = bp.bytes_field(2)
 
 
 @message
-class Pass(bp.Message):
+class Pass(Wire):
     view: int = bp.uint64_field(1)
     entries: list[ChainEntry] = bp.message_field(2)
     last: int = bp.uint64_field(3)
 
 
 @message
-class PassReturn(bp.Message):
+class PassReturn(Wire):
     last: int = bp.uint64_field(1)
 
 
 @message
-class JoinAsk(bp.Message):
+class JoinAsk(Wire):
     coreId: str = bp.string_field(1)
     addr: str = bp.string_field(2)
     view: int = bp.uint64_field(3)
 
 
 @message
-class CopyAsk(bp.Message):
+class CopyAsk(Wire):
     coreId: str = bp.string_field(1)
 
 
 @message
-class CopyReturn(bp.Message):
+class CopyReturn(Wire):
     serial: int = bp.uint64_field(1)
     state: bytes = bp.bytes_field(2)
     view: int = bp.uint64_field(3)
 
 
 @message
-class Write(bp.Message):
+class Write(Wire):
     changeId: str = bp.string_field(1)
     body: bytes = bp.bytes_field(2)
 
 
 @message
-class WriteReturn(bp.Message):
+class WriteReturn(Wire):
     serial: int = bp.uint64_field(1)
     view: int = bp.uint64_field(2)
 
 
 @message
-class OutcomeAsk(bp.Message):
+class OutcomeAsk(Wire):
     changeId: str = bp.string_field(1)
     waitMs: int = bp.uint32_field(2)
 
 
 @message
-class OutcomeReturn(bp.Message):
+class OutcomeReturn(Wire):
     code: int = bp.uint32_field(1)
     reason: str = bp.string_field(2)
     version: int = bp.uint64_field(3)
@@ -206,18 +227,18 @@
 
 
 @message
-class ConfigAsk(bp.Message):
+class ConfigAsk(Wire):
     pass
 
 
 @message
-class ConfigReturn(bp.Message):
+class ConfigReturn(Wire):
     version: int = bp.uint64_field(1)
     document: bytes = bp.bytes_field(2)
 
 
 @message
-class LicenceAsk(bp.Message):
+class LicenceAsk(Wire):
     router: str = bp.string_field(1)
     addr: str = bp.string_field(2)
     held: int = bp.uint64_field(3)
@@ -225,7 +246,7 @@
 
 
 @message
-class LicenceReturn(bp.Message):
+class LicenceReturn(Wire):
     licenceMs: int = bp.uint32_field(1)
     version: int = bp.uint64_field(2)
     document: bytes = bp.bytes_field(3)
@@ -233,17 +254,17 @@
 
 
 @message
-class Relay(bp.Message):
+class Relay(Wire):
     ask: LicenceAsk = bp.message_field(1)
 
 
 @message
-class Nudge(bp.Message):
+class Nudge(Wire):
     version: int = bp.uint64_field(1)
 
 
 @message
-class Nominate(bp.Message):
+class Nominate(Wire):
     view: int = bp.uint64_field(7)
     duty: str = bp.string_field(1)
     term: int = bp.uint64_field(2)
@@ -254,7 +275,7 @@
 
 
 @message
-class Vote(bp.Message):
+class Vote(Wire):
     granted: bool = bp.bool_field(1)
     term: int = bp.uint64_field(2)
     holder: str = bp.string_field(3)
@@ -263,18 +284,18 @@
 
 
 @message
-class ListAsk(bp.Message):
+class ListAsk(Wire):
     pass
 
 
 @message
-class ListReturn(bp.Message):
+class ListReturn(Wire):
     ageMs: int = bp.uint64_field(1)
     body: bytes = bp.bytes_field(2)
 
 
 @message
-class GrantAsk(bp.Message):
+class GrantAsk(Wire):
     router: str = bp.string_field(1)
     call: str = bp.string_field(2)
     leg: int = bp.uint32_field(3)
@@ -290,7 +311,7 @@
 
 
 @message
-class GrantReturn(bp.Message):
+class GrantReturn(Wire):
     term: int = bp.uint64_field(1)
     worker: str = bp.string_field(2)
     url: str = bp.string_field(3)
@@ -303,7 +324,7 @@
 
 
 @message
-class LegEnd(bp.Message):
+class LegEnd(Wire):
     router: str = bp.string_field(1)
     call: str = bp.string_field(2)
     leg: int = bp.uint32_field(3)
@@ -319,14 +340,14 @@
 
 
 @message
-class GrantDrop(bp.Message):
+class GrantDrop(Wire):
     router: str = bp.string_field(1)
     call: str = bp.string_field(2)
     model: str = bp.string_field(3)
 
 
 @message
-class OpenConversation(bp.Message):
+class OpenConversation(Wire):
     conversation: str = bp.string_field(1)
     tenant: str = bp.string_field(2)
     group: str = bp.string_field(3)
@@ -341,19 +362,19 @@
 
 
 @message
-class OpenAsk(bp.Message):
+class OpenAsk(Wire):
     term: int = bp.uint64_field(1)
     model: str = bp.string_field(2)
     keeper: str = bp.string_field(3)
 
 
 @message
-class OpenReturn(bp.Message):
+class OpenReturn(Wire):
     conversations: list[OpenConversation] = bp.message_field(1)
 
 
 @message
-class Hold(bp.Message):
+class Hold(Wire):
     router: str = bp.string_field(1)
     model: str = bp.string_field(2)
     calls: list[str] = bp.string_field(3)
