--- /dev/null
+++ b/swiftdeck/bench/measure.py
@@ -0,0 +1,120 @@
+"""Measurements of the design in virtual time; each gives figures that its command repeats."""
+import statistics
+import unittest
+
+from swiftdeck.bench.thrash import Thrash
+from swiftdeck.sim.town import Town
+from swiftdeck.traffic.ring import Ring
+
+
+def spread(values):
+    """Least, median and most."""
+    values = sorted(values)
+    return [round(values[0], 3), round(statistics.median(values), 3), round(values[-1], 3)] if values else []
+
+
+def thrash(seed):
+    """One row for each cap: progress, hits, computed tokens, fairness over agents."""
+    for agents, cap in ((32, 1000), (32, 16), (32, 20), (48, 12), (48, 16), (48, 20), (48, 24)):
+        yield {"agents": agents} | Thrash(cap, seed, agents, 900.0).run()
+    yield {"agents": 32} | Thrash(32, seed, 32, 900.0, adapts=True).run()
+
+
+def ring(seed):
+    """Shares and moves of 20,000 keys when a worker comes or goes, against the ideal."""
+    keys = [f"{seed}/{number}".encode() for number in range(20000)]
+    for count in (6, 9):
+        for places in (1, 16, 128):
+            names = [f"worker{number}" for number in range(count)]
+            full, less = Ring(names, places), Ring(names[1:], places)
+            before = [next(full.walk(key)) for key in keys]
+            moved = sum(old != next(less.walk(key)) for old, key in zip(before, keys))
+            most = max(before.count(name) for name in names) / len(keys) * count
+            yield {"workers": count, "places": places, "moved": round(moved / len(keys), 4), "ideal": round(1 / count, 4),
+                   "fullestShare": round(most, 3)}
+
+
+def failover(seed):
+    """Simulated seconds from a kill until the next call is served, and until the next change is acknowledged."""
+    for victim in ("keeper", "head", "middle", "tail", "worker", "router"):
+        town = Town(seed, routers=9, workers=6).start(cap=8)
+        town.world.run(12)
+        town.call("saga", "tag", ["a", "b"])
+        position = {"head": 0, "middle": 1, "tail": 2}.get(victim)
+        name = (town.keeper() if victim == "keeper" else "worker1" if victim == "worker" else
+                next(each for each in town.routerNames() if each != town.keeper()) if victim == "router" else
+                next(each for each in town.coreNames() if town.up[each].agreement.position() == position))
+        town.world.kill(name)
+        town.caller.doors = [town.addresses[each]["http"] for each in town.routerNames()]
+        startS = town.world.now
+        while not town.call("saga", "check", ["a", f"{town.world.now}"], idempotency=f"k{town.world.now}", isLast=True)["whole"]:
+            town.world.run(0.1)
+        servedS, base = town.world.now - startS, town.version
+        for _ in range(8):
+            got = town.change("PATCH", {"models": {"screener": {"cap": 9}}}, base, changeId="after")
+            if got and got[0] == 200:
+                break
+        yield {"killed": victim, "onceOnlyCallS": round(servedS, 2), "changeS": round(town.world.now - startS, 2)}
+
+
+def acks(seed):
+    """Simulated milliseconds to acknowledge a change, by routers and by routes already there."""
+    for routers in (3, 9, 18):
+        for routes in (0, 1000, 5000):
+            town = Town(seed, routers=routers, workers=1).start()
+            if routes:
+                town.change("PATCH", {"routes": {f"r{number}": {"model": "screener"} for number in range(routes)}})
+            took = []
+            for number in range(5):
+                startS = town.world.now
+                town.change("PATCH", {"models": {"screener": {"cap": number + 1}}})
+                took.append((town.world.now - startS) * 1000)
+            yield {"routers": routers, "routes": routes, "ackMs": spread(took)}
+
+
+def fetch(seed):
+    """Simulated milliseconds of the first turn after a move of a 100,000-token conversation."""
+    for how in ("recompute", "peer", "store", "slow peer"):
+        town = Town(seed, routers=2, workers=2, speed=1.0).start(cap=8, idleMs=60000, fetches=how != "recompute")
+        first = town.call("saga", "check", ["long " * 80000, "mine"], isLast=False)
+        town.world.run(2)
+        if how == "store":
+            town.world.kill(first["worker"])
+        if how == "slow peer":
+            town.up[first["worker"]].linkS = 30.0
+
+        async def leave():
+            (town.up["platform"].remove if how == "store" else town.up["platform"].drain)(first["worker"])
+        town.world.do("platform", leave)
+        town.world.run(2)
+        startS = town.world.now
+        moved = town.call("saga", "check", [*first["parts"], "said", "next"], maxTokens=16)
+        yield {"from": how, "turnMs": int((town.world.now - startS) * 1000), "hitParts": moved.get("usage", {}).get("hitParts"),
+               "whole": moved["whole"]}
+
+
+def outage(seed):
+    """Legs for each call while every worker dies midway, on a repeatable route."""
+    town = Town(seed, routers=3, workers=3).start(cap=50)
+    town.world.run(11)
+    for worker in town.site.workers:
+        town.up[worker["name"]].quirk = "die midway"
+    box = []
+    for number in range(200):
+        box.append(town.spawn(lambda number=number: town.caller.call("oita", "tag", ["book", str(number)], stream=False)))
+        town.world.run(0.1)
+    town.world.run(until=lambda: all(box), limitS=60)
+    runs = sum(item["kind"] == "run" for item in town.records)
+    yield {"calls": 200, "runs": runs, "amplification": round(runs / 200, 3)}
+
+
+MEASURES = {each.__name__: each for each in (thrash, ring, failover, acks, fetch, outage)}
+
+
+class MeasureTest(unittest.TestCase):
+    def testFetchingBeatsComputingAnewAndASlowPeerCostsItsBound(self):
+        rows = {row["from"]: row for row in fetch(1)}
+        self.assertTrue(all(row["whole"] for row in rows.values()))
+        self.assertLess(rows["peer"]["turnMs"] * 2, rows["recompute"]["turnMs"])
+        self.assertLess(rows["store"]["turnMs"] * 2, rows["recompute"]["turnMs"])
+        self.assertLess(rows["slow peer"]["turnMs"], rows["recompute"]["turnMs"] + 1500 + 500)
--- a/swiftdeck/programs/bench.py
+++ b/swiftdeck/programs/bench.py
@@ -14,6 +14,7 @@
 
 from swiftdeck.bench.caller import Caller
 from swiftdeck.bench.fleet import Fleet
+from swiftdeck.bench.measure import MEASURES
 from swiftdeck.bench.platform import Platform
 from swiftdeck.bench.record import FileRecord
 from swiftdeck.bench.store import Store
@@ -136,6 +137,24 @@
     raise typer.Exit(1 if broken else 0)
 
 
+def runMeasure(work):
+    """One measurement under one seed."""
+    name, seed = work
+    return list(MEASURES[name](seed))
+
+
+@app.command()
+def measure(name: Annotated[str, typer.Argument(help="thrash, ring, failover, acks, fetch or outage.")],
+            seed: int = 1, seeds: int = 3, jobs: int = 4):
+    """Measure the design in virtual time: a line of figures for each case and seed."""
+    if name not in MEASURES:
+        typer.echo(f"measures: {', '.join(sorted(MEASURES))}", err=True)
+        raise typer.Exit(2)
+    with ProcessPoolExecutor(jobs) as pool:
+        for number, rows in zip(range(seed, seed + seeds), pool.map(runMeasure, [(name, each) for each in range(seed, seed + seeds)])):
+            [typer.echo(json.dumps({"seed": number} | row)) for row in rows]
+
+
 def main():
     """Entry of the program."""
     app()
