A call whose first leg failed is given up two seconds later, not at its horizon

Cause: after a leg had been sent and lost, refusals of the next leg's grant were asked again until the horizon (120 s), for the wait bound counted only while nothing had been sent. With all workers answering nonsense a repeatable call hung for over 90 s, though nothing was left to try. Ruled out: the keeper (it answered "no worker" each time), the budget (its refusal is final at once). The ledger has a unit test of its own for it.

--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -15,6 +15,7 @@
 
 
 SLICE_MS = 700
+AGAIN_MS = 2000
 
 
 class CallBody(msgspec.Struct):
@@ -162,6 +163,7 @@
                 if leg.fault is not None:
                     self.router.board.count["legsFailed"] += 1
                     self.avoid.append(leg.grant.worker)
+                    self.ledger.waitUntilMs = self.nowMs() + min(self.route.waitMs, AGAIN_MS)
             if self.link:
                 self.link.close()
         if leg.fault is not None:
--- a/swiftdeck/traffic/ledger.py
+++ b/swiftdeck/traffic/ledger.py
@@ -75,7 +75,8 @@
         return Move.GIVE_UP, ledger.verdict(last.fault)
     if last.wasSent and not ledger.repeatable:
         return Move.GIVE_UP, ledger.verdict(last.fault)
-    if nowMs >= ledger.horizonMs or not ledger.sent() and nowMs >= ledger.waitUntilMs:
+    isWaitOver = nowMs >= ledger.waitUntilMs and (last.grant is None or not last.wasSent)
+    if nowMs >= ledger.horizonMs or isWaitOver:
         return Move.GIVE_UP, ledger.verdict(HORIZON if ledger.sent() else last.fault)
     return Move.NOMINATE, None
 
@@ -106,6 +107,11 @@
         move, fault = self.move(Leg(1, fault=NOT_KEEPER), nowMs=2000)
         self.assertEqual((move, fault.notRun), (Move.GIVE_UP, True))
 
+    def testAnotherLegIsNotWaitedForUntilTheHorizon(self):
+        lost = Leg(1, grant="g", fault=WORKER_LOST, wasSent=True)
+        self.assertEqual(self.move(lost, nowMs=1500, repeatable=True)[0], Move.NOMINATE)
+        self.assertEqual(self.move(lost, Leg(2, fault=NOT_KEEPER), nowMs=1500, repeatable=True), (Move.GIVE_UP, WORKER_LOST))
+
     def testClaimGoesBeforeTheFirstLeg(self):
         self.assertEqual(self.move(needsClaim=True)[0], Move.CLAIM)
         self.assertEqual(self.move(needsClaim=True, claim=True)[0], Move.NOMINATE)
