--- a/swiftdeck/control/client.py
+++ b/swiftdeck/control/client.py
@@ -69,17 +69,32 @@
         return 200, {"view": some.get("view"), "processes": processes, "counters": counted,
                      "books": [book for each in got[1].values() if each for book in each.get("keeps", [])]}
 
+    async def routers(self):
+        """HTTP addresses of the routers, or a fault."""
+        got = await self.ask("GET", "/v1/status", timeoutMs=3000)
+        if isFault(got) or got[0] != 200:
+            return got
+        return sorted(each["http"] for each in got[1]["neighbours"] if each["role"] == "router" and each["state"] != "gone")
+
+    async def explain(self, name):
+        """All that any router decided about a call or a conversation."""
+        doors = await self.routers()
+        if not isinstance(doors, list):
+            return doors
+        got = await asyncio.gather(*(self.ask("GET", f"/v1/explain/{name}", door=door, timeoutMs=3000) for door in doors))
+        told = [item for each in got if not isFault(each) and each[0] == 200 for item in each[1]["decisions"]]
+        silent = [door for door, each in zip(doors, got) if isFault(each) or each[0] != 200]
+        return 200, {"decisions": sorted(told, key=lambda item: item["atMs"]), "silent": silent}
+
     async def watch(self, say, follow=True) -> int:
         """Say the decisions of all routers, resuming by number where a stream breaks."""
         marks = {}
         while True:
-            got = await self.statuses()
-            if isFault(got) or got[0] != 200:
-                say(msgspec.json.encode(got.asBody() if isFault(got) else got[1]).decode())
+            doors = await self.routers()
+            if not isinstance(doors, list):
+                say(msgspec.json.encode(doors.asBody() if isFault(doors) else doors[1]).decode())
                 return 1
-            doors = {each["http"] for status in got[1].values() if status for each in status["neighbours"]
-                     if each["role"] == "router" and each["state"] != "gone"}
-            streams = [asyncio.ensure_future(self._decisions(door, marks, say, follow)) for door in sorted(doors)]
+            streams = [asyncio.ensure_future(self._decisions(door, marks, say, follow)) for door in doors]
             await asyncio.wait(streams, timeout=None if not follow else 5.0)
             [each.cancel() for each in streams]
             if not follow:
--- a/swiftdeck/programs/deck.py
+++ b/swiftdeck/programs/deck.py
@@ -192,6 +192,13 @@
     _show(asyncio.run(OperatorClient(core, operatorKey).fleet(full)))
 
 
+@ctl.command()
+def explain(name: Annotated[str, typer.Argument(help="Id of a call or of a conversation.")],
+            core: Door = "127.0.0.1:8000", operatorKey: Operator = ""):
+    """Tell why a call waited, moved, was refused or ended as it did."""
+    _show(asyncio.run(OperatorClient(core, operatorKey).explain(name)))
+
+
 @ctl.command()
 def weights(model: Annotated[str, typer.Argument(help="Model.")], version: Annotated[str, typer.Argument(help="Weights.")],
             author: Author = "", core: Door = "127.0.0.1:8000", operatorKey: Operator = ""):
--- a/swiftdeck/sim/cases/doctor.py
+++ b/swiftdeck/sim/cases/doctor.py
@@ -77,3 +77,18 @@
     @staticmethod
     def book(statuses):
         return next(book for each in statuses.values() for keeps in each.get("keeps", []) for book in keeps["books"].values())
+
+    def testOperatorsWatchAndExplainDecisions(self):
+        town, lines = self.town(), []
+        town.change("PATCH", {"models": {"screener": {"cap": 1, "pauseMs": 1000}}})
+        town.call("saga", "check", ["b", "x"])
+        got = town.call("oita", "check", ["b", "y"])
+        client = OperatorClient(town.addresses["core2"]["http"])
+        status, told = town.world.do("operator", lambda: client.explain(got["call"]))
+        kinds = [item["kind"] for item in told["decisions"]]
+        self.assertEqual((status, told["silent"]), (200, []))
+        self.assertLessEqual({"start"}, set(kinds))
+        self.assertEqual(town.world.do("operator", lambda: client.watch(lines.append, follow=False)), 0)
+        self.assertTrue(any('"kind":"start"' in line for line in lines))
+        fleet = town.world.do("operator", lambda: client.fleet())
+        self.assertEqual(fleet[1]["counters"]["callsServed"], 2)
--- a/swiftdeck/traffic/decisions.py
+++ b/swiftdeck/traffic/decisions.py
@@ -27,6 +27,12 @@
         start = max(0, number + 1 - self.first)
         return lost, [self.items[at] for at in range(start, len(self.items))]
 
+    def about(self, name: str):
+        """Those that name a call or a conversation, and those of the conversations that they name."""
+        direct = [item for item in self.items if name in (item.get("call"), item.get("conversation"))]
+        talks = {item["conversation"] for item in direct if item.get("conversation")}
+        return [item for item in self.items if item in direct or item.get("conversation") in talks]
+
     async def more(self, timeoutS):
         """Wait for the next decision, or until the time is over."""
         done = asyncio.get_running_loop().create_future()
@@ -42,3 +48,11 @@
         self.assertEqual((lost, [item["n"] for item in items]), (1, [3, 4, 5]))
         self.assertEqual(decisions.since(4)[1][0]["n"], 5)
         self.assertEqual(decisions.since(9), (0, []))
+
+    def testAllAboutACallAndItsConversation(self):
+        decisions = Decisions(lambda: 0.0)
+        decisions.add("wait", call="c1")
+        decisions.add("start", call="c1", conversation="t1")
+        decisions.add("start", call="c2", conversation="t2")
+        decisions.add("move", conversation="t1")
+        self.assertEqual([item["kind"] for item in decisions.about("c1")], ["wait", "start", "move"])
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -236,6 +236,8 @@
             return await exchange.give(200, self.counters())
         if path == "/v1/decisions":
             return await self._decisions(exchange)
+        if path.startswith("/v1/explain/"):
+            return await exchange.give(200, {"decisions": self.decisions.about(path.rsplit("/", 1)[1])})
         return NOT_FOUND
 
     async def _call(self, exchange):
