--- a/swiftdeck/bench/fleet.py
+++ b/swiftdeck/bench/fleet.py
@@ -3,6 +3,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import subprocess
 import sys
@@ -128,21 +129,98 @@
         if faults:
             await self.breakThings(seconds)
         await traffic
+        self.record("versions", seen=[(await fetchJson(node["http"], "GET", "/v1/status", timeoutMs=2000) or (0, {}))[1].get("version")
+                                      for node in [*self.site.cores, *self.site.routers]])
 
     async def breakThings(self, seconds):
-        """Kill a worker, a router, a core and the keeper in turn, each coming back."""
-        pauseS = max(6.0, seconds / 6)
+        """Each fault in turn, with time to recover between them; the last one is the closing fault."""
+        steps = (self.killed("worker2"), self.killed("router3"), self.killed("core2"), self.killed("keeper"), self.frozen("keeper"),
+                 self.frozen("core3"), self.emptied("core1"), self.released("worker3"), self.weighed("w2"), self.rolled(),
+                 self.powerLost(), self.killed("keeper"))
+        pauseS = seconds / (len(steps) + 2)
+        await asyncio.sleep(pauseS)
+        for step in steps:
+            startS = time.monotonic()
+            await step
+            await asyncio.sleep(max(0.0, pauseS - (time.monotonic() - startS)))
+        self.record("closing")
+
+    def _start(self, name):
         nodes = {node["name"]: node for node in [*self.site.cores, *self.site.routers]}
         workers = {worker["name"]: worker for worker in self.site.workers}
-        await asyncio.sleep(pauseS)
-        for victim in ("worker2", "router3", "core2", "keeper"):
-            name = victim if victim != "keeper" else await self.keeper() or "router1"
-            self.record("kill", target=name, asWhat=victim)
+        if name in workers:
+            self.startWorker(workers[name], self.weights)
+        else:
+            self.startNode(nodes[name])
+        self.record("restart", target=name)
+
+    weights = "w1"
+
+    async def _named(self, name):
+        return name if name != "keeper" else await self.keeper() or "router1"
+
+    async def killed(self, what):
+        """SIGKILL, and a new start three seconds later."""
+        name = await self._named(what)
+        self.record("kill", target=name, asWhat=f"killed {what}")
+        self.signal(name, signal.SIGKILL)
+        await asyncio.sleep(3.0)
+        self._start(name)
+
+    async def frozen(self, what):
+        """SIGSTOP for six seconds."""
+        name = await self._named(what)
+        self.record("kill", target=name, asWhat=f"froze {what}")
+        self.signal(name, signal.SIGSTOP)
+        await asyncio.sleep(6.0)
+        self.signal(name, signal.SIGCONT)
+
+    async def emptied(self, name):
+        """SIGKILL and the loss of the data folder right after an acknowledgement."""
+        got = await self.ask("GET", "/v1/config")
+        if got and got[0] == 200:
+            await self.change("PATCH", {"models": {self.site.model: {"cap": 5}}}, got[1]["version"])
+        self.record("kill", target=name, asWhat=f"emptied {name}")
+        self.signal(name, signal.SIGKILL)
+        shutil.rmtree(self.folder / name)
+        await asyncio.sleep(3.0)
+        self._start(name)
+
+    async def released(self, name):
+        """A worker drains, is replaced and comes back."""
+        await fetchJson(self.site.platform, "POST", "/v1/drain", {"name": name})
+        await asyncio.sleep(4.0)
+        self.record("kill", target=name, asWhat=f"released {name}")
+        self.signal(name, signal.SIGTERM)
+        self.processes[name].wait()
+        self._start(name)
+        await asyncio.sleep(1.0)
+        await fetchJson(self.site.platform, "POST", "/v1/drain", {"name": name, "draining": False})
+
+    async def weighed(self, weights):
+        """New weights are named."""
+        got = await self.ask("GET", "/v1/config")
+        if got and got[0] == 200:
+            got = await self.change("PATCH", {"models": {self.site.model: {"weights": weights}}}, got[1]["version"])
+            self.weights = weights if got and got[0] == 200 else self.weights
+
+    async def rolled(self):
+        """Two routers are ended politely and started again, one by one."""
+        for name in ("router4", "router5"):
+            self.signal(name, signal.SIGTERM)
+            while self.processes[name].poll() is None:
+                await asyncio.sleep(0.1)
+            self._start(name)
+
+    async def powerLost(self):
+        """All cores are killed at once."""
+        names = [node["name"] for node in self.site.cores]
+        for name in names:
+            self.record("kill", target=name, asWhat="killed all cores")
             self.signal(name, signal.SIGKILL)
-            await asyncio.sleep(3.0)
-            (self.startWorker if name in workers else self.startNode)((workers | nodes)[name])
-            self.record("restart", target=name)
-            await asyncio.sleep(pauseS - 3.0)
+        await asyncio.sleep(1.0)
+        for name in names:
+            self._start(name)
 
     def verdict(self):
         """What the checker finds in the records, and sums of what was served."""
@@ -150,10 +228,11 @@
         back = [item for item in records if item["kind"] == "return"]
         served = [item["atMs"] for item in back if item["whole"]]
         gaps = []
-        for kill in [item for item in records if item["kind"] == "kill"]:
+        for kill in [item for item in records if item["kind"] == "kill" and "asWhat" in item]:
             after = [atMs for atMs in served if atMs > kill["atMs"]]
             longest = max((b - a for a, b in zip([kill["atMs"], *after], after) if a < kill["atMs"] + 12000), default=-1)
-            gaps.append({"killed": kill["asWhat"], "longestGapMs": longest})
+            gaps.append({"fault": kill["asWhat"], "longestGapMs": longest})
         sums = {"returns": len(back), "served": len(served), "codes": Counter(str(item["code"]) for item in back),
-                "agents": sum(item["kind"] == "agent" for item in records), "gaps": gaps}
+                "agents": sum(item["kind"] == "agent" for item in records), "gaps": gaps,
+                "versions": next((item["seen"] for item in records if item["kind"] == "versions"), [])}
         return check(records, apart={self.site.apart}), sums
--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -284,6 +284,7 @@
             return got
         try:
             fresh = ChainState()
+            fresh.onConfig = self.state.onConfig
             fresh.fromBytes(got.state)
             await self.journal.rewrite([{"k": "state", "n": got.serial, "state": got.state}])
         except OSError as error:
--- a/swiftdeck/chain/state.py
+++ b/swiftdeck/chain/state.py
@@ -29,6 +29,7 @@
     def __init__(self, finishedMs=600000, heldMs=3600000):
         self.stored = Stored()
         self.finishedMs, self.heldMs = finishedMs, heldMs
+        self.onConfig = lambda entry: None
 
     def toBytes(self) -> bytes:
         """The whole state."""
@@ -66,6 +67,7 @@
             stored.version, stored.document = entry["version"], bytes(entry["document"])
             stored.changes[entry["id"]] = [entry["version"], entry["digest"], entry["author"]]
             self._bound(stored.changes, CHANGES_KEPT)
+            self.onConfig(entry)
         elif entry["t"] == "claims":
             stored.elapsedMs += entry["elapsedMs"]
             if entry["id"] not in stored.batches:
--- a/swiftdeck/control/core.py
+++ b/swiftdeck/control/core.py
@@ -6,6 +6,7 @@
 from swiftdeck.chain.chart import Chart
 from swiftdeck.chain.mender import Mender
 from swiftdeck.chain.scribe import Scribe
+from swiftdeck.control.archive import Archive
 from swiftdeck.control.node import Node
 from swiftdeck.control.operators import Operators
 from swiftdeck.duty.ballots import Ballots
@@ -26,6 +27,8 @@
         self.scribe = Scribe(self.mesh, self.chart)
         self.mender = Mender(self.me, self.mesh, self.membership, self.agreement, self.chain, self.board, random,
                              settings.cores)
+        path = getattr(folder, "path", None)
+        self.archive = Archive(str(path / "history"), self.chain, self.scribe, self.board) if path else None
         self.operators = Operators(self)
         self.http = HttpServer(self.operators.handle, settings.bodyBytes * 4, note=self.board.note)
         self.agreement.watchers.append(self.onView)
@@ -48,6 +51,8 @@
         self.chart.learn(self.agreement.decided)
         self.chart.start()
         self.mender.start()
+        if self.archive:
+            self.archive.start()
         ip, _, port = self.settings.http.rpartition(":")
         await self.http.start(ip, int(port))
         self.board.note("core started", coreId=self.agreement.coreId, addr=self.settings.inner)
--- a/swiftdeck/control/operators.py
+++ b/swiftdeck/control/operators.py
@@ -28,6 +28,8 @@
             return await exchange.give(200, self.core.status())
         if path == "/v1/counters" and method == "GET":
             return await exchange.give(200, self.core.counters())
+        if path.startswith("/v1/history") and method == "GET":
+            return await self._history(exchange, path.removeprefix("/v1/history").strip("/"))
         if path == "/v1/seeds" and method == "PUT":
             return await self._seeds(exchange)
         return BAD_METHOD if path in ("/v1/changes", "/v1/status", "/v1/counters", "/v1/seeds") else NOT_FOUND
@@ -106,6 +108,15 @@
             return got
         return await exchange.give(200, {"code": 0, "changeId": changeId, "version": got.version})
 
+    async def _history(self, exchange, version):
+        archive = self.core.archive
+        if archive is None or not (version == "" or version.isdecimal()):
+            return NOT_FOUND
+        got = await (archive.run(archive.document, int(version)) if version else archive.run(archive.log))
+        if got is None or isFault(got):
+            return NOT_FOUND.because("the archive of this core does not have it")
+        return await exchange.give(200, {"version": int(version), "text": got} if version else {"versions": got})
+
     async def _seeds(self, exchange):
         body = exchange.json()
         if isFault(body):
--- a/swiftdeck/programs/deck.py
+++ b/swiftdeck/programs/deck.py
@@ -1,5 +1,6 @@
 """The command line of swiftdeck."""
 import asyncio
+import difflib
 import random
 import sys
 from pathlib import Path
@@ -199,6 +200,27 @@
     _show(asyncio.run(OperatorClient(core, operatorKey).explain(name)))
 
 
+@ctl.command()
+def log(core: Door = "127.0.0.1:8000", operatorKey: Operator = ""):
+    """List the acknowledged versions that this core's archive keeps."""
+    _show(asyncio.run(OperatorClient(core, operatorKey).ask("GET", "/v1/history")))
+
+
+@ctl.command()
+def diff(old: int, new: int, core: Door = "127.0.0.1:8000", operatorKey: Operator = ""):
+    """Show what changed between two acknowledged versions."""
+    client = OperatorClient(core, operatorKey)
+
+    async def work():
+        return [await client.ask("GET", f"/v1/history/{version}") for version in (old, new)]
+    texts = asyncio.run(work())
+    for got in texts:
+        if isFault(got) or got[0] != 200:
+            _show(got)
+    lines = [got[1]["text"].splitlines() for got in texts]
+    typer.echo("\n".join(difflib.unified_diff(*lines, f"version {old}", f"version {new}", lineterm="")))
+
+
 @ctl.command()
 def weights(model: Annotated[str, typer.Argument(help="Model.")], version: Annotated[str, typer.Argument(help="Weights.")],
             author: Author = "", core: Door = "127.0.0.1:8000", operatorKey: Operator = ""):
