--- a/swiftdeck/chain/agreement.py
+++ b/swiftdeck/chain/agreement.py
@@ -104,6 +104,15 @@
                 except OSError as error:
                     self.fault = (DISK_FULL if error.errno == 28 else DISK_FAILED).because(error)
 
+    async def sweep(self):
+        """Read the own file back, and mend it from memory where it no longer reads."""
+        async with self.busy:
+            try:
+                if not self.journal.isSound():
+                    await self.journal.rewrite(list(self._whole()))
+            except OSError as error:
+                self.fault = DISK_FAILED.because(error)
+
     def isFresh(self):
         """Whether this core has never known a view nor accepted one."""
         return not self.decided.number and self.slot.accepted is None
--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -206,6 +206,20 @@
             except OSError as error:
                 self._fail(error)
 
+    async def _sweep(self):
+        try:
+            isSound = self.fault is not None or self.journal.isSound()
+            if not isSound:
+                self.board.count["sweepsMended"] += 1
+                self.board.note("sweep found damage on disk, writes the file anew", file=self.journal.name)
+                await self._rewrite()
+        except OSError as error:
+            self._fail(error)
+
+    async def sweep(self):
+        """Read the own file back, and mend it from memory where it no longer reads."""
+        await self.owner.send(self._sweep)
+
     async def _passing(self):
         while True:
             try:
--- a/swiftdeck/chain/mender.py
+++ b/swiftdeck/chain/mender.py
@@ -6,6 +6,9 @@
 from swiftdeck.wire.messages import CoreRef, Done, JoinAsk, View, ViewAsk
 
 
+SWEEP_S = 30.0
+
+
 class Mender:
     """The controller of the view: compares what neighbours say with the view and proposes the next."""
 
@@ -19,7 +22,14 @@
     def start(self):
         """Go on mending."""
         self.loop = asyncio.get_running_loop()
-        self.tasks = [asyncio.ensure_future(work()) for work in (self._mending, self._renewing)]
+        self.tasks = [asyncio.ensure_future(work()) for work in (self._mending, self._renewing, self._sweeping)]
+
+    async def _sweeping(self):
+        """One file of a few megabytes at a time, half a minute apart."""
+        while True:
+            for part in (self.chain, self.agreement):
+                await asyncio.sleep(SWEEP_S * self.random.uniform(0.8, 1.2))
+                await part.sweep()
 
     async def _renewing(self):
         while True:
--- a/swiftdeck/disk/journal.py
+++ b/swiftdeck/disk/journal.py
@@ -42,6 +42,16 @@
         self.size = at
         return records
 
+    def isSound(self) -> bool:
+        """Whether the file still reads back whole, as a sweep wants to know."""
+        data, at = self.folder.read(self.name), 0
+        while at < len(data):
+            found = self._recordAt(data, at)
+            if found is None:
+                return False
+            at = found[1]
+        return at == self.size
+
     def _marks(self, data, start):
         at = data.find(MARK, start + HEADER.size - 1)
         while at >= 0:
@@ -112,6 +122,14 @@
         journal.append({"n": 4})
         self.assertEqual([record["n"] for record in Journal(folder, "j").load()], [1, 2, 4])
 
+    def testASweepSeesDamage(self):
+        folder = self.build()
+        journal = Journal(folder, "j")
+        journal.load()
+        self.assertTrue(journal.isSound())
+        folder.written["j"][HEADER.size + 1] ^= 1
+        self.assertFalse(journal.isSound())
+
     def testDamageBeforeTheEndIsRefused(self):
         folder = self.build()
         folder.written["j"][HEADER.size + 1] ^= 1
--- a/swiftdeck/sim/cases/config.py
+++ b/swiftdeck/sim/cases/config.py
@@ -209,6 +209,22 @@
         self.assertEqual(town.up[name].board.count["copies"], 1)
         self.assertEqual(town.up[name].chain.state.stored.version, town.version)
 
+    def testASweepMendsDamageBeforeAnyRestartMeetsIt(self):
+        town = self.town()
+        [town.change("PATCH", self.cap(20 + number)) for number in range(4)]
+        name = self.member(town, 1)
+        for file in ("chain.log", "agreement.log"):
+            data = town.folders[name].written[file]
+            data[len(data) // 2] ^= 255
+            town.folders[name].synced[file] = bytes(data)
+        town.world.run(90)
+        coreId = town.up[name].agreement.coreId
+        town.world.kill(name)
+        town.startCore(name)
+        town.world.run(3)
+        self.settle(town)
+        self.assertEqual((town.up[name].agreement.coreId, town.up[name].board.count["copies"]), (coreId, 0))
+
     def testAckMeansInForceAtEveryRouterThatStillServes(self):
         town = self.town(routers=3)
         town.world.freeze("router2")
