--- a/swiftdeck/chain/agreement.py
+++ b/swiftdeck/chain/agreement.py
@@ -3,7 +3,6 @@
 import unittest
 
 import attrs
-import msgspec
 
 from swiftdeck.disk.journal import Journal
 from swiftdeck.fault import DISK_FAILED, DISK_FULL, DISK_SLOW, NOT_VOTER, NO_VIEW, OLD_VIEW, isFault
@@ -131,22 +130,22 @@
         nowS = self.loop.time()
         return self.decided.number > 0 and self.waitUntilS <= nowS < self.licenceUntilS
 
-    def _mayVote(self, slot):
-        if slot != self.decided.number + 1:
-            return OLD_VIEW.because(f"slot {slot}, view {self.decided.number}")
+    def _refusal(self, ask, leastBallot):
+        if ask.slot <= self.decided.number:
+            return Promise(granted=False, decided=self.decided, coreId=self.coreId)
+        if ask.slot != self.decided.number + 1:
+            return OLD_VIEW.because(f"slot {ask.slot}, view {self.decided.number}")
         if self.decided.number and not self.isVoter():
             return NOT_VOTER
+        if ask.ballot < leastBallot:
+            return Promise(granted=False, ballot=self.slot.promised, coreId=self.coreId)
         return None
 
     async def onPrepare(self, ask, sender):
         async with self.busy:
-            if ask.slot <= self.decided.number:
-                return Promise(granted=False, decided=self.decided, coreId=self.coreId)
-            fault = self._mayVote(ask.slot)
-            if fault is not None:
-                return fault
-            if ask.ballot <= self.slot.promised:
-                return Promise(granted=False, ballot=self.slot.promised, coreId=self.coreId)
+            refusal = self._refusal(ask, self.slot.promised + 1)
+            if refusal is not None:
+                return refusal
             try:
                 await self._keep({"k": "promise", "ballot": ask.ballot})
             except OSError:
@@ -157,13 +156,9 @@
 
     async def onAccept(self, ask, sender):
         async with self.busy:
-            if ask.slot <= self.decided.number:
-                return Promise(granted=False, decided=self.decided, coreId=self.coreId)
-            fault = self._mayVote(ask.slot)
-            if fault is not None:
-                return fault
-            if ask.ballot < self.slot.promised:
-                return Promise(granted=False, ballot=self.slot.promised, coreId=self.coreId)
+            refusal = self._refusal(ask, self.slot.promised)
+            if refusal is not None:
+                return refusal
             try:
                 await self._keep({"k": "accept", "ballot": ask.ballot, "view": bytes(ask.view)})
             except OSError:
--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -36,7 +36,7 @@
         self.fault, self.needsCopy = None, False
         self.wholeIn, self.lastIn, self.wholeSinceS = 0, 0, 0.0
         self.incoming, self.committers, self.holders = [], [], {}
-        self.nextLast, self.nextIn, self.passFailedS = None, 0, None
+        self.nextLast, self.passFailedS = None, None
         self.lastWriteS = None
         agreement.watchers.append(self.onView)
         agreement.troubles.append(self.trouble)
@@ -79,7 +79,7 @@
 
     def onView(self, view):
         """Start over in a new view."""
-        self.nextLast, self.nextIn, self.passFailedS = None, view.number, None
+        self.nextLast, self.passFailedS = None, None
         if self.agreement.position() == 0 and not self.needsCopy:
             self._becomeWhole()
         self.kick.set()
--- a/swiftdeck/chain/mender.py
+++ b/swiftdeck/chain/mender.py
@@ -16,7 +16,6 @@
         self.me, self.mesh, self.membership, self.agreement, self.chain = me, mesh, membership, agreement, chain
         self.board, self.random, self.cores, self.roundMs = board, random, cores, roundMs
         self.said, self.badSinceS, self.acceptedSinceS = {}, {}, None
-        self.joining = False
         mesh.on(JoinAsk, self.onJoin)
 
     def start(self):
--- a/swiftdeck/chain/scribe.py
+++ b/swiftdeck/chain/scribe.py
@@ -8,7 +8,6 @@
 from swiftdeck.wire.messages import OutcomeAsk, Write
 
 NEVER_TAKEN = {UNREACHABLE.code, NOT_HEAD.code, NO_VIEW.code}
-FINAL = range(200, 202)
 
 
 class Scribe:
--- a/swiftdeck/control/operators.py
+++ b/swiftdeck/control/operators.py
@@ -1,7 +1,7 @@
 """The operators' HTTP API of a core: changes in, configuration and status out."""
 import msgspec
 
-from swiftdeck.fault import (BAD_METHOD, BAD_OPERATOR, BAD_REQUEST, LOST_RACE, NOT_FOUND, UNKNOWN_CHANGE, isFault)
+from swiftdeck.fault import (BAD_METHOD, BAD_OPERATOR, BAD_REQUEST, NOT_FOUND, isFault)
 from swiftdeck.wire.messages import ConfigAsk
 
 
--- a/swiftdeck/duty/ballots.py
+++ b/swiftdeck/duty/ballots.py
@@ -23,7 +23,7 @@
 
     def __init__(self, mesh, agreement, licenceMs=3000):
         self.agreement, self.licenceMs = agreement, licenceMs
-        self.casts, self.voterSinceS = {}, None
+        self.casts = {}
         agreement.watchers.append(self.onView)
         mesh.on(Nominate, self.onNominate)
 
--- a/swiftdeck/duty/duty.py
+++ b/swiftdeck/duty/duty.py
@@ -14,7 +14,7 @@
         self.random, self.licenceMs, self.board = random, licenceMs, board
         self.holder = f"{me.name}/{me.incarnation:x}"
         self.term, self.untilS, self.seenTerm = 0, -1.0, 0
-        self.vacantS, self.wants = 0.0, True
+        self.wants = True
 
     def start(self):
         """Go on standing or renewing."""
--- a/swiftdeck/fault.py
+++ b/swiftdeck/fault.py
@@ -67,7 +67,6 @@
 WORKER_BAD = _fault(142, "worker sent pieces that are not of this run", 502)
 WORKER_REFUSED = _fault(143, "worker refused the run", 502)
 HORIZON = _fault(144, "horizon reached after dispatch, outcome unknown", 504)
-CALLER_GONE = _fault(145, "caller went away", 499)
 LOST_RACE = _fault(200, "base version is not the newest", 409)
 INVALID = _fault(201, "configuration is invalid", 422)
 UNDECIDED = _fault(202, "outcome is undecided, ask by change id", 504, retryMs=1000)
@@ -91,13 +90,10 @@
 HANDLER_FAILED = _fault(404, "internal fault", 500)
 OLD_TERM = _fault(500, "term is not the newest", 409)
 NOT_KEEPER = _fault(501, "not the keeper of the model", 409, retryMs=200)
-VOTED = _fault(502, "vote is given to another", 409)
 RECOVERING = _fault(503, "keeper still gathers open conversations", 503, retryMs=300)
 BAD_SETTING = _fault(600, "setting is invalid", 400)
 BAD_RETURN = _fault(601, "back end sent something malformed", 502)
 
-FAULTS_BY_CODE = TABLE
-
 
 def faultOf(code: int, reason: str = "", retryMs: int | None = None) -> Fault:
     """The fault with a code, as read from a message."""
--- a/swiftdeck/member/membership.py
+++ b/swiftdeck/member/membership.py
@@ -53,10 +53,6 @@
         found = self.alive(role)
         return self.random.sample(found, min(count, len(found)))
 
-    def byAddr(self, addr):
-        """The neighbour at an address that is not gone."""
-        return next((each for each in self.alive() if each.addr == addr), None)
-
     def _about(self):
         fresh = sorted((each for each in self.known.values() if each.tells > 0), key=lambda each: -each.tells)[:6]
         for each in fresh:
--- a/swiftdeck/member/news.py
+++ b/swiftdeck/member/news.py
@@ -3,7 +3,6 @@
 import unittest
 
 from swiftdeck.fault import isFault
-from swiftdeck.sim.world import World
 from swiftdeck.wire.messages import News, NewsDigest, NewsItem
 
 
--- a/swiftdeck/programs/bench.py
+++ b/swiftdeck/programs/bench.py
@@ -3,7 +3,6 @@
 import json
 import random
 import signal
-import sys
 import traceback
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
--- a/swiftdeck/sim/folder.py
+++ b/swiftdeck/sim/folder.py
@@ -12,7 +12,6 @@
         self.synced, self.written = {}, {}
         self.full = self.failing = False
         self.stallS = 0.0
-        self.syncCount = 0
 
     def read(self, name: str) -> bytes:
         """All bytes of a file; empty when there is none."""
@@ -34,7 +33,6 @@
         await asyncio.sleep(self.stallS or 0.0005)
         if self.failing:
             raise OSError(5, "input/output error")
-        self.syncCount += 1
         self.synced[name] = max(self.synced.get(name, b""), data, key=len)
 
     async def replace(self, name: str, data: bytes):
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -11,7 +11,7 @@
 from swiftdeck.http.client import connect, fetchJson
 from swiftdeck.traffic.ledger import Leg, Ledger, Move, nextMove
 from swiftdeck.traffic.prefix import chainOf, groupOf
-from swiftdeck.wire.messages import GrantAsk, GrantDrop, LegEnd
+from swiftdeck.wire.messages import GrantAsk, GrantDrop
 
 
 SLICE_MS = 700
--- a/swiftdeck/traffic/licence.py
+++ b/swiftdeck/traffic/licence.py
@@ -20,9 +20,9 @@
 class ConfigLicence:
     """Renews from the tail, directly or through a neighbour; without it nothing is sent to a worker."""
 
-    def __init__(self, me, mesh, membership, chart, news, board, random, renewMs=500):
+    def __init__(self, me, mesh, membership, chart, board, renewMs=500):
         self.me, self.mesh, self.membership, self.chart, self.board = me, mesh, membership, chart, board
-        self.random, self.renewMs = random, renewMs
+        self.renewMs = renewMs
         self.router = f"{me.name}/{me.incarnation:x}"
         self.held, self.untilS, self.watchers = None, -1.0, []
         self.waiting, self.stopping = [], False
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -47,7 +47,7 @@
         super().__init__(settings, "router", random, log)
         self.chart = Chart(self.mesh, self.membership, self.news)
         self.scribe = Scribe(self.mesh, self.chart)
-        self.licence = ConfigLicence(self.me, self.mesh, self.membership, self.chart, self.news, self.board, random)
+        self.licence = ConfigLicence(self.me, self.mesh, self.membership, self.chart, self.board)
         self.workers = WorkerList(settings.platform, self.mesh, self.membership, self.board, settings.listMs,
                                   settings.listOldMs)
         self.claims = Claims(self.me.name, self.scribe, random, self.board)
