--- a/swiftdeck/bench/checker.py
+++ b/swiftdeck/bench/checker.py
@@ -157,12 +157,15 @@
 
 
 def serviceReturns(records, apart, extra):
-    """Twelve seconds after a fault that is over, calls are served again."""
+    """Twelve seconds after a closing fault, calls are served again on each route that was served before."""
     ends = [item["atMs"] for item in _of(records, "closing")]
-    served = [item["atMs"] for item in _of(records, "return") if item["whole"]]
+    served = [(item["atMs"], item["route"]) for item in _of(records, "return") if item["whole"]]
     last = max((item["atMs"] for item in records), default=0)
-    yield from (f"no call served from {atMs} to {atMs + 12000}" for atMs in ends
-                if last > atMs + 12000 and not any(atMs < each <= atMs + 12000 for each in served))
+    for endMs in ends:
+        before = {route for atMs, route in served if endMs - 30000 < atMs <= endMs}
+        after = {route for atMs, route in served if endMs < atMs <= endMs + 12000}
+        if last > endMs + 12000:
+            yield from (f"no call of route {route} served from {endMs} to {endMs + 12000}" for route in sorted(before - after))
 
 
 RULES = {rule.__name__: rule for rule in (runsOnce, notRunStays, piecesBelong, apartStaysApart, weightsMatch, oldWeightsEnd,
--- a/swiftdeck/bench/fleet.py
+++ b/swiftdeck/bench/fleet.py
@@ -126,12 +126,29 @@
         caller = Caller("c", doors, FileRecord(self.folder / "records" / "caller.jsonl", "caller"), random.Random(seed),
                         self.site.keys, scale=0.5)
         traffic = asyncio.ensure_future(caller.run(seconds, self.site.agents, shortEveryS))
+        sampling = asyncio.ensure_future(self._sampling())
         if faults:
             await self.breakThings(seconds)
         await traffic
+        sampling.cancel()
         self.record("versions", seen=[(await fetchJson(node["http"], "GET", "/v1/status", timeoutMs=2000) or (0, {}))[1].get("version")
                                       for node in [*self.site.cores, *self.site.routers]])
 
+    async def _sampling(self):
+        """What the kernel counts for each core and router, every ten seconds."""
+        while True:
+            for node in [*self.site.cores, *self.site.routers]:
+                process = self.processes[node["name"]]
+                try:
+                    stat = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+                    files = len(os.listdir(f"/proc/{process.pid}/fd"))
+                except OSError:
+                    continue
+                self.record("sample", name=node["name"], pid=process.pid, files=files,
+                            cpuMs=(int(stat[11]) + int(stat[12])) * 1000 // os.sysconf("SC_CLK_TCK"),
+                            residentKiB=int(stat[21]) * os.sysconf("SC_PAGE_SIZE") // 1024)
+            await asyncio.sleep(10.0)
+
     async def breakThings(self, seconds):
         """Each fault in turn, with time to recover between them; the last one is the closing fault."""
         steps = (self.killed("worker2"), self.killed("router3"), self.killed("core2"), self.killed("keeper"), self.frozen("keeper"),
@@ -232,7 +249,16 @@
             after = [atMs for atMs in served if atMs > kill["atMs"]]
             longest = max((b - a for a, b in zip([kill["atMs"], *after], after) if a < kill["atMs"] + 12000), default=-1)
             gaps.append({"fault": kill["asWhat"], "longestGapMs": longest})
-        sums = {"returns": len(back), "served": len(served), "codes": Counter(str(item["code"]) for item in back),
+        samples = [item for item in records if item["kind"] == "sample"]
+        steady, cpuMs = {}, 0
+        for name in sorted({item["name"] for item in samples}):
+            mine = [item for item in samples if item["name"] == name]
+            whole = [item for item in mine if item["pid"] == mine[-1]["pid"]][2:]
+            cpuMs += sum(max(0, b["cpuMs"] - a["cpuMs"]) for a, b in zip(mine, mine[1:]) if a["pid"] == b["pid"]
+                         and name.startswith("router"))
+            if len(whole) > 1:
+                steady[name] = {key: [whole[0][key], whole[-1][key]] for key in ("residentKiB", "files")}
+        sums = {"routerCpuMsPerCall": round(cpuMs / max(1, len(served)), 2), "steady": steady, "returns": len(back), "served": len(served), "codes": Counter(str(item["code"]) for item in back),
                 "agents": sum(item["kind"] == "agent" for item in records), "gaps": gaps,
                 "versions": next((item["seen"] for item in records if item["kind"] == "versions"), [])}
         return check(records, apart={self.site.apart}), sums
--- a/swiftdeck/sim/storm.py
+++ b/swiftdeck/sim/storm.py
@@ -25,7 +25,7 @@
         town = self.town
         town.start(cap=self.random.choice([2, 4, 8]))
         world = town.world
-        town.spawn(lambda: town.caller.run(self.seconds + 30, {name: 1 + (at < 2) for at, name in enumerate(town.site.keys)}, 1.5))
+        town.spawn(lambda: town.caller.run(self.seconds + 45, {name: 1 + (at < 2) for at, name in enumerate(town.site.keys)}, 1.5))
         endS = world.now + self.seconds
         nextReadS = world.now
         while world.now < endS:
@@ -37,8 +37,11 @@
         self.mendAll()
         town.record("operator")("closing")
         world.run(14)
+        self.closing()
+        world.run(16)
         self.read()
         town.caller.stopping = True
+        self.mendAll()
         world.run(30)
         self.readBack()
         breaches = check(town.records, {town.site.apart})
@@ -51,6 +54,35 @@
                 "runs": sum(item["kind"] == "run" for item in town.records), "version": town.version,
                 "steps": world.steps}
 
+    def closing(self):
+        """One last fault that nobody mends."""
+        town = self.town
+        fault = self.random.choice(["kill some", "cut a zone", "kill all cores", "freeze keeper and tail"])
+        tail = next((name for name in town.coreNames() if town.up[name].chain.isLast()), None)
+        keeper = town.keeper()
+        self.log(f"closing: {fault}")
+        if fault == "kill some":
+            others = [name for name in town.routerNames() if name != keeper]
+            for name in (tail, keeper, self._pick(others), self._pick(self._workers())):
+                if name:
+                    town.record("operator")("kill", target=name)
+                    town.world.kill(name, silent=True)
+        elif fault == "cut a zone":
+            zone = self.random.choice(["z1", "z2", "z3"])
+            nodes = [*town.site.cores, *town.site.routers]
+            near = [self._ip(node["name"]) for node in nodes if node["zone"] == zone]
+            near += [worker["addr"].rpartition(":")[0] for worker in town.site.workers if worker["zone"] == zone]
+            [town.record("operator")("kill", target=node["name"]) for node in [*nodes, *town.site.workers] if node["zone"] == zone]
+            town.world.net.cut(near, [ip for ip in town.ips.values() if ip not in near])
+        elif fault == "kill all cores":
+            for name in town.coreNames():
+                self._kill(name, least=0.5, most=2.0)
+        else:
+            for name in [each for each in (tail, keeper) if each]:
+                town.record("operator")("kill", target=name)
+                town.world.freeze(name)
+        town.record("operator")("closing")
+
     def strike(self):
         """Bring one fault of the scenario about."""
         name = self.random.choice(SCENARIOS[self.scenario])
