--- a/swiftdeck/config/document.py
+++ b/swiftdeck/config/document.py
@@ -25,6 +25,7 @@
     capLeast: Count = 4
     fetchMs: Ms = 1500
     fetches: bool = True
+    fetchLeast: Annotated[int, msgspec.Meta(ge=0)] = 8192
 
 
 class Tenant(msgspec.Struct, forbid_unknown_fields=True):
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -120,7 +120,7 @@
         ask = GrantAsk(router=self.router.me.name, call=self.name, leg=leg.number, tenant=self.tenant,
                        model=self.route.model, group=self.group, chain=self.chain, weights=self.weights,
                        waitMs=sliceMs, avoid=self.avoid, conversation=self.conversation,
-                       waitedMs=int((askedS - self.startS) * 1000))
+                       waitedMs=int((askedS - self.startS) * 1000), size=sum(map(len, self.body.parts[:-1])))
         got = await self.router.askKeeper(keeper, ask, sliceMs + 300)
         if isFault(got):
             return got
--- a/swiftdeck/traffic/keeper.py
+++ b/swiftdeck/traffic/keeper.py
@@ -382,7 +382,7 @@
 
     def _fetchFrom(self, target, ask, isStart):
         """Where an admitted conversation's prefix is fetched from, if its worker lacks it; empty for recompute."""
-        if not self.config().fetches or len(ask.chain) < 2:
+        if not self.config().fetches or len(ask.chain) < 2 or ask.size < self.config().fetchLeast:
             return ""
         here = self.index.depth(target, ask.chain)
         if here >= len(ask.chain) - 1:
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -308,6 +308,7 @@
     avoid: list[str] = bp.string_field(10)
     conversation: str = bp.string_field(11)
     waitedMs: int = bp.uint64_field(12)
+    size: int = bp.uint64_field(13)
 
 
 @message
