--- a/swiftdeck/control/core.py
+++ b/swiftdeck/control/core.py
@@ -30,7 +30,8 @@
         path = getattr(folder, "path", None)
         self.archive = Archive(str(path / "history"), self.chain, self.scribe, self.board) if path else None
         self.operators = Operators(self)
-        self.http = HttpServer(self.operators.handle, settings.bodyBytes * 4, note=self.board.note)
+        self.http = HttpServer(self.operators.handle, settings.bodyBytes * 4, note=self.board.note,
+                               streams=(b"/v1/changes",))
         self.agreement.watchers.append(self.onView)
 
     async def start(self):
--- a/swiftdeck/control/operators.py
+++ b/swiftdeck/control/operators.py
@@ -92,7 +92,7 @@
 
     async def _stream(self, exchange):
         exchange.begin(200, [("content-type", "application/x-ndjson"), ("transfer-encoding", "chunked")])
-        for line in exchange.body.splitlines():
+        async for line in exchange.lines():
             if line.strip():
                 try:
                     asked = msgspec.json.decode(line)
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -25,6 +25,20 @@
         self.headers = {name.decode("ascii"): value.decode("latin-1") for name, value in request.headers}
         self.body = body
         self.begun = self.finished = False
+        self.feed = None
+
+    async def lines(self):
+        """The lines of a body that is read as it comes; one that is too long ends them."""
+        rest = b""
+        while (data := await self.feed.get()) is not None:
+            *whole, rest = (rest + data).split(b"\n")
+            for line in whole:
+                yield line
+            if len(rest) > self.conversation.server.bodyLimit:
+                return
+            self.conversation.transport.resume_reading()
+        if rest:
+            yield rest
 
     def json(self):
         """The body as JSON, or a fault."""
@@ -73,7 +87,7 @@
         self.loop = asyncio.get_running_loop()
         self.request, self.body, self.bodySize = None, [], 0
         self.task = self.wakeup = self.transport = None
-        self.paused = None
+        self.paused = self.feed = None
         self.gone = self.dropping = False
 
     def connection_made(self, transport):
@@ -104,14 +118,26 @@
             self.step()
         except h11.RemoteProtocolError as error:
             self.drop(BAD_REQUEST.because(str(error)), error.error_status_hint)
-        if self.task and len(self.conn.trailing_data[0]) > HEAD_LIMIT:
+        if self.feed and self.feed.qsize() > 64 or self.task and len(self.conn.trailing_data[0]) > HEAD_LIMIT:
             self.transport.pause_reading()
 
     def step(self):
         """Handle what h11 has."""
-        while self.task is None and not self.dropping:
+        while (self.task is None or self.feed is not None) and not self.dropping:
             event = self.conn.next_event()
-            if isinstance(event, h11.Request):
+            if self.feed is not None:
+                if isinstance(event, h11.Data):
+                    self.feed.put_nowait(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    self.feed.put_nowait(None)
+                    self.feed = None
+                else:
+                    return
+            elif isinstance(event, h11.Request) and event.target.partition(b"?")[0] in self.server.streams:
+                self.wakeup.cancel()
+                self.feed = asyncio.Queue()
+                self.task = self.loop.create_task(self.serve(event, b"", self.feed))
+            elif isinstance(event, h11.Request):
                 self.request, self.body, self.bodySize = event, [], 0
                 if self.conn.they_are_waiting_for_100_continue:
                     self.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -128,10 +154,11 @@
             else:
                 return
 
-    async def serve(self, request, body):
+    async def serve(self, request, body, feed=None):
         exchange = None
         try:
             exchange = HttpExchange(self, request, body)
+            exchange.feed = feed
             fault = await self.server.handler(exchange)
             if isFault(fault):
                 await exchange.giveFault(fault)
@@ -150,7 +177,7 @@
             else:
                 await exchange.giveFault(HANDLER_FAILED)
         finally:
-            self.task = None
+            self.task = self.feed = None
         self.next()
 
     def next(self):
@@ -227,8 +254,8 @@
     """Listens for callers and hands each exchange to one handler."""
 
     def __init__(self, handler, bodyLimit=4 << 20, idleMs=60000, slowMs=10000, slowWriteMs=20000,
-                 note=lambda *_, **__: None):
-        self.handler, self.bodyLimit, self.note = handler, bodyLimit, note
+                 note=lambda *_, **__: None, streams=()):
+        self.handler, self.bodyLimit, self.note, self.streams = handler, bodyLimit, note, streams
         self.idleMs, self.slowMs, self.slowWriteMs = idleMs, slowMs, slowWriteMs
         self.open, self.stopping, self.server = {}, False, None
         self.count = Counter()
--- a/swiftdeck/sim/cases/config.py
+++ b/swiftdeck/sim/cases/config.py
@@ -68,6 +68,28 @@
             return [msgspec.json.decode(line)["code"] async for line in got.lines()]
         self.assertEqual(town.world.do("operator", send), [0, 100, 200, 100])
 
+    def testChangesGoInAndAnswersComeOutOfOneOpenStream(self):
+        town, got = self.town(), bytearray()
+
+        class Sink(asyncio.Protocol):
+            def data_received(self, data):
+                got.extend(data)
+
+        async def talk():
+            ip, _, port = town.site.cores[0]["http"].rpartition(":")
+            transport, _ = await asyncio.get_running_loop().create_connection(Sink, ip, int(port))
+            transport.write(b"POST /v1/changes HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for number in range(3):
+                line = msgspec.json.encode({"op": "patch", "base": 1 + number, "document": self.cap(5 + number)}) + b"\n"
+                transport.write(b"%x\r\n%s\r\n" % (len(line), line))
+                while got.count(b'"version"') <= number:
+                    await asyncio.sleep(0.05)
+            transport.write(b"0\r\n\r\nGET /v1/counters HTTP/1.1\r\nHost: x\r\n\r\n")
+            await asyncio.sleep(1)
+        town.world.do("operator", talk, limitS=30)
+        self.assertEqual((got.count(b'"code":0'), got.count(b"HTTP/1.1 200")), (3, 2))
+        self.assertEqual(town.ask("GET", "/v1/config")[1]["version"], 4)
+
     def testEachMemberMayBeKilledInTurn(self):
         town = self.town()
         for position in (2, 0, 1):
