--- a/swiftdeck/sim/cases/admission.py
+++ b/swiftdeck/sim/cases/admission.py
@@ -1,5 +1,6 @@
 """Cases of admission: books, lines, moves and keepers that fail."""
 import unittest
+from unittest import mock
 
 from swiftdeck.bench.checker import check
 from swiftdeck.fault import LINE_FULL, WAITED_OUT
@@ -246,11 +247,17 @@
             self.assertEqual([each[0] for each in box], [4] * 8, quirk)
             self.sound(town)
 
-    def testTheCapAdaptsToPrefixSurvival(self):
+    def testTheCapRisesWhilePrefixesSurviveAndFallsWhenTheyDoNot(self):
         town = self.town(cap=8, adapts=True, capLeast=2, pauseMs=8000, idleMs=9000)
         town.up["worker1"].cache.room = 30000
         town.caller.book["check"] = "rules "
-        box = [town.spawn(lambda number=number: town.caller.agent("saga", turns=12, grow=2000, gap=0.5)) for number in range(8)]
-        town.world.run(25)
-        self.assertLess(min(book.cap for book in town.books().values()), 8)
-        town.world.run(until=lambda: all(box), limitS=300)
+        [town.spawn(lambda number=number: town.caller.agents("saga", turns=(10, 14), restS=0.1)) for number in range(8)]
+        caps = []
+        with mock.patch("swiftdeck.traffic.keeper.ADAPT_S", 5.0):
+            for _ in range(25):
+                town.world.run(2)
+                caps += [book.cap for book in town.books().values()]
+        self.assertEqual(caps[0], 2)
+        most = caps.index(max(caps))
+        self.assertGreater(caps[most], 3)
+        self.assertLess(min(caps[most:]), caps[most])
--- a/swiftdeck/traffic/keeper.py
+++ b/swiftdeck/traffic/keeper.py
@@ -14,6 +14,7 @@
 
 
 WAIT_FORGOTTEN_S = 2.0
+ADAPT_S = 30.0
 
 
 class Keeper:
@@ -123,7 +124,7 @@
     def _book(self, worker):
         if worker not in self.books:
             config = self.config()
-            self.books[worker] = Book(worker, config.cap if config else 1)
+            self.books[worker] = Book(worker, (config.capLeast if config.adapts else config.cap) if config else 1)
         return self.books[worker]
 
     def _mine(self):
@@ -182,7 +183,7 @@
                 book.cap = config.cap
             self._pump(book)
         self._loadWeights(self._mine())
-        if nowS - self.adaptedS > 10:
+        if nowS - self.adaptedS > ADAPT_S:
             self.adaptedS = nowS
             [book.adapt(config) for book in self.books.values()]
         listed = {worker.name for worker in self._mine()}
