--- a/swiftdeck/config/document.py
+++ b/swiftdeck/config/document.py
@@ -107,8 +107,8 @@
     if not isinstance(patch, dict):
         return patch
     kept = dict(target) if isinstance(target, dict) else {}
-    return {name: value for name, value in kept.items() if name not in patch} | {
-        name: merge(kept.get(name), value) for name, value in patch.items() if value is not None}
+    return {name: merge(kept.get(name), patch[name]) if name in patch else kept[name]
+            for name in [*kept, *(name for name in patch if name not in kept)] if patch.get(name, kept) is not None}
 
 
 def keyDigest(key: str) -> str:
@@ -122,6 +122,7 @@
                                       ({"a": {"b": 1, "c": 2}}, {"a": {"b": 3}}, {"a": {"b": 3, "c": 2}}),
                                       ({}, {"a": {"bb": {"ccc": None}}}, {"a": {"bb": {}}}), ([1], {"a": 1}, {"a": 1})]:
             self.assertEqual(merge(target, patch), result)
+        self.assertEqual(list(merge({"a": 1, "b": 2}, {"a": 3, "c": 4})), ["a", "b", "c"])
 
     def testFaultsNameThePath(self):
         model = '"models":{"m":{"weights":"w"}}'
