--- a/swiftdeck/bench/worker.py
+++ b/swiftdeck/bench/worker.py
@@ -157,6 +157,9 @@
                 return False
             if self.quirk == "malformed" and seq == pieces // 2:
                 await exchange.piece(b"data: {nonsense\n\n")
+            if self.quirk == "endless line" and seq == pieces // 2:
+                for _ in range(40):
+                    await exchange.piece(b"data: " + b"x" * 20000)
             named = "foreign-1" if self.quirk == "foreign" and seq == pieces // 2 else run
             for _ in range(2 if self.quirk == "repeat" and seq == pieces // 2 else 1):
                 await exchange.piece(b"data: " + json.dumps({"run": named, "seq": seq, "text": f"[[{marker}]]{seq} "}).encode() + b"\n\n")
--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -93,3 +93,18 @@
             fault = readSettings(flags=good | wrong)
             self.assertTrue(isFault(fault))
             self.assertIn(word, fault.reason)
+
+    def testEachSettingAndItsDefaultStandInTheDocs(self):
+        path = Path(__file__).resolve().parent.parent.parent / "docs" / "operations.md"
+        if not path.exists():
+            self.skipTest("the docs are not installed with the package")
+        told = {}
+        for line in path.read_text().splitlines():
+            cells = [cell.strip() for cell in line.strip("|").split("|")]
+            if line.startswith("| `") and len(cells) == 3:
+                told |= dict(zip(cells[0].replace("`", "").split(", "), cells[1].replace("`", "").split(", ")))
+        defaults = {field.name: field.default for field in msgspec.structs.fields(Settings)}
+        for name, default in defaults.items():
+            self.assertIn(name, told)
+            if isinstance(default, (int, float)):
+                self.assertEqual(told[name], str(default), name)
--- a/swiftdeck/programs/deck.py
+++ b/swiftdeck/programs/deck.py
@@ -271,7 +271,7 @@
     else:
         for each in findings:
             typer.echo(f"{each['code']} {each['what']}: {each['where']}\n    do: {each['advice']}")
-        typer.echo(f"{len(findings)} faults found" if findings else "no faults found")
+        typer.echo(f"{len(findings)} fault{'s' * (len(findings) > 1)} found" if findings else "no faults found")
     raise typer.Exit(1 if findings else 0)
 
 
--- a/swiftdeck/sim/cases/calls.py
+++ b/swiftdeck/sim/cases/calls.py
@@ -44,7 +44,7 @@
         self.sound(town)
 
     def testMalformedForeignAndRepeatedPiecesNeverReachACaller(self):
-        for quirk in ("malformed", "foreign", "repeat"):
+        for quirk in ("malformed", "foreign", "repeat", "endless line"):
             town = self.town()
             self.quirk(town, quirk)
             got = town.call("saga", "check", ["book", "x"])
