--- a/swiftdeck/control/node.py
+++ b/swiftdeck/control/node.py
@@ -36,6 +36,7 @@
         return int(asyncio.get_running_loop().time() * 1000)
 
     def neighbours(self):
-        """The neighbours in their outward form."""
+        """This process and all that it knows of, the gone ones too, in their outward form."""
+        members = [self.me, *(each.member for each in self.membership.known.values())]
         return [{"name": each.name, "role": each.role, "zone": each.zone, "addr": each.addr, "http": each.httpAddr,
-                 "state": ("alive", "suspect", "gone")[each.state]} for each in self.membership.everyone()]
+                 "state": ("alive", "suspect", "gone")[each.state]} for each in members]
--- a/swiftdeck/member/membership.py
+++ b/swiftdeck/member/membership.py
@@ -44,10 +44,6 @@
         return [each.member for each in self.known.values()
                 if each.member.state != GONE and (role is None or each.member.role == role)]
 
-    def everyone(self):
-        """This process and its neighbours that are not gone."""
-        return [self.me, *self.alive()]
-
     def some(self, count, role=None):
         """A few neighbours at random."""
         found = self.alive(role)
--- a/swiftdeck/sim/cases/doctor.py
+++ b/swiftdeck/sim/cases/doctor.py
@@ -27,7 +27,7 @@
         found = self.codes(town, seeds=town.seeds)
         self.assertLessEqual({701, 702}, found)
         town.world.run(8)
-        self.assertIn(706, self.codes(town))
+        self.assertLessEqual({701, 706}, self.codes(town))
         town.world.kill("core1")
         self.assertEqual(self.codes(town), {700})
         town.world.run(8)
