A place lost between two questions is forgotten, so that the agent waits anew

Cause: an agent's place outlasts the slices of its wait. When its worker left the list between two slices and the next line was full, the refusal found nobody to answer, and the place stayed noted although it stood in no line: the next question attached itself to it and waited out its whole bound. Ruled out: the line itself (tenants in turn, first come first served hold), the cut of the case (any gap between two slices will do). Found by reading the code again.

Also an agent none of whose first workers has room now waits where the line still has a place, instead of being refused because the warmest line is full.

--- a/swiftdeck/sim/cases/admission.py
+++ b/swiftdeck/sim/cases/admission.py
@@ -147,6 +147,32 @@
             self.assertTrue(not start or not start[0]["whole"], how)
             self.assertFalse(any(running), how)
 
+    def testAPlaceLostBetweenTwoQuestionsIsTakenAnew(self):
+        town = self.town(cap=1, workers=2, lineMax=1, idleMs=60000, pauseMs=60000)
+        keeper = town.keeper()
+        alone = next(name for name in town.routerNames() if name != keeper)
+        doors = {"alone": town.addresses[alone]["http"], "keeper": town.addresses[keeper]["http"]}
+        talks = [town.call("saga", "check", ["b", str(number)], door=doors["keeper"]) for number in range(2)]
+        others = [town.spawn(lambda: town.caller.call("oita", "check", ["b", "z"], isLast=True, door=doors["keeper"]))]
+        town.world.run(0.2)
+        late = town.spawn(lambda: town.caller.call("nagasaki", "check", ["b", "y"], door=doors["alone"]))
+        town.world.run(0.2)
+        place = next((name, each) for name, book in town.books().items() for each in book.line if each.tenant == "nagasaki")
+        ips = [town.addresses[name]["inner"].rpartition(":")[0] for name in (alone, keeper)]
+        town.world.net.cut(ips[:1], ips[1:])
+        town.world.run(until=lambda: not place[1].isAsking(), limitS=2)
+
+        async def leave():
+            town.up["platform"].remove(place[0])
+        town.world.do("platform", leave)
+        town.world.run(0.7)
+        town.world.net.heal()
+        for talk in talks:
+            if talk["worker"] != place[0]:
+                town.call("saga", "check", [*talk["parts"], "said", "end"], isLast=True, door=doors["keeper"])
+        town.world.run(until=lambda: late and others[0], limitS=60)
+        self.assertTrue(late[0]["whole"], late)
+
     def testAKeeperFrozenWhileItRenewsGathersAnewWhenItWakes(self):
         town = self.town(routers=1)
         name = town.keeper()
--- a/swiftdeck/traffic/keeper.py
+++ b/swiftdeck/traffic/keeper.py
@@ -296,8 +296,9 @@
         if not few:
             return None
         roomy = [name for name in few if self._book(name).hasRoom() and not len(self._book(name).line)]
-        best = max((self.index.depth(name, ask.chain) for name in roomy or few), default=0)
-        return next(name for name in roomy or few if self.index.depth(name, ask.chain) == best)
+        places = roomy or [name for name in few if len(self._book(name).line) < self.config().lineMax] or few
+        best = max(self.index.depth(name, ask.chain) for name in places)
+        return next(name for name in places if self.index.depth(name, ask.chain) == best)
 
     def _placeOrWait(self, waiting):
         ask, config = waiting.ask, self.config()
@@ -305,7 +306,7 @@
         if name is None:
             return self._answer(waiting, NO_WORKER)
         book = self._book(name)
-        if book.hasRoom() and not len(book.line):
+        if book.hasRoom() and not len(book.line) and waiting.isAsking():
             return self._begin(book, waiting)
         if len(book.line) >= config.lineMax:
             self.board.count["lineFull"] += 1
@@ -353,10 +354,11 @@
             got.waitedMs = waitedMs
         self._answer(waiting, got)
 
-    @staticmethod
-    def _answer(waiting, got):
-        if not waiting.done.done():
+    def _answer(self, waiting, got):
+        if waiting.isAsking():
             waiting.done.set_result(got)
+        else:
+            self._forget(waiting)
 
     def _grant(self, conversation, ask, sender, isStart):
         worker = self.router.workers.workers.get(conversation.worker)
