--- a/swiftdeck/control/client.py
+++ b/swiftdeck/control/client.py
@@ -23,6 +23,13 @@
         headers = [("change-id", changeId)] * bool(changeId) + [("author", author)] * bool(author)
         return await self.ask(method, f"/v1/config?base={base}", document, headers)
 
+    async def changeNewest(self, method, make, changeId="", author=""):
+        """One change on the newest version; `make` gives it from the newest document."""
+        newest = await self.ask("GET", "/v1/config")
+        if isFault(newest) or newest[0] != 200:
+            return newest
+        return await self.change(method, make(newest[1]["document"]), newest[1]["version"], changeId, author)
+
     async def stream(self, lines, say) -> int:
         """Send changes line by line and say each answer; 1 when one was refused."""
         bad = 0
--- a/swiftdeck/control/node.py
+++ b/swiftdeck/control/node.py
@@ -2,7 +2,7 @@
 import asyncio
 
 from swiftdeck.board.board import Board
-from swiftdeck.member.membership import Membership
+from swiftdeck.member.membership import STATES, Membership
 from swiftdeck.member.news import NewsTable
 from swiftdeck.wire.mesh import Mesh
 from swiftdeck.wire.messages import Member
@@ -39,4 +39,4 @@
         """This process and all that it knows of, the gone ones too, in their outward form."""
         members = [self.me, *(each.member for each in self.membership.known.values())]
         return [{"name": each.name, "role": each.role, "zone": each.zone, "addr": each.addr, "http": each.httpAddr,
-                 "state": ("alive", "suspect", "gone")[each.state]} for each in members]
+                 "state": STATES[each.state]} for each in members]
--- a/swiftdeck/programs/deck.py
+++ b/swiftdeck/programs/deck.py
@@ -125,15 +125,8 @@
 
 def _change(method, file, base, changeId, author, door, operator):
     client, document = OperatorClient(door, operator), _read(file)
-
-    async def work():
-        if base is not None:
-            return await client.change(method, document, base, changeId, author)
-        newest = await client.ask("GET", "/v1/config")
-        if isFault(newest) or newest[0] != 200:
-            return newest
-        return await client.change(method, document, newest[1]["version"], changeId, author)
-    _show(asyncio.run(work()))
+    _show(asyncio.run(client.changeNewest(method, lambda _: document, changeId, author) if base is None else
+                      client.change(method, document, base, changeId, author)))
 
 
 File = Annotated[str, typer.Argument(help="JSON file, - for standard input.")]
@@ -225,14 +218,8 @@
 def weights(model: Annotated[str, typer.Argument(help="Model.")], version: Annotated[str, typer.Argument(help="Weights.")],
             author: Author = "", core: Door = "127.0.0.1:8000", operatorKey: Operator = ""):
     """Name new weights for a model; once this returns, no call starts on the old ones."""
-    client = OperatorClient(core, operatorKey)
-
-    async def work():
-        newest = await client.ask("GET", "/v1/config")
-        if isFault(newest) or newest[0] != 200:
-            return newest
-        return await client.change("PATCH", {"models": {model: {"weights": version}}}, newest[1]["version"], "", author)
-    _show(asyncio.run(work()))
+    client, patch = OperatorClient(core, operatorKey), {"models": {model: {"weights": version}}}
+    _show(asyncio.run(client.changeNewest("PATCH", lambda _: patch, author=author)))
 
 
 @keys.command()
@@ -248,13 +235,10 @@
     """Take a key from a tenant; connected clients lose it too."""
     client, gone = OperatorClient(core, operatorKey), key if key.startswith("sha256:") else keyDigest(key)
 
-    async def work():
-        newest = await client.ask("GET", "/v1/config")
-        if isFault(newest) or newest[0] != 200:
-            return newest
-        kept = [each for each in newest[1]["document"].get("tenants", {}).get(tenant, {}).get("keys", []) if each != gone]
-        return await client.change("PATCH", {"tenants": {tenant: {"keys": kept}}}, newest[1]["version"], "", "")
-    _show(asyncio.run(work()))
+    def without(document):
+        kept = [each for each in document.get("tenants", {}).get(tenant, {}).get("keys", []) if each != gone]
+        return {"tenants": {tenant: {"keys": kept}}}
+    _show(asyncio.run(client.changeNewest("PATCH", without)))
 
 
 @app.command()
--- a/swiftdeck/sim/storm.py
+++ b/swiftdeck/sim/storm.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from swiftdeck.bench.checker import check
+from swiftdeck.http.client import fetchJson
 from swiftdeck.sim.town import Town
 
 
@@ -230,7 +231,6 @@
         self._later(lambda: self._back(name), 2, 6)
 
     def _patch(self, document):
-        from swiftdeck.http.client import fetchJson
         town = self.town
         name, base = self._pick(town.coreNames()), town.version
         if name is None:
@@ -328,7 +328,6 @@
 
     def read(self):
         """An operator reads the configuration, and the record says what came."""
-        from swiftdeck.http.client import fetchJson
         town, askedMs = self.town, int(self.town.world.now * 1000)
         name = self._pick(town.coreNames())
         if name is None:
--- a/swiftdeck/traffic/keeper.py
+++ b/swiftdeck/traffic/keeper.py
@@ -140,31 +140,28 @@
             self.ring = Ring(serving, self.settings.virtualPlaces)
         self.index.follow(workers)
         if self.readyTerm == self.term:
-            lost = [each for name, book in self.books.items() if name not in serving for each in book.line]
-            for each in lost:
-                self._book_of(each).line.remove(each)
+            lost = [(book, each) for name, book in self.books.items() if name not in serving for each in book.line]
+            for book, each in lost:
+                book.line.remove(each)
                 self._placeOrWait(each)
             [self._pump(book) for book in list(self.books.values())]
             self._loadWeights(workers)
 
-    def _book_of(self, waiting):
-        return next(book for book in self.books.values() if waiting in list(book.line))
-
     def _loadWeights(self, workers):
         config = self.config()
         for worker in workers:
             said = self.index.weights(worker.name)
-            if config and said and said != config.weights and not worker.draining:
+            isDue = config and said and said != config.weights and not worker.draining
+            if isDue and (worker.name, config.weights) not in self.loading:
+                self.loading.add((worker.name, config.weights))
                 asyncio.ensure_future(self._loadOne(worker, config.weights))
 
     async def _loadOne(self, worker, weights):
-        if (worker.name, weights) not in self.loading:
-            self.loading.add((worker.name, weights))
-            got = await fetchJson(worker.addr, "POST", "/v1/weights", {"weights": weights}, timeoutMs=5000)
-            self.board.count["weightsAsked"] += 1
-            self.router.decisions.add("weights", worker=worker.name, weights=weights, taken=not isFault(got))
-            await asyncio.sleep(0.5)
-            self.loading.discard((worker.name, weights))
+        got = await fetchJson(worker.addr, "POST", "/v1/weights", {"weights": weights}, timeoutMs=5000)
+        self.board.count["weightsAsked"] += 1
+        self.router.decisions.add("weights", worker=worker.name, weights=weights, taken=not isFault(got))
+        await asyncio.sleep(0.5)
+        self.loading.discard((worker.name, weights))
 
     def _tick(self):
         nowS, config = self.loop.time(), self.config()
