Only synced entries go down the chain, and the shorter log copies from the longer

Cause: a member passed entries on while its own sync was still pending (the passing loop also wakes by itself). With a slow disk at the head the tail committed and answered; a head that then lost power and came back in the same view had a shorter log, and each member behind it copied the shorter state over the longer one. A damaged last record was taken for a torn one, with the same end.

Ruled out: the sync of the members behind (they do sync before they pass on), and the view's licence (the view had not changed, so nothing was waited out).

Change: a member passes on, and gives as a copy, only what its disk has synced; a member that hears of a longer log behind it copies from there; a head that starts again compares before it is whole; a member that lacks an entry which is no longer in memory is told to copy (it stood still for ever). A record's head has a check of its own, so that damage is told from a record cut short; records of the earlier form still read.

Before: version 2 read from the tail, version 1 at all three cores two seconds later; claims likewise.

Conclusion: within one view logs only grow.

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -32,8 +32,8 @@
         self.journal = Journal(folder, "chain.log")
         self.mesh, self.agreement, self.board = mesh, agreement, board
         self.licenceMs, self.rewriteBytes = licenceMs, rewriteBytes
-        self.state, self.serial, self.entries = ChainState(), 0, {}
-        self.fault, self.needsCopy = None, False
+        self.state, self.serial, self.entries, self.synced = ChainState(), 0, {}, 0
+        self.fault, self.needsCopy, self.mustCompare = None, False, False
         self.wholeIn, self.lastIn, self.wholeSinceS = 0, 0, 0.0
         self.incoming, self.committers, self.holders = [], [], {}
         self.nextLast, self.passFailedS = None, None
@@ -50,6 +50,8 @@
         self.loop = asyncio.get_running_loop()
         self.owner, self.kick = Owner(), asyncio.Event()
         self._load()
+        if self.fault is None and not await self._sync():
+            self.needsCopy = True
         self.onView(self.agreement.decided)
         self.task = asyncio.ensure_future(self._passing())
 
@@ -68,6 +70,7 @@
             else:
                 self._apply(record["n"], record["b"])
         known = self.agreement.decided
+        self.mustCompare = known.number > 0
         if known.number > 1 and not records and self.agreement.position() >= 0:
             self.fault, self.needsCopy = DAMAGED.because("chain.log is missing"), True
 
@@ -80,7 +83,9 @@
     def onView(self, view):
         """Start over in a new view."""
         self.nextLast, self.passFailedS = None, None
-        if self.agreement.position() == 0 and not self.needsCopy:
+        if len(view.members) < 2:
+            self.mustCompare = False
+        if self.agreement.position() == 0 and not self.needsCopy and not self.mustCompare:
             self._becomeWhole()
         self.kick.set()
 
@@ -182,7 +187,9 @@
 
     async def _sync(self):
         try:
+            serial = self.serial
             await self.journal.sync()
+            self.synced = max(self.synced, serial)
             if self.journal.size > self.rewriteBytes:
                 await self._rewrite()
             return True
@@ -191,8 +198,9 @@
             return False
 
     async def _rewrite(self):
-        data = self.state.toBytes()
-        await self.journal.rewrite([{"k": "state", "n": self.serial, "state": data}])
+        data, serial = self.state.toBytes(), self.serial
+        await self.journal.rewrite([{"k": "state", "n": serial, "state": data}])
+        self.synced = max(self.synced, serial)
         self.rewriteBytes = max(1 << 20, 4 * len(data))
         self.board.count["rewrites"] += 1
 
@@ -230,26 +238,38 @@
             while await self._passOn():
                 pass
 
+    def lastToPass(self):
+        """The last entry that the next member may have: what a loss of power here cannot take back."""
+        return self.synced
+
     async def _passOn(self):
         view, at = self.agreement.decided, self.agreement.position()
-        if at < 0 or at + 1 >= len(view.members) or not self.isWhole() or self.fault is not None:
+        isComparing = at == 0 and self.mustCompare and not self.needsCopy
+        if at < 0 or at + 1 >= len(view.members) or not (self.isWhole() or isComparing) or self.fault is not None:
             return False
-        start = self.serial if self.nextLast is None else self.nextLast
+        last = self.lastToPass()
+        start = last if self.nextLast is None else self.nextLast
         entries, size = [], 0
-        for serial in range(start + 1, self.serial + 1):
+        for serial in range(start + 1, last + 1):
             if serial not in self.entries or len(entries) >= PASS_ENTRIES or size > PASS_BYTES:
                 break
             entries.append(ChainEntry(serial=serial, body=self.entries[serial]))
             size += len(self.entries[serial])
-        ask = Pass(view=view.number, entries=entries, last=self.serial)
-        got = await self.mesh.ask(view.members[at + 1].addr, ask, 1500)
+        after = view.members[at + 1].addr
+        ask = Pass(view=view.number, entries=entries, last=last, mustCopy=start < last and not entries)
+        got = await self.mesh.ask(after, ask, 1500)
         if view is not self.agreement.decided:
             return True
         if isFault(got):
             self.passFailedS = self.passFailedS or self.loop.time()
             return False
         self.passFailedS, before, self.nextLast = None, self.nextLast, got.last
-        return got.last < self.serial and got.last != before
+        if got.last > max(last, self.synced):
+            return not isFault(await self.owner.send(self._copyFrom, after, self.synced))
+        if isComparing and view is self.agreement.decided:
+            self.mustCompare = False
+            self._becomeWhole()
+        return got.last < self.synced and got.last != before
 
     async def onPass(self, ask, sender):
         return await self.owner.send(self._takePass, ask, sender)
@@ -258,7 +278,9 @@
         view, at = self.agreement.decided, self.agreement.position()
         if ask.view != view.number or at < 1 or view.members[at - 1].addr != sender:
             return OLD_VIEW.because(f"pass in view {ask.view}, here {view.number}")
-        if self.needsCopy or (ask.entries and ask.entries[0].serial > self.serial + 1) or self.serial > ask.last:
+        isBehind = ask.mustCopy or (ask.entries and ask.entries[0].serial > self.serial + 1)
+        hasCopied = self.needsCopy or isBehind and self.serial < ask.last
+        if hasCopied:
             got = await self._copyFrom(sender)
             if isFault(got):
                 return got
@@ -274,7 +296,8 @@
             return OLD_VIEW
         if self.fault is not None:
             return self.fault
-        if self.serial >= ask.last:
+        if self.serial == ask.last or hasCopied and self.serial > ask.last:
+            self.mustCompare = False
             self._becomeWhole()
         self.kick.set()
         self._wakeCommitters()
@@ -287,15 +310,24 @@
             [self.mesh.tell(holder.addr, Nudge(version=self.state.stored.version)) for holder in self.holders.values()
              if holder.held < self.state.stored.version and holder.untilS > self.loop.time()]
 
-    def onCopyAsk(self, ask, sender):
-        if not self.isWhole() or self.fault is not None or self.agreement.position() < 0:
+    async def onCopyAsk(self, ask, sender):
+        """The state as far as it is synced here, which it is between two commands of the owner."""
+        return await self.owner.send(self._copied, sender)
+
+    def _copied(self, sender):
+        view, at = self.agreement.decided, self.agreement.position()
+        isBefore = at > 0 and view.members[at - 1].addr == sender and not self.needsCopy
+        if not (self.isWhole() or isBefore) or self.fault is not None or at < 0 or self.serial > self.synced:
             return NOT_TAIL
         return CopyReturn(serial=self.serial, state=self.state.toBytes(), view=self.agreement.decided.number)
 
-    async def _copyFrom(self, addr):
+    async def _copyFrom(self, addr, above=-1):
         got = await self.mesh.ask(addr, CopyAsk(coreId=self.agreement.coreId), 5000)
         if isFault(got):
             return got
+        if got.serial <= above or above >= 0 and (got.view != self.agreement.decided.number or self.serial != above):
+            return OLD_VIEW.because(f"{got.serial} entries there, {self.serial} here")
+        self.board.count["copiesFromBehind"] += above >= 0
         try:
             fresh = ChainState()
             fresh.onConfig = self.state.onConfig
@@ -306,7 +338,7 @@
             return self.fault
         except msgspec.DecodeError as error:
             return DAMAGED.because(error)
-        self.state, self.serial, self.entries = fresh, got.serial, {}
+        self.state, self.serial, self.entries, self.synced = fresh, got.serial, {}, got.serial
         self.fault, self.needsCopy = None, False
         self.board.count["copies"] += 1
         self.board.put("disk", "good")
--- a/swiftdeck/disk/journal.py
+++ b/swiftdeck/disk/journal.py
@@ -9,12 +9,23 @@
 from swiftdeck.fault import DAMAGED, isFault
 from swiftdeck.sim.folder import SimFolder
 
-HEADER = struct.Struct(">IIB")
-MARK = 0xD5
+HEADER, CHECK = struct.Struct(">IIB"), struct.Struct(">H")
+MARK, OLD_MARK = 0xD6, 0xD5
+LEAD = HEADER.size + CHECK.size
+
+
+def headOf(body) -> bytes:
+    """What stands before a record: its length, its checksum, a mark, and a check of these."""
+    head = HEADER.pack(len(body), zlib.crc32(body), MARK)
+    return head + CHECK.pack(zlib.crc32(head) & 0xFFFF)
 
 
 class Journal:
-    """Records in one file; a torn last one is cut off, damage before the end is refused."""
+    """Records in one file; a torn last one is cut off, damage anywhere is refused.
+
+    A write that the power cut short leaves the beginning of a record; a record that is all there but does not add up was
+    whole once, and may have been acknowledged.
+    """
 
     def __init__(self, folder, name):
         self.folder, self.name = folder, name
@@ -24,16 +35,16 @@
     def frame(record) -> bytes:
         """One record with its length and checksum."""
         body = msgspec.msgpack.encode(record)
-        return HEADER.pack(len(body), zlib.crc32(body), MARK) + body
+        return headOf(body) + body
 
     def load(self):
-        """All records, or a fault when one before the end is damaged."""
+        """All records, or a fault when one is damaged."""
         data = self.folder.read(self.name)
         records, at = [], 0
         while at < len(data):
             found = self._recordAt(data, at)
             if found is None:
-                if any(self._recordAt(data, later) for later in self._marks(data, at + 1)):
+                if not self._isTorn(data, at) or any(self._recordAt(data, later) for later in self._marks(data, at + 1)):
                     return DAMAGED.because(f"{self.name} at byte {at}")
                 self.folder.truncate(self.name, at)
                 break
@@ -52,20 +63,33 @@
             at = found[1]
         return at == self.size
 
+    @staticmethod
+    def _isTorn(data, at):
+        """Whether what begins here can be the beginning of a record whose end was never written."""
+        if len(data) - at < LEAD or not any(data[at:]):
+            return True
+        length, _, mark = HEADER.unpack_from(data, at)
+        isHead = mark == OLD_MARK or zlib.crc32(data[at:at + HEADER.size]) & 0xFFFF == CHECK.unpack_from(data, at + HEADER.size)[0]
+        return isHead and at + LEAD + length > len(data)
+
     def _marks(self, data, start):
-        at = data.find(MARK, start + HEADER.size - 1)
-        while at >= 0:
-            yield at - HEADER.size + 1
-            at = data.find(MARK, at + 1)
+        for mark in (MARK, OLD_MARK):
+            at = data.find(mark, start + HEADER.size - 1)
+            while at >= 0:
+                yield at - HEADER.size + 1
+                at = data.find(mark, at + 1)
 
     def _recordAt(self, data, at):
         if at + HEADER.size > len(data):
             return None
         length, checksum, mark = HEADER.unpack_from(data, at)
-        end = at + HEADER.size + length
-        if mark != MARK or end > len(data) or not length:
+        start = at + (LEAD if mark == MARK else HEADER.size)
+        end = start + length
+        if mark not in (MARK, OLD_MARK) or end > len(data) or not length:
+            return None
+        if mark == MARK and zlib.crc32(data[at:at + HEADER.size]) & 0xFFFF != CHECK.unpack_from(data, at + HEADER.size)[0]:
             return None
-        body = data[at + HEADER.size:end]
+        body = data[start:end]
         if zlib.crc32(body) != checksum:
             return None
         return msgspec.msgpack.decode(body), end
@@ -130,7 +154,21 @@
         folder.written["j"][HEADER.size + 1] ^= 1
         self.assertFalse(journal.isSound())
 
-    def testDamageBeforeTheEndIsRefused(self):
-        folder = self.build()
-        folder.written["j"][HEADER.size + 1] ^= 1
-        self.assertTrue(isFault(Journal(folder, "j").load()))
+    def testDamageAnywhereIsRefused(self):
+        for at in range(len(self.build().written["j"])):
+            folder = self.build()
+            folder.written["j"][at] ^= 1
+            self.assertTrue(isFault(Journal(folder, "j").load()), at)
+
+    def testARecordCutAnywhereIsTorn(self):
+        size = len(self.build().written["j"])
+        for cut in range(1, len(Journal.frame({"n": 3}))):
+            folder = self.build()
+            del folder.written["j"][size - cut:]
+            self.assertEqual([record["n"] for record in Journal(folder, "j").load()], [1, 2])
+
+    def testRecordsOfTheEarlierFormStillRead(self):
+        folder, body = SimFolder(), msgspec.msgpack.encode({"n": 0})
+        folder.append("j", HEADER.pack(len(body), zlib.crc32(body), OLD_MARK) + body)
+        Journal(folder, "j").append({"n": 1})
+        self.assertEqual([record["n"] for record in Journal(folder, "j").load()], [0, 1])
--- a/swiftdeck/sim/cases/config.py
+++ b/swiftdeck/sim/cases/config.py
@@ -6,6 +6,7 @@
 
 from swiftdeck.bench.checker import check
 from swiftdeck.config.document import keyDigest
+from swiftdeck.disk.journal import Journal
 from swiftdeck.fault import INVALID, LOST_RACE, REUSED_CHANGE, UNDECIDED
 from swiftdeck.http.client import connect, fetchJson
 from swiftdeck.sim.town import Town
@@ -218,6 +219,62 @@
         self.settle(town)
         self.assertEqual(check(town.records), {})
 
+    def testWhatTheTailAnsweredWithOutlastsAHeadThatLosesPowerBeforeItsSlowDiskHasSynced(self):
+        for kind in ("configuration", "claim"):
+            town = self.town()
+            town.world.run(3)
+            head, tail = self.member(town, 0), self.member(town, 2)
+            town.folders[head].stallS = 0.9
+            if kind == "claim":
+                town.spawn(lambda: town.caller.call("saga", "check", ["b", "x"], idempotency="bill"))
+            else:
+                town.spawn(lambda: fetchJson(town.addresses[tail]["http"], "PATCH", "/v1/config?base=1", self.cap(9)))
+            town.world.run(0.7)
+            known = town.up[tail].chain
+            seen = (known.state.stored.version, len(known.state.stored.claims), known.serial)
+            town.world.kill(head)
+            town.folders[head].losePower()
+            town.folders[head].stallS = 0.0
+            town.startCore(head)
+            town.world.run(3)
+            self.settle(town)
+            for name in town.coreNames():
+                stored, serial = town.up[name].chain.state.stored, town.up[name].chain.serial
+                self.assertGreaterEqual((stored.version, len(stored.claims), serial), seen, (kind, name))
+
+    def testADamagedLastRecordIsNotTakenForATornOne(self):
+        for at in (-1, -20):
+            town = self.town()
+            self.assertEqual(town.change("PATCH", self.cap(9))[0], 200)
+            head = self.member(town, 0)
+            town.world.kill(head)
+            town.folders[head].losePower()
+            records = Journal(town.folders[head], "chain.log").load()
+            starts = len(town.folders[head].read("chain.log")) - len(Journal.frame(records[-1]))
+            town.folders[head].written["chain.log"][at if at == -1 else starts + 1] ^= 255
+            town.startCore(head)
+            town.world.run(0.5)
+            near = self.member(town, 1)
+            town.change("PATCH", self.cap(10), base=2, name=near)
+            town.world.run(5)
+            self.settle(town)
+            got = town.ask("GET", "/v1/config")[1]
+            self.assertGreaterEqual(got["version"], 2, at)
+            self.assertIn(got["document"]["models"]["screener"]["cap"], (9, 10))
+
+    def testAHeadThatLostTheEndOfItsFileCopiesFromTheLongerOne(self):
+        town = self.town()
+        head = self.member(town, 0)
+        town.world.run(2)
+        short = bytes(town.folders[head].synced["chain.log"])
+        self.assertEqual(town.change("PATCH", self.cap(9))[0], 200)
+        town.world.kill(head)
+        town.folders[head].written["chain.log"] = bytearray(short)
+        town.startCore(head)
+        town.world.run(3)
+        self.settle(town)
+        self.assertEqual({town.up[name].chain.state.stored.version for name in town.coreNames()}, {2})
+
     def testDamageOnDiskIsRefusedAndMendedByCopying(self):
         town = self.town()
         [town.change("PATCH", self.cap(20 + number)) for number in range(4)]
--- a/swiftdeck/sim/cases/mutations.py
+++ b/swiftdeck/sim/cases/mutations.py
@@ -9,7 +9,7 @@
 from swiftdeck.chain.state import ChainState
 from swiftdeck.config.document import readDocument
 from swiftdeck.disk.journal import Journal
-from swiftdeck.fault import NO_LICENCE, WAITED_OUT
+from swiftdeck.fault import NO_LICENCE, OLD_VIEW, WAITED_OUT
 from swiftdeck.http.server import HttpConversation
 from swiftdeck.sim.cases import admission, calls, config, weights
 from swiftdeck.traffic.book import Book
@@ -51,6 +51,10 @@
     return None
 
 
+async def _copiesNothingFromBehind(self, addr, above=-1, copyFrom=Chain._copyFrom):
+    return OLD_VIEW if above >= 0 else await copyFrom(self, addr)
+
+
 def _anyBase(self, change, examine=ChainState.examine):
     return examine(self, change | ({"base": self.stored.version} if change["t"] == "config" else {}))
 
@@ -97,6 +101,13 @@
     ("base version compared", config.ConfigCase, "testTwoOperatorsWritingAtOnceNeverBothWin", [(ChainState, "examine", _anyBase)]),
     ("sync before an ack", config.ConfigCase, "testAllCoresLosePowerAndTheConfigurationIsReadBackWhole",
      [(Journal, "sync", _syncsNothing)]),
+    ("only synced entries are passed on", config.ConfigCase,
+     "testWhatTheTailAnsweredWithOutlastsAHeadThatLosesPowerBeforeItsSlowDiskHasSynced",
+     [(Chain, "lastToPass", lambda self: self.serial), (Chain, "_copyFrom", _copiesNothingFromBehind)]),
+    ("damage told from a torn record", config.ConfigCase, "testADamagedLastRecordIsNotTakenForATornOne",
+     [(Journal, "_isTorn", staticmethod(lambda data, at: True)), (Chain, "_copyFrom", _copiesNothingFromBehind)]),
+    ("the shorter log copies from the longer", config.ConfigCase,
+     "testAHeadThatLostTheEndOfItsFileCopiesFromTheLongerOne", [(Chain, "_copyFrom", _copiesNothingFromBehind)]),
     ("key on each request", config.ConfigCase, "testARevokedKeyIsRefusedOnAKeptAliveConnection",
      [("swiftdeck.traffic.licence", "readDocument", None)]),
     ("no call to a draining worker", admission.AdmissionCase, "testConversationsOfADrainingWorkerMoveAndKeepTheirAdmission",
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -174,6 +174,7 @@
     view: int = bp.uint64_field(1)
     entries: list[ChainEntry] = bp.message_field(2)
     last: int = bp.uint64_field(3)
+    mustCopy: bool = bp.bool_field(4)
 
 
 @message
