A caller that half-closes its connection after a whole request gets its return

Cause: the end of a caller's sending closed the connection at once, and with it the call.

Ruled out: a request cut short (still code 100), and callers that are gone: the first bytes sent to them bring a reset. What is lost is the early notice of a caller that closes while its agent waits; its place is bounded by the wait.

Change: the end goes to h11, and the connection is closed after the last return. The simulated streams can half-close, and answer bytes for a closed end with a reset, as the kernel does.

Before: nothing came back; after: the whole return, then the end.

--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -113,13 +113,17 @@
             return
         if self.request is None and self.task is None and not self.conn.trailing_data[0]:
             self.rest(self.server.slowMs)
+        self.take(data)
+        if self.feed and self.feed.qsize() > 64 or self.task and len(self.conn.trailing_data[0]) > HEAD_LIMIT:
+            self.transport.pause_reading()
+
+    def take(self, data):
+        """Hand bytes, or none for the end, to h11, and handle what it has."""
         try:
             self.conn.receive_data(data)
             self.step()
         except h11.RemoteProtocolError as error:
             self.drop(BAD_REQUEST.because(str(error)), error.error_status_hint)
-        if self.feed and self.feed.qsize() > 64 or self.task and len(self.conn.trailing_data[0]) > HEAD_LIMIT:
-            self.transport.pause_reading()
 
     def step(self):
         """Handle what h11 has."""
@@ -151,6 +155,8 @@
                 request, self.request = self.request, None
                 self.task = self.loop.create_task(self.serve(request, b"".join(self.body)))
                 self.body = []
+            elif isinstance(event, h11.ConnectionClosed):
+                return self.transport.close()
             else:
                 return
 
@@ -234,7 +240,10 @@
         self.paused = None
 
     def eof_received(self):
-        return False
+        """The other side has said all it will; what it asked for whole still gets its return."""
+        if not self.dropping:
+            self.take(b"")
+        return self.task is not None and not self.dropping
 
     def abort(self):
         if self.transport and not self.gone:
--- a/swiftdeck/sim/cases/calls.py
+++ b/swiftdeck/sim/cases/calls.py
@@ -54,6 +54,32 @@
         self.assertEqual([each["wrong"] for each in got if each["wrong"]], [])
         self.sound(town)
 
+    def testACallerThatHalfClosesItsConnectionGetsItsReturn(self):
+        town, got = self.town(workers=1), bytearray()
+
+        class Sink(asyncio.Protocol):
+            def data_received(self, data):
+                got.extend(data)
+
+            def eof_received(self):
+                got.extend(b"<end>")
+
+        async def talk(body):
+            ip, _, port = town.site.routers[0]["http"].rpartition(":")
+            transport, _ = await asyncio.get_running_loop().create_connection(Sink, ip, int(port))
+            transport.write(b"POST /v1/calls HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-saga\r\n"
+                            b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+            transport.write_eof()
+            await asyncio.sleep(5)
+        town.world.do("callers", lambda: talk(b'{"model": "check", "parts": ["book", "x"], "stream": false}'))
+        self.assertIn(b'"end":true', got)
+        self.assertTrue(got.endswith(b"<end>"))
+        self.assertTrue(all(not town.up[name].http.open for name in town.routerNames()))
+        got.clear()
+        town.world.do("callers", lambda: talk(b'{"model": '))
+        self.assertIn(b'"code":100', got)
+        self.sound(town)
+
     def testMalformedForeignAndRepeatedPiecesNeverReachACaller(self):
         for quirk in ("malformed", "foreign", "repeat", "endless line"):
             town = self.town()
--- a/swiftdeck/sim/net.py
+++ b/swiftdeck/sim/net.py
@@ -14,7 +14,7 @@
         super().__init__({"sockname": local, "peername": remote})
         self.net, self.loop, self.local, self.remote = net, loop, local, remote
         self.protocol = self.other = None
-        self.closing = self.gone = self.readPaused = self.writePaused = False
+        self.closing = self.gone = self.readPaused = self.writePaused = self.eofSent = False
         self.inbox, self.outstanding, self.readyAt = [], 0, 0.0
 
     def get_protocol(self):
@@ -42,10 +42,12 @@
             self.protocol.pause_writing()
 
     def write_eof(self):
-        pass
+        if not self.closing and not self.eofSent:
+            self.eofSent = True
+            self._post(None)
 
     def can_write_eof(self):
-        return False
+        return True
 
     def _post(self, item):
         self.net.send(self, item)
@@ -53,7 +55,8 @@
     def close(self):
         if not self.closing:
             self.closing = True
-            self._post(None)
+            if not self.eofSent:
+                self._post(None)
             self.loop.call_soon(self._lost, None)
 
     def abort(self):
@@ -238,6 +241,9 @@
         def land():
             if not other.loop.dead and not other.gone:
                 other.loop.call_soon(self._arrive, other, item)
+            elif not other.loop.dead and isinstance(item, bytes) and not transport.gone and not transport.loop.dead:
+                self.world.at(self.delayS(b, a), lambda: None if transport.loop.dead else transport.loop.call_soon(
+                    self._arrive, transport, ConnectionResetError("reset by peer")))
         self.world.at(at - self.world.now, land)
 
     def _arrive(self, transport, item):
