--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -28,11 +28,11 @@
 class Chain:
     """One core's copy of the control state and its place in the chain."""
 
-    def __init__(self, folder, mesh, agreement, board, licenceMs=4000, rewriteBytes=1 << 20):
+    def __init__(self, folder, mesh, agreement, board, licenceMs=4000, rewriteBytes=1 << 20, **bounds):
         self.journal = Journal(folder, "chain.log")
         self.mesh, self.agreement, self.board = mesh, agreement, board
         self.licenceMs, self.rewriteBytes = licenceMs, rewriteBytes
-        self.state, self.serial, self.entries, self.synced = ChainState(), 0, {}, 0
+        self.state, self.serial, self.entries, self.synced = ChainState(**bounds), 0, {}, 0
         self.fault, self.needsCopy, self.mustCompare = None, False, False
         self.wholeIn, self.lastIn, self.wholeSinceS = 0, 0, 0.0
         self.incoming, self.committers, self.holders = [], [], {}
@@ -329,7 +329,7 @@
             return OLD_VIEW.because(f"{got.serial} entries there, {self.serial} here")
         self.board.count["copiesFromBehind"] += above >= 0
         try:
-            fresh = ChainState()
+            fresh = ChainState(self.state.keepMs, self.state.claimsMost)
             fresh.onConfig = self.state.onConfig
             fresh.fromBytes(got.state)
             await self.journal.rewrite([{"k": "state", "n": got.serial, "state": got.state}])
--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -40,6 +40,8 @@
     placesWeighed: Annotated[int, msgspec.Meta(ge=1, le=16)] = 3
     budgetShare: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
     budgetExtra: Annotated[int, msgspec.Meta(ge=0, le=1000)] = 3
+    claimKeepMs: Annotated[int, msgspec.Meta(ge=60000, le=30 * 86400000)] = 86400000
+    claimsMost: Annotated[int, msgspec.Meta(ge=1000, le=10000000)] = 200000
     callsOpen: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 2000
     bodyBytes: Annotated[int, msgspec.Meta(ge=1024, le=64 << 20)] = 4 << 20
     partsMost: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 2000
--- a/swiftdeck/sim/cases/calls.py
+++ b/swiftdeck/sim/cases/calls.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from swiftdeck.bench.checker import check
-from swiftdeck.fault import (CLAIMED, STALE_LIST, TIMED_OUT, UNKNOWN_KEY, WORKER_BAD, WORKER_HANGS, WORKER_LOST)
+from swiftdeck.fault import (CLAIM_LEFT, CLAIMED, STALE_LIST, TIMED_OUT, UNKNOWN_KEY, WORKER_BAD, WORKER_HANGS, WORKER_LOST)
 from swiftdeck.http.client import connect
 from swiftdeck.sim.town import Town
 from swiftdeck.traffic.call import Call
@@ -38,6 +38,43 @@
         self.assertEqual(len(self.runs(town)), 1)
         self.sound(town)
 
+    def testACallerToldNotRunIsServedAtAnyRouterWithTheSameKey(self):
+        for isGranted, isCut in ((False, False), (False, True), (True, False), (True, True)):
+            town, look = self.town(routers=3, workers=1, speed=1.0), Call._mayBeSent
+            keeper = town.keeper()
+            name = next(each for each in town.routerNames() if each != keeper)
+            first, other = town.addresses[name]["http"], town.addresses[keeper]["http"]
+            self.assertEqual(town.change("PATCH", {"models": {"screener": {"cap": 1}}, "routes": {"check": {"waitMs": 900}}})[0], 200)
+            busy = town.spawn(lambda: town.caller.call("oita", "check", ["b", "long"], isLast=True, door=other,
+                                                       maxTokens=1 if isGranted else 300))
+            town.world.run(0.8 if isGranted else 0.3)
+
+            def fails(call, leg):
+                return STALE_LIST if call.router is town.up[name] else look(call, leg)
+            with mock.patch.object(Call, "_mayBeSent", fails):
+                box = town.spawn(lambda: town.caller.call("saga", "check", ["b", "x"], idempotency="bill", door=first))
+                town.world.run(0.5)
+                if isCut:
+                    ip = town.addresses[name]["inner"].rpartition(":")[0]
+                    town.world.net.cut([ip], [node["inner"].rpartition(":")[0] for node in town.site.cores])
+                town.world.run(until=lambda: box, limitS=5)
+            got = box[0]
+            if isCut:
+                town.world.kill(name, silent=True)
+                town.world.run(until=lambda: busy, limitS=10)
+            back = town.call("saga", "check", ["b", "x"], idempotency="bill", door=other)
+            for _ in range(10):
+                if back["code"] in (0, CLAIMED.code):
+                    break
+                town.world.run(1)
+                back = town.call("saga", "check", ["b", "x"], idempotency="bill", door=other)
+            self.assertEqual(got["notRun"], not (isGranted and isCut), got)
+            self.assertEqual(got["code"] == CLAIM_LEFT.code, isGranted and isCut)
+            self.assertTrue(got["retryAfter"])
+            if got["notRun"]:
+                self.assertEqual((back["code"], back["whole"]), (0, True), (isGranted, isCut))
+            self.sound(town)
+
     def testAWorkerThatDiesMidwayEndsAOnceOnlyStreamWithoutASecondRun(self):
         town = self.town()
         self.quirk(town, "die midway")
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from swiftdeck.fault import (BAD_REQUEST, BAD_RETURN, HORIZON, NO_KEEPER, NO_LICENCE, STALE_LIST, UNREACHED, WAITED_OUT,
+from swiftdeck.fault import (BAD_REQUEST, BAD_RETURN, CLAIM_LEFT, HORIZON, NO_CLAIM, NO_KEEPER, NO_LICENCE, STALE_LIST, UNREACHED, WAITED_OUT,
                              WORKER_BAD, WORKER_HANGS, WORKER_LOST, WORKER_REFUSED, isFault)
 from swiftdeck.http.client import connect, fetchJson
 from swiftdeck.traffic.ledger import Leg, Ledger, Move, nextMove
@@ -16,6 +16,7 @@
 
 SLICE_MS = 700
 AGAIN_MS = 2000
+CLAIM_MS, RELEASE_MS = 700, 500
 
 
 class CallBody(msgspec.Struct):
@@ -43,7 +44,7 @@
                              self.nowMs() + route.horizonMs)
         self.isLast = exchange.headers.get("conversation-end", "") not in ("", "0", "false")
         self.conversation, self.avoid, self.pieces, self.begun = "", [], [], False
-        self.wasGranted = False
+        self.wasGranted, self.claiming, self.released = False, None, None
         self.chain, self.weights, self.link = [], "", None
 
     def nowMs(self):
@@ -69,9 +70,10 @@
     def _settle(self):
         if self.link:
             self.link.close()
-        if self.ledger.claim is True:
-            (self.router.claims.finish if self.ledger.sent() else self.router.claims.release)(
-                self.claimKey, self.name, self.digest)
+        if self.ledger.sent() and self.claimKey:
+            self.router.claims.finish(self.claimKey, self.name, self.digest)
+        else:
+            self._release()
         leg = self.ledger.legs[-1] if self.ledger.legs else None
         if leg and leg.grant is None and (leg.fault is None or leg.fault.code == WAITED_OUT.code):
             self.router.tellKeeper(self.route.model, GrantDrop(call=self.name, model=self.route.model))
@@ -82,9 +84,33 @@
         if leg and leg.grant is not None and self.name in self.router.running:
             self.router.legEnded(self, leg)
 
+    def _release(self):
+        """Give up the key of a call that was never sent."""
+        if self.claiming is not None and self.released is None and not isFault(self.ledger.claim):
+            self.released = self.router.claims.release(self.claimKey, self.name, self.digest)
+
     async def _claim(self):
+        """Claim the key for the leg that was granted; a slot does not stand empty for long while the chain is mended."""
+        leg = self.ledger.legs[-1]
+        self.claiming = self.claiming or self.router.claims.claim(self.claimKey, self.name, self.digest)
+        await asyncio.wait([self.claiming], timeout=CLAIM_MS / 1000)
+        if self.claiming.done():
+            self.ledger.claim = self.claiming.result()
+        if self.ledger.claim is not True:
+            leg.fault = NO_CLAIM
+            self._closeLeg()
+            leg.grant = None
+            self.router.board.count["slotsHandedBack"] += 1
+
+    async def _mayClaim(self):
+        """Whether a grant is worth asking for: none is while the chain keeps claims waiting."""
         untilS = self.ledger.waitUntilMs / 1000
-        self.ledger.claim = await self.router.claims.claim(self.claimKey, self.name, self.digest, untilS)
+        if not self.claimKey or self.ledger.claim is True:
+            return True
+        if self.claiming is not None:
+            await asyncio.wait([self.claiming], timeout=max(0.001, untilS - self.loop.time()))
+            return self.claiming.done()
+        return await self.router.claims.ready(untilS)
 
     async def _nominate(self):
         last = self.ledger.legs[-1] if self.ledger.legs else None
@@ -98,6 +124,9 @@
             leg.fault = NO_LICENCE
             return
         self.held = self.router.licence.held
+        if not await self._mayClaim():
+            leg.fault = NO_CLAIM
+            return
         model = self.held.document.models.get(self.route.model)
         tenant = self.held.document.tenants.get(self.tenant)
         if model is None or tenant is None:
@@ -268,6 +297,14 @@
         lead = f"event: {name}\n".encode() if name else b""
         await self.exchange.piece(lead + b"data: " + msgspec.json.encode(body) + b"\n\n")
 
+    async def _promised(self, fault):
+        """A call that comes back with its key must find it free, or no promise is given; at once, either way."""
+        self._release()
+        if self.released is None:
+            return fault
+        await asyncio.wait([self.released], timeout=RELEASE_MS / 1000)
+        return fault if self.released.done() else CLAIM_LEFT.because(fault.reason or fault.name, fault.retryMs or None)
+
     async def _end(self, move, fault):
         leg = self.ledger.legs[-1] if self.ledger.legs else None
         self._closeLeg()
@@ -281,6 +318,8 @@
             self._begin()
             await self._event(body)
             return self.exchange.finish()
+        if fault.notRun:
+            fault = await self._promised(fault)
         self.router.board.count[f"faults.{fault.code}"] += 1
         self.router.decisions.add("final", call=self.name, tenant=self.tenant, code=fault.code, why=fault.name)
         if self.begun:
--- a/swiftdeck/traffic/claims.py
+++ b/swiftdeck/traffic/claims.py
@@ -1,51 +1,56 @@
 """Once-only claims of a router, written through the chain in batches."""
 import asyncio
 
-from swiftdeck.chain.state import CLAIM, FINISH, RELEASE
+from swiftdeck.chain.state import CLAIM, FINISH, FULL, RELEASE
 from swiftdeck.fault import CLAIMED, NO_CLAIM, isFault
 
-BATCH = 200
+BATCH, STALL_S, AGAIN_S = 200, 0.3, 0.3
 
 
 class Claims:
-    """One batch is under way at a time; what comes meanwhile makes the next."""
+    """One batch is under way at a time; what comes meanwhile makes the next, and what failed is asked again."""
 
     def __init__(self, router, scribe, random, board):
         self.router, self.scribe, self.random, self.board = router, scribe, random, board
-        self.waiting = []
+        self.waiting, self.writing, self.sinceS = [], None, 0.0
 
     def start(self):
         """Go on writing batches."""
-        self.kick = asyncio.Event()
+        self.loop, self.kick = asyncio.get_running_loop(), asyncio.Event()
         self.task = asyncio.ensure_future(self._writing())
 
     def _put(self, key, run, digest, op):
-        done = asyncio.get_running_loop().create_future()
+        done = self.loop.create_future()
         self.waiting.append(([key, run, digest, op], done))
         self.kick.set()
         return done
 
-    async def claim(self, key: str, run: str, digest: str, untilS: float):
-        """True when the key is now held by this run; a fault otherwise, with what is known."""
-        loop = asyncio.get_running_loop()
-        done = self._put(key, run, digest, CLAIM)
-        await asyncio.wait([done], timeout=max(0.01, untilS - loop.time()))
-        if not done.done():
-            done.add_done_callback(lambda _: self.release(key, run, digest))
-            return NO_CLAIM.because("chain gave no outcome in time")
-        got = done.result()
-        if isFault(got):
-            self.release(key, run, digest)
-            return NO_CLAIM.because(got.reason or got.name)
-        return CLAIMED.because(f"state: {got}") if got else True
+    def claim(self, key: str, run: str, digest: str):
+        """A future: true when the key is held by this run, or the fault that says why it never will be."""
+        return self._put(key, run, digest, CLAIM)
 
     def finish(self, key: str, run: str, digest: str):
         """Say that the run is over."""
         self._put(key, run, digest, FINISH)
 
     def release(self, key: str, run: str, digest: str):
-        """Give the key up, as nothing was sent under it."""
-        self._put(key, run, digest, RELEASE)
+        """Give the key up, as nothing was sent under it; the future is done when the key is free for others."""
+        asked = next((each for each in self.waiting if each[0] == [key, run, digest, CLAIM]), None)
+        if asked is None:
+            return self._put(key, run, digest, RELEASE)
+        self.waiting.remove(asked)
+        asked[1].set_result(NO_CLAIM)
+        return asked[1]
+
+    async def ready(self, untilS) -> bool:
+        """Wait while the chain keeps a batch waiting, but no longer than given; whether claims go through."""
+        while self.writing and self.loop.time() - self.sinceS > STALL_S:
+            leftS = untilS - self.loop.time()
+            if leftS <= 0:
+                return False
+            await asyncio.wait([self.writing], timeout=leftS)
+            await asyncio.sleep(0)
+        return True
 
     async def _writing(self):
         while True:
@@ -53,18 +58,25 @@
             self.kick.clear()
             while self.waiting:
                 batch, self.waiting = self.waiting[:BATCH], self.waiting[BATCH:]
+                self.writing, self.sinceS = self.loop.create_future(), self.loop.time()
                 await self._write(batch)
+                self.writing.set_result(None)
+                self.writing = None
 
     async def _write(self, batch):
-        name = f"batch/{self.router}/{self.random.getrandbits(64):x}"
-        got = await self.scribe.write(name, {"t": "claims", "ops": [op for op, _ in batch]}, 8000)
-        self.board.count["claimBatches"] += 1
-        if not isFault(got) and len(got.results) == len(batch):
-            [done.set_result(result) for (_, done), result in zip(batch, got.results) if not done.done()]
-            return
-        fault = got if isFault(got) else NO_CLAIM
-        for (key, run, digest, op), done in batch:
-            if op == CLAIM and not done.done():
-                done.set_result(fault)
-            elif op != CLAIM:
-                asyncio.get_running_loop().call_later(1.0, self._put, key, run, digest, op)
+        got, name = NO_CLAIM, f"batch/{self.router}/{self.random.getrandbits(64):x}"
+        while isFault(got) or len(got.results) != len(batch):
+            got = await self.scribe.write(name, {"t": "claims", "ops": [op for op, _ in batch]}, 8000)
+            self.board.count["claimBatches"] += 1
+            if isFault(got):
+                self.board.count["claimBatchesAgain"] += 1
+                await asyncio.sleep(AGAIN_S)
+        for (op, done), result in zip(batch, got.results):
+            if not done.done():
+                done.set_result(self._told(result) if op[3] == CLAIM else True)
+
+    @staticmethod
+    def _told(result):
+        if result == FULL:
+            return NO_CLAIM.because("as many keys are remembered as may be")
+        return CLAIMED.because(f"state: {result}") if result else True
