An old list of workers stands for nobody, not even for a blind majority

Cause: a majority of routers that could not read the platform went on with its last list, although the platform may be showing a drain to the routers on the other side of a cut.

Ruled out: taking a refused connection for proof that nothing newer is shown (it may have been shown just before); asking neighbours (they may be on the same side).

--- a/swiftdeck/sim/cases/mutations.py
+++ b/swiftdeck/sim/cases/mutations.py
@@ -70,6 +70,10 @@
     return GrantAsk(**fields | {"wasGranted": False})
 
 
+async def _asIs(self, fault):
+    return fault
+
+
 def _anyBase(self, change, examine=ChainState.examine):
     return examine(self, change | ({"base": self.stored.version} if change["t"] == "config" else {}))
 
@@ -127,6 +131,11 @@
      [("swiftdeck.traffic.licence", "readDocument", None)]),
     ("no call to a draining worker", admission.AdmissionCase, "testConversationsOfADrainingWorkerMoveAndKeepTheirAdmission",
      [(WorkerList, "mayTake", lambda self, name: name in self.workers), (Keeper, "onWorkers", lambda self: None)]),
+    ("an old list stands for nobody", calls.CallsCase,
+     "testAMajorityBehindACutDoesNotObeyItsOldListWhileTheOthersAreShownADrain",
+     [(WorkerList, "isFresh", lambda self: bool(self.body))]),
+    ("claims in their own time", calls.CallsCase, "testACallerToldNotRunIsServedAtAnyRouterWithTheSameKey",
+     [(Call, "_promised", _asIs)]),
     ("cap", admission.AdmissionCase, "testStartsFromManyRoutersAtOnceNeverPassTheCap", [(Book, "hasRoom", lambda self: True)]),
     ("open conversations gathered", admission.AdmissionCase, "testANewKeeperCountsOpenConversationsBeforeItGrantsAStart",
      [(Keeper, "_gather", _gathersNothing)]),
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -313,7 +313,7 @@
             "view": {"number": view.number, "members": [ref.addr for ref in view.members],
                      "voters": [ref.addr for ref in view.voters]},
             "version": held.version if held else 0, "licence": self.licence.isHeld(),
-            "list": {"ageMs": self.workers.ageMs(), "fresh": self.workers.isFresh(), "standing": self.workers.isStanding,
+            "list": {"ageMs": self.workers.ageMs(), "fresh": self.workers.isFresh(),
                      "workers": [msgspec.to_builtins(worker) for worker in self.workers.workers.values()]},
             "keepers": {model: {"term": term, "addr": addr} for model, (term, addr) in self.known.items()},
             "keeps": [keeper.status() for keeper in self.keepers.values() if keeper.duty.isHeld()],
--- a/swiftdeck/traffic/workers.py
+++ b/swiftdeck/traffic/workers.py
@@ -35,7 +35,7 @@
         self.platform, self.mesh, self.membership, self.board = platform, mesh, membership, board
         self.listMs, self.oldMs = listMs, oldMs
         self.workers, self.readS, self.body = {}, -1e9, b""
-        self.isStanding, self.watchers = False, []
+        self.watchers = []
         mesh.on(ListAsk, self.onListAsk)
 
     def start(self):
@@ -49,7 +49,7 @@
 
     def isFresh(self) -> bool:
         """Whether legs may be sent by the list."""
-        return self.ageMs() <= self.oldMs or bool(self.body) and self.isStanding
+        return self.ageMs() <= self.oldMs
 
     def mayTake(self, name) -> bool:
         """Whether a worker is listed, not draining, and the list fresh enough to say so."""
@@ -71,8 +71,6 @@
                 self._take(msgspec.json.encode(got[1]), startS)
             if self.ageMs() > self.oldMs / 2:
                 await self._throughOthers()
-            else:
-                self.isStanding = False
             self.board.put("list", "fresh" if self.isFresh() else "old")
             await asyncio.sleep(max(0.05, self.listMs / 1000 - (self.loop.time() - startS)))
 
@@ -84,9 +82,6 @@
         for each in sorted(heard, key=lambda each: each.ageMs)[:1]:
             if each.body and sentS - each.ageMs / 1000 > self.readS:
                 self._take(each.body, sentS - each.ageMs / 1000)
-        names = {each.member.name for each in self.membership.known.values() if each.member.role == "router"}
-        blind = 1 + sum(each.ageMs > self.oldMs for each in heard)
-        self.isStanding = self.ageMs() > self.oldMs and blind * 2 > len(names) + 1
 
     def _take(self, body, readS):
         try:
