A new keeper takes the waiting agents in the order in which they have waited

Cause: questions that came while a new keeper gathered the open conversations looked every 50 ms whether it was ready, each in its own phase, so the first to look got the first slot; the time waited counted only within one tenant's line.

Ruled out: the line itself (it sorts by the time waited), and keeping lines at a second process (the questions bring all that is needed).

Change: such questions wait for one wakeup and are then taken by the time that their agents have waited, tenants in turn as before; a router asks again without a pause while a keeper gathers.

The case failed first; the removal is checked.

--- a/swiftdeck/fault.py
+++ b/swiftdeck/fault.py
@@ -91,7 +91,7 @@
 HANDLER_FAILED = _fault(404, "internal fault", 500)
 OLD_TERM = _fault(500, "term is not the newest", 409)
 NOT_KEEPER = _fault(501, "not the keeper of the model", 409, retryMs=200)
-RECOVERING = _fault(503, "keeper still gathers open conversations", 503, retryMs=300)
+RECOVERING = _fault(503, "keeper still gathers open conversations", 503, retryMs=10)
 BAD_SETTING = _fault(600, "setting is invalid", 400)
 BAD_RETURN = _fault(601, "back end sent something malformed", 502)
 
--- a/swiftdeck/sim/cases/admission.py
+++ b/swiftdeck/sim/cases/admission.py
@@ -147,6 +147,27 @@
             self.assertTrue(not start or not start[0]["whole"], how)
             self.assertFalse(any(running), how)
 
+    def testTheLineOfALostKeeperStandsAnewInTheOrderOfWaiting(self):
+        for seed in (1, 2, 3):
+            town = self.town(seed, cap=1, routers=4, idleMs=60000, pauseMs=60000)
+            self.assertEqual(town.change("PATCH", {"routes": {"check": {"waitMs": 40000}}})[0], 200)
+            old = town.keeper()
+            doors = [town.addresses[name]["http"] for name in town.routerNames() if name != old]
+            long = town.spawn(lambda: town.caller.call("saga", "check", ["b", "long"], isLast=True,
+                                                       maxTokens=4800, door=doors[0]))
+            town.world.run(1)
+            order = ["chikugo", "hitoyoshi", "kumamoto", "miyazaki", "nagasaki", "oita"]
+            for at, tenant in enumerate(order):
+                town.spawn(lambda tenant=tenant, at=at: town.caller.call(tenant, "check", ["b", tenant], isLast=True,
+                                                                         door=doors[at % 3]))
+                town.world.run(0.23)
+            town.world.kill(old)
+            self.assertTrue(town.world.run(until=lambda: len([1 for item in town.records if item["kind"] == "run"]) == 7, limitS=60))
+            self.assertTrue(long[0]["whole"])
+            tenants = [item["tenant"] for item in town.records if item["kind"] == "run"][1:]
+            self.assertEqual(tenants, order)
+            self.sound(town)
+
     def testAPlaceLostBetweenTwoQuestionsIsTakenAnew(self):
         town = self.town(cap=1, workers=2, lineMax=1, idleMs=60000, pauseMs=60000)
         keeper = town.keeper()
--- a/swiftdeck/sim/cases/mutations.py
+++ b/swiftdeck/sim/cases/mutations.py
@@ -1,4 +1,5 @@
 """Each mechanism taken out in turn: the case that guards it must fail without it."""
+import asyncio
 import contextlib
 import json
 import unittest
@@ -74,6 +75,13 @@
     return fault
 
 
+async def _polls(self, sinceS, waitS):
+    endS = self.loop.time() + waitS
+    while not self._isReady() and self.loop.time() < endS:
+        await asyncio.sleep(0.05)
+    return self._isReady()
+
+
 def _anyBase(self, change, examine=ChainState.examine):
     return examine(self, change | ({"base": self.stored.version} if change["t"] == "config" else {}))
 
@@ -136,6 +144,8 @@
      [(WorkerList, "isFresh", lambda self: bool(self.body))]),
     ("claims in their own time", calls.CallsCase, "testACallerToldNotRunIsServedAtAnyRouterWithTheSameKey",
      [(Call, "_promised", _asIs)]),
+    ("who waited longest before a new keeper", admission.AdmissionCase,
+     "testTheLineOfALostKeeperStandsAnewInTheOrderOfWaiting", [(Keeper, "_gathered", _polls)]),
     ("cap", admission.AdmissionCase, "testStartsFromManyRoutersAtOnceNeverPassTheCap", [(Book, "hasRoom", lambda self: True)]),
     ("open conversations gathered", admission.AdmissionCase, "testANewKeeperCountsOpenConversationsBeforeItGrantsAStart",
      [(Keeper, "_gather", _gathersNothing)]),
--- a/swiftdeck/traffic/keeper.py
+++ b/swiftdeck/traffic/keeper.py
@@ -25,7 +25,7 @@
         self.settings, self.membership, self.mesh = router.settings, router.membership, router.mesh
         self.duty = Duty(f"keeper/{model}", router.me, router.mesh, router.news, router.chart, router.random,
                          router.settings.dutyLicenceMs, router.board)
-        self.term = 0
+        self.term, self.arrivals = 0, []
         self.clear()
 
     def clear(self):
@@ -89,6 +89,8 @@
             if all(got) or self.loop.time() > endS:
                 self.readyTerm = term
                 self.board.count["takeovers"] += 1
+                arrivals, self.arrivals = sorted(self.arrivals, key=lambda each: each[0]), []
+                [done.set_result(None) for _, done in arrivals if not done.done()]
                 self.router.decisions.add("keeper", model=self.model, term=term, open=len(self.conversations))
                 return
             await asyncio.sleep(0.1)
@@ -210,10 +212,8 @@
         """Grant a leg now, after a wait in line, or not at all."""
         startS = self.loop.time()
         waitS = ask.waitMs / 1000
-        while not self._isReady():
-            if not self.duty.isHeld() and self.duty.term == self.term or self.loop.time() - startS > waitS:
-                return NOT_KEEPER if not self.duty.isHeld() else RECOVERING
-            await asyncio.sleep(0.05)
+        if not self._isReady() and not await self._gathered(startS - ask.waitedMs / 1000, waitS):
+            return RECOVERING if self.duty.isHeld() else NOT_KEEPER
         config = self.config()
         if config is None or ask.weights != config.weights or not self.router.licence.isHeld():
             self.router.licence.kick.set()
@@ -231,6 +231,15 @@
             [self._pump(book) for book in list(self.books.values()) if book.line.first() is waiting]
         return await self._waited(waiting, waiting.done, startS + waitS)
 
+    async def _gathered(self, sinceS, waitS):
+        """Wait until the books are gathered; who has waited longest then goes first."""
+        arrival = (sinceS, self.loop.create_future())
+        self.arrivals.append(arrival)
+        await asyncio.wait([arrival[1]], timeout=waitS)
+        if arrival in self.arrivals:
+            self.arrivals.remove(arrival)
+        return self._isReady()
+
     async def _waited(self, waiting, done, endS):
         """One slice of a wait; the place in line outlasts it, so that a grant is never older than its question."""
         try:
