A freeze between grant, look and write lets nothing old reach a worker

Cause: three gaps around a freeze. (1) A router that woke told its grants to the keeper with its next hold; the keeper took a leg that had never been sent for a running one, counted it over the cap and so revived a grant whose slot had long been given to another. (2) The age of a grant had no case. (3) A process frozen between its last look and its write sent the request when it woke, to a worker that had been draining for seconds.

Ruled out: the time-outs on waking (a result that is there before the timer wins), and the worker's refusal of other weights (it knows nothing of drains).

Change: a hold says which legs were sent; only these are taken up again, and the return names the legs that the keeper no longer knew, whose grants then grow old. The workers' protocol asks a worker to close a connection on which no whole request came within half a second; the stand-in does. In the simulation a frozen process writes when it wakes.

Before: in each of the three, one run too many after the thaw; after: none. All failed first; removals of the age, of the return of the hold and of the worker's bound are checked.

--- a/swiftdeck/bench/worker.py
+++ b/swiftdeck/bench/worker.py
@@ -9,6 +9,7 @@
 from swiftdeck.http.server import HttpServer
 from swiftdeck.traffic.prefix import chainOf
 
+LATE_MS = 500
 MARKER = re.compile(r"\[\[([^\]]*)\]\]")
 
 
@@ -23,7 +24,7 @@
         self.computed = self.hitTokens = 0
         self.quirk, self.linkS, self.tokensPerChar = "", 0.0, 0.25
         self.engine = None
-        self.http = HttpServer(self.handle, bodyLimit=16 << 20)
+        self.http = HttpServer(self.handle, bodyLimit=16 << 20, idleMs=LATE_MS, slowMs=LATE_MS)
 
     async def start(self):
         """Listen."""
--- a/swiftdeck/sim/cases/admission.py
+++ b/swiftdeck/sim/cases/admission.py
@@ -5,6 +5,7 @@
 from swiftdeck.bench.checker import check
 from swiftdeck.fault import LINE_FULL, WAITED_OUT
 from swiftdeck.sim.town import Town
+from swiftdeck.traffic.claims import Claims
 
 
 class AdmissionCase(unittest.TestCase):
@@ -231,6 +232,40 @@
         town.world.run(until=lambda: late and long, limitS=90)
         self.sound(town)
 
+    def testAGrantThatOutlivedAFreezeIsNotActedOn(self):
+        for isClaimed in (False, True):
+            self.freezeAfterAGrant(isClaimed)
+
+    def freezeAfterAGrant(self, isClaimed):
+        town = self.town(cap=1, routers=4, idleMs=200, pauseMs=100, listOldMs=20000)
+        keeper = town.keeper()
+        name, other = [each for each in town.routerNames() if each != keeper][:2]
+        ask, held = Claims.claim, []
+
+        def freezes(claims, *what):
+            got = ask(claims, *what)
+            if claims is town.up[name].claims and not held:
+                held.append(name)
+                (got.add_done_callback if isClaimed else town.world.loops[name].call_soon)(lambda *_: town.world.freeze(name))
+            return got
+
+        def runs():
+            return len([item for item in town.records if item["kind"] == "run"])
+        with mock.patch.object(Claims, "claim", freezes):
+            late = town.spawn(lambda: town.caller.call("oita", "check", ["b", "y"], idempotency="k", maxTokens=3200,
+                                                       door=town.addresses[name]["http"]))
+            town.world.run(6)
+            long = town.spawn(lambda: town.caller.call("saga", "check", ["b", "z"], maxTokens=3200,
+                                                       door=town.addresses[other]["http"]))
+            town.world.run(1)
+            self.assertEqual(runs(), 1)
+            town.up[name].licence.untilS += 20
+            town.world.thaw(name)
+            town.world.run(1)
+            self.assertEqual(runs(), 1, isClaimed)
+            town.world.run(until=lambda: late and long, limitS=90)
+        self.sound(town)
+
     def testConversationsOfADrainingWorkerMoveAndKeepTheirAdmission(self):
         town = self.town(cap=2, workers=2, idleMs=60000, pauseMs=60000)
         talks = []
--- a/swiftdeck/sim/cases/calls.py
+++ b/swiftdeck/sim/cases/calls.py
@@ -313,6 +313,29 @@
         self.assertEqual((got["code"], got["notRun"], len(self.runs(town))), (STALE_LIST.code, True, 0))
         self.sound(town)
 
+    def testWhatAProcessFrozenBetweenItsLookAndItsWriteSendsLaterIsNoRun(self):
+        town, look, frozen = self.town(routers=3, workers=2), Call._mayBeSent, []
+        name = next(each for each in town.routerNames() if each != town.keeper())
+
+        def freezes(call, leg):
+            got = look(call, leg)
+            if call.router is town.up[name] and not frozen:
+                frozen.append(leg.grant.worker)
+                town.world.freeze(name)
+            return got
+        with mock.patch.object(Call, "_mayBeSent", freezes):
+            late = town.spawn(lambda: town.caller.call("saga", "tag", ["a", "b"], door=town.addresses[name]["http"]))
+            town.world.run(1)
+
+            async def drain():
+                town.up["platform"].drain(frozen[0])
+            town.world.do("platform", drain)
+            town.world.run(8)
+            town.world.thaw(name)
+            town.world.run(until=lambda: late, limitS=30)
+        self.assertNotIn(frozen[0], [item["who"] for item in self.runs(town)])
+        self.sound(town)
+
     def testAFrozenRouterWakesAndSendsNothingOld(self):
         town = self.town(routers=2, workers=1)
         town.change("PATCH", {"models": {"screener": {"cap": 1}}})
--- a/swiftdeck/sim/net.py
+++ b/swiftdeck/sim/net.py
@@ -35,6 +35,9 @@
     def write(self, data):
         if self.closing or not data:
             return
+        if self.loop.frozen:
+            self.loop.held.insert(0, asyncio.Handle(self.write, (bytes(data),), self.loop))
+            return
         self.outstanding += len(data)
         self._post(bytes(data))
         if self.outstanding > HIGH_WATER and not self.writePaused:
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -190,6 +190,7 @@
             if leg.fault is None:
                 self.router.board.count["legsSent"] += 1
                 leg.wasSent = True
+                self.router.legSent(leg)
                 leg.fault = await self._runAtWorker(leg)
                 if leg.fault is not None:
                     self.router.board.count["legsFailed"] += 1
--- a/swiftdeck/traffic/keeper.py
+++ b/swiftdeck/traffic/keeper.py
@@ -10,7 +10,7 @@
 from swiftdeck.traffic.index import PrefixIndex
 from swiftdeck.traffic.line import Waiting
 from swiftdeck.traffic.ring import Ring
-from swiftdeck.wire.messages import GrantReturn, OpenAsk
+from swiftdeck.wire.messages import GrantReturn, HoldReturn, OpenAsk
 
 
 WAIT_FORGOTTEN_S = 2.0
@@ -119,7 +119,7 @@
         found.idleSinceS = max(found.idleSinceS, idleSinceS)
         if told.last not in found.lasts:
             self._remember(found, told.last)
-        if told.call:
+        if told.call and told.isSent:
             found.running[told.call] = (addr, nowS)
             self._seen(addr)
 
@@ -476,7 +476,7 @@
         known = {call for each in self.conversations.values() for call, (addr, _) in each.running.items() if addr == sender}
         if theirs - known:
             await self._gather(sender, self.term)
-        return None
+        return HoldReturn(lost=sorted(theirs - known))
 
     def status(self):
         """The books in their outward form."""
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -18,7 +18,7 @@
 from swiftdeck.traffic.keeper import Keeper
 from swiftdeck.traffic.licence import ConfigLicence
 from swiftdeck.traffic.workers import WorkerList
-from swiftdeck.wire.messages import GrantAsk, GrantDrop, Hold, LegEnd, OpenAsk, OpenConversation, OpenReturn
+from swiftdeck.wire.messages import GrantAsk, GrantDrop, Hold, HoldReturn, LegEnd, OpenAsk, OpenConversation, OpenReturn
 
 
 @attrs.define
@@ -38,6 +38,7 @@
     told: OpenConversation
     model: str
     idleSinceS: float
+    isStart: bool = False
 
 
 class Router(Node):
@@ -133,9 +134,15 @@
         told = OpenConversation(conversation=grant.conversation, tenant=call.tenant, group=call.group,
                                 worker=grant.worker, last=call.chain[-1], parts=len(call.chain), call=call.name,
                                 weights=call.weights, leg=leg.number)
-        self.served[grant.conversation] = Served(told, model, self.loop.time())
+        self.served[grant.conversation] = Served(told, model, self.loop.time(), grant.isStart)
         return None
 
+    def legSent(self, leg):
+        """A byte of a leg may have gone out: its conversation is open here, whatever the keeper knows."""
+        served = self.served.get(leg.grant.conversation)
+        if served:
+            served.told.isSent, served.isStart = True, False
+
     def isGrantValid(self, name) -> bool:
         """Whether a grant may still be acted on: its time counts from the question, or from the newest hold."""
         running = self.running.get(name)
@@ -148,6 +155,8 @@
         served = self.served.get(leg.grant.conversation)
         if served:
             served.idleSinceS = self.loop.time()
+            if served.isStart and not leg.wasSent:
+                del self.served[leg.grant.conversation]
             if served.told.call == call.name:
                 served.told.call = ""
         usage = call.usage if leg.isWhole else {}
@@ -193,7 +202,7 @@
         for name, served in list(self.served.items()):
             if not served.told.call and nowS - served.idleSinceS > idleS:
                 del self.served[name]
-            elif served.model == ask.model:
+            elif served.model == ask.model and (served.told.isSent or not served.told.call or not served.isStart):
                 served.told.idleMs = 0 if served.told.call else int((nowS - served.idleSinceS) * 1000)
                 told.append(served.told)
         return OpenReturn(conversations=told)
@@ -217,7 +226,9 @@
         got = await (self.onHold(hold, self.me.addr) if keeper[1] == self.me.addr else
                      self.mesh.ask(keeper[1], hold, 1000))
         if not isFault(got):
-            for running in [self.running[name] for name in calls if name in self.running]:
+            lost = set(got.lost) if isinstance(got, HoldReturn) else set()
+            self.board.count["grantsLapsed"] += len(lost)
+            for running in [self.running[name] for name in calls if name in self.running and name not in lost]:
                 running.askedS = max(running.askedS, sentS) if running.term == keeper[0] else running.askedS
 
     async def handle(self, exchange):
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -362,6 +362,7 @@
     weights: str = bp.string_field(9)
     leg: int = bp.uint32_field(10)
     turns: int = bp.uint32_field(11)
+    isSent: bool = bp.bool_field(12)
 
 
 @message
@@ -384,6 +385,11 @@
     term: int = bp.uint64_field(4)
 
 
+@message
+class HoldReturn(Wire):
+    lost: list[str] = bp.string_field(1)
+
+
 KINDS = {
     1: FaultReturn, 2: Done, 3: Member, 4: Probe, 5: ProbeReturn, 6: Roster, 7: NewsItem, 8: News, 9: NewsDigest,
     10: View, 11: Prepare, 12: Promise, 13: Accept, 14: Decided, 15: ViewAsk, 16: ViewReturn, 17: ViewLicenceAsk,
@@ -391,6 +397,7 @@
     26: WriteReturn, 27: OutcomeAsk, 28: OutcomeReturn, 29: ConfigAsk, 30: ConfigReturn, 31: LicenceAsk,
     32: LicenceReturn, 33: Relay, 34: Nudge, 40: Nominate, 41: Vote, 50: ListAsk,
     51: ListReturn, 60: GrantAsk, 61: GrantReturn, 62: LegEnd, 63: GrantDrop, 64: OpenAsk, 65: OpenReturn, 66: Hold,
+    67: HoldReturn,
 }
 NUMBERS = {cls: number for number, cls in KINDS.items()}
 
