An open conversation keeps its admission under new weights

Cause: a conversation was known again by the names of its prefixes, which hold the weights. After new weights were named each open conversation was taken for a new one: it waited in line while its old entry held the slot until it had idled out.

Ruled out: the slots (the old entries do end), and the rule on old weights (it is about prefixes and runs, which still end).

Change: conversations are known by a second chain of names, of the isolation group and the parts alone; the entry goes over to the new weights with its next call, and what was kept before does not count for or against the survival of prefixes.

Before: the later call of an admitted conversation was refused after its whole wait (cap 1); after: served at once, under w2, with nothing read from w1.

--- a/swiftdeck/sim/cases/weights.py
+++ b/swiftdeck/sim/cases/weights.py
@@ -25,6 +25,19 @@
         self.assertEqual(check(town.records, {town.site.apart}), {})
         self.assertEqual(town.world.faults, [])
 
+    def testAnOpenConversationKeepsItsAdmissionUnderNewWeights(self):
+        town = Town(1, routers=3, workers=1).start(cap=1, idleMs=60000, pauseMs=60000)
+        got = town.call("saga", "check", ["b", "mine"])
+        waiting = town.spawn(lambda: town.caller.call("oita", "check", ["b", "other"]))
+        self.assertEqual(town.change("PATCH", {"models": {"screener": {"weights": "w2"}}})[0], 200)
+        town.world.run(3)
+        again = town.call("saga", "check", [*got["parts"], "said", "more"], isLast=True)
+        self.assertEqual((again["whole"], again["waitedMs"], again["usage"]["hitParts"]), (True, 0, 0))
+        town.world.run(3)
+        self.assertTrue(waiting and waiting[0]["whole"])
+        self.assertEqual({item["weights"] for item in town.records if item["kind"] == "run"}, {"w1", "w2"})
+        self.assertEqual(check(town.records, {town.site.apart}), {})
+
     def testARouterCutOffAtTheMomentOfTheSwitchStartsNothingOld(self):
         town = Town(2, routers=3, workers=2).start(cap=4)
         keeper = town.keeper()
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -45,7 +45,7 @@
         self.isLast = exchange.headers.get("conversation-end", "") not in ("", "0", "false")
         self.conversation, self.avoid, self.pieces, self.begun = "", [], [], False
         self.wasGranted, self.claiming, self.released = False, None, None
-        self.chain, self.weights, self.link = [], "", None
+        self.chain, self.talk, self.weights, self.link = [], [], "", None
 
     def nowMs(self):
         return self.loop.time() * 1000
@@ -138,7 +138,7 @@
         group = groupOf(self.tenant, tenant.apart)
         if (self.weights, group) != (model.weights, getattr(self, "group", None)):
             self.weights, self.group = model.weights, group
-            self.chain = chainOf(model.weights, group, self.body.parts)
+            self.chain, self.talk = chainOf(model.weights, group, self.body.parts), chainOf("", group, self.body.parts)
         leg.fault = await self._askKeeper(leg)
 
     async def _askKeeper(self, leg):
@@ -148,7 +148,7 @@
         leftMs = max(1, int(min(self.ledger.waitUntilMs, self.ledger.horizonMs) - self.nowMs()))
         sliceMs, askedS = min(leftMs, SLICE_MS), self.loop.time()
         ask = GrantAsk(router=self.router.me.name, call=self.name, leg=leg.number, tenant=self.tenant,
-                       model=self.route.model, group=self.group, chain=self.chain, weights=self.weights,
+                       model=self.route.model, group=self.group, chain=self.chain, talk=self.talk, weights=self.weights,
                        waitMs=sliceMs, avoid=self.avoid, conversation=self.conversation,
                        waitedMs=int((askedS - self.startS) * 1000), wasGranted=self.wasGranted,
                        size=sum(map(len, self.body.parts[:-1])))
--- a/swiftdeck/traffic/keeper.py
+++ b/swiftdeck/traffic/keeper.py
@@ -257,10 +257,11 @@
         return self.duty.isHeld() and self.readyTerm == self.term == self.duty.term
 
     def _continued(self, ask):
-        for last in reversed(ask.chain):
+        """The open conversation that a prompt extends, under whatever weights it was begun."""
+        for last in reversed(ask.talk):
             for name in sorted(self.byLast.get((ask.tenant, last), ())):
                 found = self.conversations[name]
-                isSame = last == ask.chain[-1]
+                isSame = last == ask.talk[-1]
                 isBusy = isSame and found.running and ask.call not in found.running
                 if found.weights == ask.weights and found.group == ask.group and not isBusy:
                     return found
@@ -374,13 +375,14 @@
         if ask.leg > 1 and not self.budget.draw(self.loop.time(), self._allowance()):
             self.board.count["budgetRefusals"] += 1
             return BUDGET_SPENT
-        before, isNew = conversation.parts, ask.leg <= 1 and not ask.wasGranted and ask.call not in conversation.running
+        before, isNew = conversation.parts if conversation.weights == ask.weights else 0, ask.leg <= 1 and not ask.wasGranted and ask.call not in conversation.running
         conversation.running[ask.call] = (sender, self.loop.time())
         conversation.turns += isNew
         if isNew:
             self.budget.call(self.loop.time())
-        if ask.chain[-1] not in conversation.lasts:
-            self._remember(conversation, ask.chain[-1])
+        if ask.talk[-1] not in conversation.lasts:
+            self._remember(conversation, ask.talk[-1])
+        conversation.weights = ask.weights
         conversation.parts = max(conversation.parts, len(ask.chain))
         conversation.isOver = False
         self._seen(sender)
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -132,7 +132,7 @@
             return OLD_TERM.because(f"grant of term {grant.term}", 50)
         self.running[call.name] = Running(call, model, grant.term, askedS)
         told = OpenConversation(conversation=grant.conversation, tenant=call.tenant, group=call.group,
-                                worker=grant.worker, last=call.chain[-1], parts=len(call.chain), call=call.name,
+                                worker=grant.worker, last=call.talk[-1], parts=len(call.chain), call=call.name,
                                 weights=call.weights, leg=leg.number)
         self.served[grant.conversation] = Served(told, model, self.loop.time(), grant.isStart)
         return None
@@ -175,7 +175,7 @@
         keeper = self.keepers.get(ask.model)
         if keeper is None or not keeper.duty.isHeld() and keeper.term != keeper.duty.term:
             return NOT_KEEPER
-        if not ask.chain or not ask.call:
+        if not ask.chain or not ask.talk or not ask.call:
             return BAD_REQUEST
         return await keeper.onGrantAsk(ask, sender)
 
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -311,6 +311,7 @@
     waitedMs: int = bp.uint64_field(12)
     size: int = bp.uint64_field(13)
     wasGranted: bool = bp.bool_field(14)
+    talk: list[bytes] = bp.bytes_field(15)
 
 
 @message
