A call waits once: for licence, claim, grant and connection together

Cause: the door waited for the licence and the call then began its own wait anew; a claim and a connection begun at the end of the wait had bounds of their own.

Ruled out: answers held back on purpose (none are).

Change: the wait counts from the request; each step gets what is left of it. A new conversation's slot is handed back after 0.7 s while the chain keeps its claim waiting; an open conversation, which holds its slot anyway, waits with its grant.

The case failed first.

--- a/swiftdeck/sim/cases/calls.py
+++ b/swiftdeck/sim/cases/calls.py
@@ -8,6 +8,7 @@
 from swiftdeck.http.client import connect
 from swiftdeck.sim.town import Town
 from swiftdeck.traffic.call import Call
+from swiftdeck.traffic.claims import Claims
 from swiftdeck.traffic.router import Router
 
 
@@ -179,6 +180,40 @@
         self.assertEqual({each[0]["code"] for each in box}, {WORKER_LOST.code})
 
     def testACallCountsOnceHoweverOftenItsFirstLegIsGranted(self):
+    def testACallWaitsOnceForLicenceAndGrantTogether(self):
+        town = self.town(routers=2, workers=1)
+        [town.world.kill(name) for name in [*town.coreNames(), "platform"]]
+        town.world.run(5)
+        startS = town.world.now
+        box = town.spawn(lambda: town.caller.call("saga", "check", ["b", "x"]))
+        town.world.run(2)
+        [town.startCore(node["name"]) for node in town.site.cores]
+        self.assertTrue(town.world.run(until=lambda: any(town.up[name].licence.isHeld() for name in town.routerNames()), limitS=8))
+        town.world.run(until=lambda: box, limitS=30)
+        self.assertTrue(box[0]["notRun"] and box[0]["retryAfter"], box)
+        self.assertLess(town.world.now - startS, 10.5)
+
+    def testAConversationWhoseGrantIsHandedBackAfterAChangeOfKeeperStaysOpen(self):
+        town, claim = self.town(routers=4, workers=1), Claims.claim
+        got = town.call("saga", "check", ["b", "x"], idempotency="1")
+        old = town.keeper()
+        town.world.kill(old)
+        town.caller.doors = [town.addresses[name]["http"] for name in town.routerNames()]
+        town.world.run(until=lambda: town.keeper(), limitS=20)
+        late = []
+
+        def slow(claims, *what):
+            done, first, waitS = claims.loop.create_future(), claim(claims, *what), 0.0 if late else 1.0
+            first.add_done_callback(lambda _: claims.loop.call_later(waitS, done.set_result, first.result()))
+            late.append(what)
+            return done
+        with mock.patch.object(Claims, "claim", slow):
+            again = town.call("saga", "check", [*got["parts"], "said", "y"], idempotency="2")
+        self.assertTrue(again["whole"])
+        ends = [item for name in town.routerNames() for item in town.up[name].decisions.items if item["kind"] == "end"]
+        starts = [item for name in town.routerNames() for item in town.up[name].decisions.items if item["kind"] == "start"]
+        self.assertEqual((ends, starts), ([], []))
+
         town, look, failures = self.town(workers=1), Call._mayBeSent, [STALE_LIST] * 5
 
         def fails(call, leg):
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -31,17 +31,17 @@
 class Call:
     """Drives one exchange to its final return."""
 
-    def __init__(self, router, exchange, held, tenant, route, body):
+    def __init__(self, router, exchange, held, tenant, route, body, startS):
         self.router, self.exchange, self.held = router, exchange, held
         self.tenant, self.route, self.body = tenant, route, body
         self.loop = asyncio.get_running_loop()
         self.name = "%020x" % router.random.getrandbits(80)
-        self.startS = self.loop.time()
+        self.startS = startS
         key = exchange.headers.get("idempotency-key", "")
         self.claimKey = f"{tenant}:{key}" if key and not route.repeatable else ""
         self.digest = hashlib.sha256(exchange.body).hexdigest()[:32] if self.claimKey else ""
-        self.ledger = Ledger(route.repeatable, bool(self.claimKey), self.nowMs() + route.waitMs,
-                             self.nowMs() + route.horizonMs)
+        self.ledger = Ledger(route.repeatable, bool(self.claimKey), startS * 1000 + route.waitMs,
+                             startS * 1000 + route.horizonMs)
         self.isLast = exchange.headers.get("conversation-end", "") not in ("", "0", "false")
         self.conversation, self.avoid, self.pieces, self.begun = "", [], [], False
         self.wasGranted, self.claiming, self.released = False, None, None
@@ -93,7 +93,8 @@
         """Claim the key for the leg that was granted; a slot does not stand empty for long while the chain is mended."""
         leg = self.ledger.legs[-1]
         self.claiming = self.claiming or self.router.claims.claim(self.claimKey, self.name, self.digest)
-        await asyncio.wait([self.claiming], timeout=CLAIM_MS / 1000)
+        boundMs = min(CLAIM_MS if leg.grant.isStart else 1e9, self._leftMs())
+        await asyncio.wait([self.claiming], timeout=boundMs / 1000)
         if self.claiming.done():
             self.ledger.claim = self.claiming.result()
         if self.ledger.claim is not True:
@@ -105,12 +106,14 @@
     async def _mayClaim(self):
         """Whether a grant is worth asking for: none is while the chain keeps claims waiting."""
         untilS = self.ledger.waitUntilMs / 1000
+    def _leftMs(self):
+        """What is left of the call's wait."""
+        return max(1, min(self.ledger.waitUntilMs, self.ledger.horizonMs) - self.nowMs())
+
         if not self.claimKey or self.ledger.claim is True:
             return True
-        if self.claiming is not None:
-            await asyncio.wait([self.claiming], timeout=max(0.001, untilS - self.loop.time()))
-            return self.claiming.done()
-        return await self.router.claims.ready(untilS)
+        await asyncio.wait([self.claiming], timeout=self._leftMs() / 1000)
+        return self.claiming.done()
 
     async def _nominate(self):
         last = self.ledger.legs[-1] if self.ledger.legs else None
@@ -145,8 +148,7 @@
         keeper = self.router.keeperOf(self.route.model)
         if keeper is None:
             return NO_KEEPER
-        leftMs = max(1, int(min(self.ledger.waitUntilMs, self.ledger.horizonMs) - self.nowMs()))
-        sliceMs, askedS = min(leftMs, SLICE_MS), self.loop.time()
+        sliceMs, askedS = int(min(self._leftMs(), SLICE_MS)), self.loop.time()
         ask = GrantAsk(router=self.router.me.name, call=self.name, leg=leg.number, tenant=self.tenant,
                        model=self.route.model, group=self.group, chain=self.chain, talk=self.talk, weights=self.weights,
                        waitMs=sliceMs, avoid=self.avoid, conversation=self.conversation,
@@ -181,7 +183,7 @@
         if leg.grant.fetchFrom:
             await self._fetch(leg)
         ip, _, port = leg.grant.url.rpartition(":")
-        self.link = await connect(ip, int(port), 1000)
+        self.link = await connect(ip, int(port), max(50, min(1000, self._leftMs())))
         if isFault(self.link):
             leg.fault, self.link = self.link, None
             self.avoid.append(leg.grant.worker)
--- a/swiftdeck/traffic/claims.py
+++ b/swiftdeck/traffic/claims.py
@@ -4,7 +4,7 @@
 from swiftdeck.chain.state import CLAIM, FINISH, FULL, RELEASE
 from swiftdeck.fault import CLAIMED, NO_CLAIM, isFault
 
-BATCH, STALL_S, AGAIN_S = 200, 0.3, 0.3
+BATCH, AGAIN_S = 200, 0.3
 
 
 class Claims:
@@ -12,7 +12,7 @@
 
     def __init__(self, router, scribe, random, board):
         self.router, self.scribe, self.random, self.board = router, scribe, random, board
-        self.waiting, self.writing, self.sinceS = [], None, 0.0
+        self.waiting = []
 
     def start(self):
         """Go on writing batches."""
@@ -42,26 +42,13 @@
         asked[1].set_result(NO_CLAIM)
         return asked[1]
 
-    async def ready(self, untilS) -> bool:
-        """Wait while the chain keeps a batch waiting, but no longer than given; whether claims go through."""
-        while self.writing and self.loop.time() - self.sinceS > STALL_S:
-            leftS = untilS - self.loop.time()
-            if leftS <= 0:
-                return False
-            await asyncio.wait([self.writing], timeout=leftS)
-            await asyncio.sleep(0)
-        return True
-
     async def _writing(self):
         while True:
             await self.kick.wait()
             self.kick.clear()
             while self.waiting:
                 batch, self.waiting = self.waiting[:BATCH], self.waiting[BATCH:]
-                self.writing, self.sinceS = self.loop.create_future(), self.loop.time()
                 await self._write(batch)
-                self.writing.set_result(None)
-                self.writing = None
 
     async def _write(self, batch):
         got, name = NO_CLAIM, f"batch/{self.router}/{self.random.getrandbits(64):x}"
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -277,8 +277,8 @@
             return TOO_LARGE.because(f"more than {self.settings.partsMost} parts")
         held = self.licence.held
         route = held.document.routes.get(body.model) if held else None
-        waitS = (route.waitMs if route else 3000) / 1000
-        if not await self.licence.wait(self.loop.time() + waitS):
+        startS, waitS = self.loop.time(), (route.waitMs if route else 3000) / 1000
+        if not await self.licence.wait(startS + waitS):
             return NO_LICENCE
         held = self.licence.held
         scheme, _, key = exchange.headers.get("authorization", "").partition(" ")
@@ -291,7 +291,7 @@
             return NO_ROUTE.because(body.model)
         if len(exchange.headers.get("idempotency-key", "")) > 200:
             return BAD_REQUEST.because("Idempotency-Key is over 200 characters")
-        call = Call(self, exchange, held, tenant, route, body)
+        call = Call(self, exchange, held, tenant, route, body, startS)
         call.keyDigest = digest
         return call
 
