An admitted conversation outlasts a change of keeper and a short outage

Cause: a new keeper knew no turns of the conversations that it took over, so one whose next grant was handed back unsent was closed as "never sent". And time without a keeper counted as idle or paused: the first agent to start after an outage closed conversations whose own calls were waiting behind it.

Ruled out: the order of arrivals alone (with it, calls that were under way between two questions still came late).

Change: a conversation is closed as never sent only if nothing of it was ever served; routers remember conversations for 15 s longer than they may idle, and a new keeper gives each of them a second and a half to be heard of.

--- a/swiftdeck/traffic/book.py
+++ b/swiftdeck/traffic/book.py
@@ -22,6 +22,7 @@
     running: dict = attrs.Factory(dict)
     idleSinceS: float = 0.0
     isOver: bool = False
+    isServed: bool = False
 
 
 @attrs.define(eq=False)
--- a/swiftdeck/traffic/keeper.py
+++ b/swiftdeck/traffic/keeper.py
@@ -14,6 +14,7 @@
 
 
 WAIT_FORGOTTEN_S = 2.0
+GRACE_S = 1.5
 ADAPT_S = 30.0
 
 
@@ -32,7 +33,7 @@
         """Begin with empty books."""
         self.books, self.conversations, self.byLast, self.waits = {}, {}, {}, {}
         self.routers, self.readyTerm, self.ring = {}, 0, Ring([])
-        self.links, self.loading, self.adaptedS = {}, set(), 0.0
+        self.links, self.loading, self.adaptedS, self.graceS = {}, set(), 0.0, -1e9
 
     def start(self):
         """Stand for the duty, and keep the books while it is held."""
@@ -81,6 +82,8 @@
         self.budget = Budget(self.settings.budgetShare, startS=nowS)
         self.onWorkers()
         self.index.follow(self._mine())
+        config = self.config()
+        self.graceS = nowS + GRACE_S - (min(config.idleMs, config.pauseMs) / 1000 if config else 0)
         endS, heard = nowS + self.settings.holdLicenceMs / 1000, set()
         while self.duty.isHeld() and self.duty.term == term:
             wanted = {each.addr for each in [self.router.me, *self.membership.alive("router")]} - heard
@@ -89,6 +92,7 @@
             if all(got) or self.loop.time() > endS:
                 self.readyTerm = term
                 self.board.count["takeovers"] += 1
+                self.graceS = -1e9
                 arrivals, self.arrivals = sorted(self.arrivals, key=lambda each: each[0]), []
                 [done.set_result(None) for _, done in arrivals if not done.done()]
                 self.router.decisions.add("keeper", model=self.model, term=term, open=len(self.conversations))
@@ -106,7 +110,7 @@
     def _adopt(self, told, addr):
         nowS = self.loop.time()
         found = self.conversations.get(told.conversation)
-        idleSinceS = nowS - told.idleMs / 1000
+        idleSinceS = max(nowS - told.idleMs / 1000, self.graceS)
         if found is None:
             found = Conversation(told.conversation, told.tenant, told.group, told.worker, told.weights)
             found.idleSinceS = idleSinceS
@@ -115,6 +119,7 @@
         elif idleSinceS > found.idleSinceS and told.worker != found.worker:
             self._book(found.worker).leave(found)
             self._book(told.worker).entry(found)
+        found.isServed = True
         found.parts, found.turns = max(found.parts, told.parts), max(found.turns, told.turns)
         found.idleSinceS = max(found.idleSinceS, idleSinceS)
         if told.last not in found.lasts:
@@ -263,7 +268,7 @@
                 found = self.conversations[name]
                 isSame = last == ask.talk[-1]
                 isBusy = isSame and found.running and ask.call not in found.running
-                if found.weights == ask.weights and found.group == ask.group and not isBusy:
+                if found.group == ask.group and not isBusy:
                     return found
         return None
 
@@ -435,7 +440,8 @@
         if end.slowFrom:
             self.links[(self._nameAt(end.slowFrom), conversation.worker)] = self.loop.time() + 10.0
         self._callEnded(conversation, end.call)
-        if end.neverSent and conversation.turns <= 1 and not conversation.running:
+        conversation.isServed = conversation.isServed or not end.neverSent
+        if not conversation.isServed and not conversation.running:
             self._close(conversation, "never sent")
         elif conversation.isOver and not conversation.running:
             self._close(conversation, "said so")
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -21,6 +21,9 @@
 from swiftdeck.wire.messages import GrantAsk, GrantDrop, Hold, HoldReturn, LegEnd, OpenAsk, OpenConversation, OpenReturn
 
 
+OUTAGE_S = 15.0
+
+
 @attrs.define
 class Running:
     """A leg that this router has a grant for."""
@@ -200,7 +203,7 @@
         model = self.licence.held.document.models.get(ask.model) if self.licence.held else None
         idleS, nowS, told = (model.idleMs / 1000 if model else 10.0), self.loop.time(), []
         for name, served in list(self.served.items()):
-            if not served.told.call and nowS - served.idleSinceS > idleS:
+            if not served.told.call and nowS - served.idleSinceS > idleS + OUTAGE_S:
                 del self.served[name]
             elif served.model == ask.model and (served.told.isSent or not served.told.call or not served.isStart):
                 served.told.idleMs = 0 if served.told.call else int((nowS - served.idleSinceS) * 1000)
