A worker's refusal of other weights is no run, and the call goes on

Cause: a worker that was loading newer weights refused a leg before anything ran; the router took that for a run whose outcome is unknown and gave the once-only call up with 143.

Ruled out: an old licence at the router (both sides obeyed the same version, the worker was ahead by a load).

Change: the workers' protocol says that 409 means nothing ran; such a leg counts as never sent.

--- a/swiftdeck/bench/worker.py
+++ b/swiftdeck/bench/worker.py
@@ -4,7 +4,7 @@
 import re
 
 from swiftdeck.bench.cache import Entry, PrefixCache
-from swiftdeck.fault import BAD_REQUEST, NOT_FOUND, isFault
+from swiftdeck.fault import BAD_REQUEST, NOT_FOUND, OTHER_WEIGHTS, isFault
 from swiftdeck.http.client import fetchJson
 from swiftdeck.http.server import HttpServer
 from swiftdeck.traffic.prefix import chainOf
@@ -123,7 +123,7 @@
                  "route": body["route"], "marker": marker}
         if body["weights"] != self.weights:
             self.record("refused", **shown)
-            return BAD_REQUEST.because("other weights")
+            return OTHER_WEIGHTS
         self.record("run", **shown, loaded=self.weights)
         whole = False
         try:
--- a/swiftdeck/fault.py
+++ b/swiftdeck/fault.py
@@ -93,6 +93,7 @@
 NOT_KEEPER = _fault(501, "not the keeper of the model", 409, retryMs=200)
 RECOVERING = _fault(503, "keeper still gathers open conversations", 503, retryMs=10)
 BAD_SETTING = _fault(600, "setting is invalid", 400)
+OTHER_WEIGHTS = _fault(602, "worker has other weights loaded", 409)
 BAD_RETURN = _fault(601, "back end sent something malformed", 502)
 
 
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from swiftdeck.fault import (BAD_REQUEST, BAD_RETURN, CLAIM_LEFT, HORIZON, NO_CLAIM, NO_KEEPER, NO_LICENCE, STALE_LIST, UNREACHED, WAITED_OUT,
+from swiftdeck.fault import (BAD_RETURN, CLAIM_LEFT, HORIZON, NO_CLAIM, NO_KEEPER, NO_ROUTE, NO_WORKER, OTHER_WEIGHTS, UNKNOWN_KEY, NO_LICENCE, STALE_LIST, UNREACHED, WAITED_OUT,
                              WORKER_BAD, WORKER_HANGS, WORKER_LOST, WORKER_REFUSED, isFault)
 from swiftdeck.http.client import connect, fetchJson
 from swiftdeck.traffic.ledger import Leg, Ledger, Move, nextMove
@@ -194,7 +194,7 @@
                 leg.wasSent = True
                 self.router.legSent(leg)
                 leg.fault = await self._runAtWorker(leg)
-                if leg.fault is not None:
+                if leg.fault is not None and leg.wasSent:
                     self.router.board.count["legsFailed"] += 1
                     self.avoid.append(leg.grant.worker)
                     self.ledger.waitUntilMs = self.nowMs() + min(self.route.waitMs, AGAIN_MS)
@@ -237,6 +237,9 @@
             return await self._relay(leg, got)
         except TimeoutError:
             return self._late()
+            if got.status == OTHER_WEIGHTS.status:
+                leg.wasSent = False
+                return NO_WORKER.because("worker has other weights", 200)
 
     def _late(self):
         return HORIZON if self.nowMs() >= self.ledger.horizonMs else WORKER_HANGS
