A key or route that is taken away while a call waits ends the call at once

Cause: a waiting call looked at its key only right before its bytes would have gone, took the failed look for a change of the configuration, and asked again until its wait was over, taking and handing back a slot each time (44 starts in 10 s).

Ruled out: calls on the old key that were sent (none were).

Before: no answer within the call's wait; after: within 1.5 s of the acknowledgement. The case failed first.

--- a/swiftdeck/sim/cases/config.py
+++ b/swiftdeck/sim/cases/config.py
@@ -356,6 +356,17 @@
 
     def testARevokedKeyIsRefusedOnAKeptAliveConnection(self):
         town = self.town()
+    def testAKeyThatIsTakenWhileItsCallWaitsEndsTheCallAtOnce(self):
+        town = self.town(routers=2, workers=1)
+        self.assertEqual(town.change("PATCH", self.cap(1))[0], 200)
+        town.spawn(lambda: town.caller.call("oita", "check", ["b", "long"], maxTokens=6400))
+        town.world.run(1)
+        box = town.spawn(lambda: town.caller.call("saga", "check", ["b", "x"]))
+        town.world.run(1)
+        self.assertEqual(town.change("PATCH", {"tenants": {"saga": {"keys": [keyDigest("other")]}}})[0], 200)
+        town.world.run(until=lambda: box, limitS=1.5)
+        self.assertTrue(box and box[0]["status"] == 401 and box[0]["notRun"], box)
+
         bodies = msgspec.json.encode({"model": "tag", "parts": ["a"], "stream": False})
 
         async def talk():
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -90,7 +90,10 @@
             self.released = self.router.claims.release(self.claimKey, self.name, self.digest)
 
     async def _claim(self):
-        """Claim the key for the leg that was granted; a slot does not stand empty for long while the chain is mended."""
+        """Claim the key for the leg that was granted.
+
+        While the chain is mended a new conversation's slot does not stand empty for long; an open one keeps its own.
+        """
         leg = self.ledger.legs[-1]
         self.claiming = self.claiming or self.router.claims.claim(self.claimKey, self.name, self.digest)
         boundMs = min(CLAIM_MS if leg.grant.isStart else 1e9, self._leftMs())
@@ -103,14 +106,13 @@
             leg.grant = None
             self.router.board.count["slotsHandedBack"] += 1
 
-    async def _mayClaim(self):
-        """Whether a grant is worth asking for: none is while the chain keeps claims waiting."""
-        untilS = self.ledger.waitUntilMs / 1000
     def _leftMs(self):
         """What is left of the call's wait."""
         return max(1, min(self.ledger.waitUntilMs, self.ledger.horizonMs) - self.nowMs())
 
-        if not self.claimKey or self.ledger.claim is True:
+    async def _mayClaim(self):
+        """Whether a grant is worth asking for: none is while the chain keeps this call's claim waiting."""
+        if self.claiming is None or self.ledger.claim is True:
             return True
         await asyncio.wait([self.claiming], timeout=self._leftMs() / 1000)
         return self.claiming.done()
@@ -132,8 +134,11 @@
             return
         model = self.held.document.models.get(self.route.model)
         tenant = self.held.document.tenants.get(self.tenant)
-        if model is None or tenant is None:
-            leg.fault = BAD_REQUEST.because("the route or the tenant was taken away")
+        if self.held.tenantByKey.get(self.keyDigest) != self.tenant:
+            leg.fault = UNKNOWN_KEY
+            return
+        if model is None or tenant is None or self.body.model not in self.held.document.routes:
+            leg.fault = NO_ROUTE.because(self.body.model)
             return
         if not self.router.workers.isFresh():
             leg.fault = STALE_LIST
@@ -232,14 +237,14 @@
                                                leg.grant.url)
             if isFault(got):
                 return got if got.code != BAD_RETURN.code else WORKER_BAD.because(got.reason)
+            if got.status == OTHER_WEIGHTS.status:
+                leg.wasSent = False
+                return NO_WORKER.because("worker has other weights", 200)
             if got.status != 200:
                 return WORKER_REFUSED.because(f"status {got.status}")
             return await self._relay(leg, got)
         except TimeoutError:
             return self._late()
-            if got.status == OTHER_WEIGHTS.status:
-                leg.wasSent = False
-                return NO_WORKER.because("worker has other weights", 200)
 
     def _late(self):
         return HORIZON if self.nowMs() >= self.ledger.horizonMs else WORKER_HANGS
