--- a/swiftdeck/bench/caller.py
+++ b/swiftdeck/bench/caller.py
@@ -3,6 +3,7 @@
 
 import msgspec
 
+from swiftdeck.config.document import keyDigest
 from swiftdeck.fault import isFault
 from swiftdeck.http.client import connect
 
@@ -10,8 +11,9 @@
 class Caller:
     """Makes calls as tenants do; each try carries a marker that every piece of its return must show."""
 
-    def __init__(self, name, doors, record, random, keys, scale=1.0):
+    def __init__(self, name, doors, record, random, keys, scale=1.0, routers=None):
         self.name, self.doors, self.record, self.random = name, doors, record, random
+        self.routers = routers or {}
         self.keys, self.scale, self.serial = keys, scale, 0
         self.stopping = False
         self.book = {route: f"{route} rules " * 2000 for route in ("check", "tag")}
@@ -21,25 +23,27 @@
         return f"{self.name}/{tenant}/{self.serial}"
 
     async def call(self, tenant, route, parts, maxTokens=64, idempotency="", timeoutS=90, isLast=False, stream=True,
-                   key=None, door=None):
-        """One try; gives what came back and records it."""
-        marker = self._marker(tenant)
-        parts = [*parts[:-1], f"{parts[-1]} [[{marker}]]"]
-        door = door or self.random.choice(self.doors)
-        self.record("try", marker=marker, tenant=tenant, route=route, idempotency=idempotency, door=door)
+                   key=None, door=None, marker="", talk="", turn=0, leaveAfter=None, slowS=0.0, link=None):
+        """One try; gives what came back and records it. With the marker of an earlier try it is the same call again."""
+        if not marker:
+            marker = self._marker(tenant)
+            parts = [*parts[:-1], f"{parts[-1]} [[{marker}]]"]
+        door, key = door or self.random.choice(self.doors), key or self.keys[tenant]
+        self.record("try", marker=marker, tenant=tenant, route=route, idempotency=idempotency, door=door, talk=talk, turn=turn,
+                    router=self.routers.get(door, ""), key=keyDigest(key))
         result = {"status": 0, "code": 0, "notRun": False, "call": "", "run": "", "whole": False, "pieces": 0, "wrong": ""}
         try:
             async with asyncio.timeout(timeoutS):
-                await self._talk(door, key or self.keys[tenant], route, parts, maxTokens, idempotency, isLast, stream,
-                                 marker, result)
+                await self._talk(door, key, route, parts, maxTokens, idempotency, isLast, stream, marker, result,
+                                 leaveAfter, slowS, link)
         except TimeoutError:
             result["gaveUp"] = True
         self.record("return", marker=marker, tenant=tenant, route=route, **result)
-        return result | {"parts": parts}
+        return result | {"parts": parts, "marker": marker}
 
-    async def _talk(self, door, key, route, parts, maxTokens, idempotency, isLast, stream, marker, result):
+    async def _talk(self, door, key, route, parts, maxTokens, idempotency, isLast, stream, marker, result, leaveAfter, slowS, kept):
         ip, _, port = door.rpartition(":")
-        link = await connect(ip, int(port), 2000)
+        link = kept or await connect(ip, int(port), 2000)
         if isFault(link):
             result["status"] = -1
             return
@@ -63,14 +67,20 @@
                 if result["whole"] and answer.get("text") != due:
                     result["wrong"] = f"text {answer.get('text', '')[:200]!r}"
                 return
-            await self._stream(got, marker, result)
+            await self._stream(got, marker, result, leaveAfter, slowS)
         finally:
-            link.close()
+            if not kept:
+                link.close()
 
-    async def _stream(self, got, marker, result):
+    async def _stream(self, got, marker, result, leaveAfter, slowS):
         async for line in got.lines():
             if not line.startswith(b"data:"):
                 continue
+            if leaveAfter is not None and result["pieces"] >= leaveAfter:
+                result["left"] = True
+                return
+            if slowS:
+                await asyncio.sleep(slowS)
             piece = msgspec.json.decode(line[5:])
             if "code" in piece:
                 result["code"] = piece["code"]
@@ -88,15 +98,28 @@
 
     async def agent(self, tenant, route="check", turns=5, grow=800, gap=None):
         """One conversation: each prompt extends the one before; gives how many turns were served."""
-        parts = [self.book[route], f"case {self._marker(tenant)} " + "x" * grow * 4]
+        talk = self._marker(tenant)
+        parts = [self.book[route], f"case {talk} " + "x" * grow * 4]
         for turn in range(turns):
-            got = await self.call(tenant, route, parts, idempotency=self._marker(tenant), isLast=turn == turns - 1)
+            got = await self.insist(tenant, route, parts, idempotency=self._marker(tenant), isLast=turn == turns - 1, talk=talk, turn=turn)
             if not got["whole"]:
                 return turn
             parts = [*got["parts"], f"said {turn}", "y" * int(grow * 4 * self.random.uniform(0.3, 2))]
             await asyncio.sleep(self._gapS() if gap is None else gap)
         return turns
 
+    async def insist(self, tenant, route, parts, **more):
+        """A call whose caller comes back with the same key, at another router, at once or seconds later."""
+        got = await self.call(tenant, route, parts, **more)
+        for _ in range(self.returns):
+            if got["whole"] or got["code"] == 130 or got.get("left") or self.stopping:
+                break
+            await asyncio.sleep(self.random.choice([0.0, 0.0, 1.0, 4.0, 12.0]))
+            got = await self.call(tenant, route, got["parts"], **more | {"marker": got["marker"]})
+        return got
+
+    returns = 0
+
     def _gapS(self):
         """The paper's gaps: two in five are zero, the median a second, the longest seven and a half."""
         draw = self.random.random()
@@ -112,13 +135,35 @@
     async def shorts(self, tenant, route="tag", everyS=0.5):
         """Short calls until told to stop, each on its own."""
         while not self.stopping:
-            asyncio.ensure_future(self.call(tenant, route, [self.book[route], "ad"], maxTokens=16))
+            asyncio.ensure_future(self.call(tenant, route, [self.book[route], "ad"], maxTokens=16, **self._manner()))
+            await asyncio.sleep(self.random.expovariate(1 / everyS))
+
+    def _manner(self):
+        """How a caller behaves: most read a stream to its end, some take it whole, go away midway, or read slowly."""
+        draw = self.random.random() if self.returns else 1.0
+        return {"stream": False} if draw < 0.3 else {"leaveAfter": 0} if draw < 0.35 else {"slowS": 0.3} if draw < 0.4 else {}
+
+    async def kept(self, tenant, route="tag", everyS=1.0):
+        """Short calls over one connection that is kept alive for as long as its router lives, with the key of its first day."""
+        key, link, door = self.keys[tenant], None, ""
+        while not self.stopping:
+            if link is None or link.gone:
+                door = self.random.choice(self.doors)
+                link = await connect(door.rpartition(":")[0], int(door.rpartition(":")[2]), 2000)
+                link = None if isFault(link) else link
+            if link is not None:
+                got = await self.call(tenant, route, [self.book[route], "ad"], maxTokens=16, key=key, door=door, link=link, stream=False,
+                                      timeoutS=60)
+                if got["status"] < 1 or got.get("gaveUp"):
+                    link.close()
+                    link = None
             await asyncio.sleep(self.random.expovariate(1 / everyS))
 
     async def run(self, seconds, agents, shortEveryS):
         """The traffic of a site: long checks as agents, short calls ten times as often."""
         tasks = [asyncio.ensure_future(self.agents(tenant)) for tenant, count in agents.items() for _ in range(count)]
         tasks += [asyncio.ensure_future(self.shorts(tenant, everyS=shortEveryS)) for tenant in agents]
+        tasks += [asyncio.ensure_future(self.kept(tenant, everyS=shortEveryS)) for tenant in list(agents)[:3] if self.returns]
         await asyncio.sleep(seconds)
         self.stopping = True
         await asyncio.wait(tasks, timeout=30)
--- a/swiftdeck/bench/checker.py
+++ b/swiftdeck/bench/checker.py
@@ -1,7 +1,11 @@
 """Judges a run by the records of stand-ins and operators alone: one check for each rule of the brief."""
 import unittest
 from bisect import bisect_right
-from collections import defaultdict
+from collections import Counter, defaultdict
+
+import msgspec
+
+from swiftdeck.config.document import merge
 
 
 def check(records, apart=(), budgetExtra=3) -> dict:
@@ -14,6 +18,47 @@
     return (item for item in records if item["kind"] in kinds)
 
 
+class Falls:
+    """When each process was down, frozen, cut off or made to misbehave, as the operator and the stand-ins noted it."""
+
+    def __init__(self, records):
+        self.spans, self.keepers, opened = defaultdict(list), [], {}
+        for item in _of(records, "kill", "back", "quirk", "up"):
+            atMs = item["atMs"]
+            if item["kind"] == "kill":
+                span = [atMs, 1 << 60 if "id" in item else atMs + 20000]
+                self.spans[item["target"]].append(span)
+                if item.get("keeper"):
+                    self.keepers.append(span)
+                opened[item.get("id")] = span
+            elif item["kind"] == "back":
+                opened.get(item["id"], [0, 0])[1] = atMs + BACK_MS
+            elif item["kind"] == "up":
+                self.spans[item["who"]].append([atMs, atMs])
+            elif item["quirk"]:
+                self.spans[item["who"]].append([atMs, 1 << 60])
+            else:
+                for span in self.spans[item["who"]]:
+                    span[1] = min(span[1], atMs + BACK_MS)
+
+    def fell(self, name, fromMs, toMs) -> bool:
+        """Whether a process was not well at some time between two."""
+        return any(a <= toMs and b >= fromMs for a, b in self.spans.get(name, ()))
+
+    def chainFell(self, fromMs, toMs) -> bool:
+        """Whether two cores were not well between two times, so that no claim could be made for a while."""
+        return sum(self.fell(name, fromMs, toMs) for name in list(self.spans) if name.startswith("core")) > 1
+
+    def keeperFell(self, fromMs, toMs) -> bool:
+        """Whether a keeper was not well at some time between two."""
+        return any(a <= toMs and b >= fromMs for a, b in self.keepers)
+
+
+BACK_MS = 3000
+WAIT_MS = {"check": 10000, "tag": 8000}
+REFUSALS = range(110, 121)
+
+
 def runsOnce(records, apart, extra):
     """A once-only call, known by its Idempotency-Key, or else by its try, never runs twice."""
     tries = {item["marker"]: item for item in _of(records, "try")}
@@ -27,9 +72,13 @@
 
 def notRunStays(records, apart, extra):
     """What was promised not to run did not run, before or after."""
-    ran = {item["marker"]: item["atMs"] for item in _of(records, "run")}
-    yield from (f"{item['marker']} was refused at {item['atMs']} and ran at {ran[item['marker']]}"
-                for item in _of(records, "return") if item["notRun"] and item["marker"] in ran)
+    ran = {item["call"]: item["atMs"] for item in _of(records, "run")}
+    tries = Counter(item["marker"] for item in _of(records, "try"))
+    markers = {item["marker"]: item["atMs"] for item in _of(records, "run") if tries[item["marker"]] == 1}
+    for item in _of(records, "return"):
+        atMs = ran.get(item.get("call") or None) or markers.get(item["marker"])
+        if item["notRun"] and atMs is not None:
+            yield f"{item['marker']} was refused at {item['atMs']} and ran at {atMs}"
 
 
 def piecesBelong(records, apart, extra):
@@ -67,53 +116,108 @@
     return [item for item in _of(records, "change") if item["status"] == 200]
 
 
+def _undecided(records):
+    """Changes that may or may not be obeyed."""
+    known = {item["answer"]["changeId"] for item in _acknowledged(records)}
+    return [item for item in _of(records, "change") if item["status"] not in (200, 400, 409, 422)
+            and item["answer"].get("changeId") not in known]
+
+
 def _weightsIn(item):
-    models = item["document"].get("models") or {}
-    return next((model["weights"] for model in models.values() if model and "weights" in model), None)
+    """Weights that a change names, by model."""
+    return {name: model["weights"] for name, model in (item["document"].get("models") or {}).items()
+            if model and "weights" in model}
 
 
 def oldWeightsEnd(records, apart, extra):
-    """Fifteen seconds after new weights are acknowledged no call starts on the old ones."""
-    named = [(item["atMs"], item["answer"]["version"], _weightsIn(item)) for item in _acknowledged(records) if _weightsIn(item)]
+    """Fifteen seconds after new weights are acknowledged no call starts on others; none runs that only a refusal named."""
+    models = {worker["name"]: worker["model"] for item in _of(records, "list") for worker in item["workers"]}
+    named = [(item["atMs"], item["answer"]["version"], *pair) for item in _acknowledged(records) for pair in _weightsIn(item).items()]
+    maybe = {pair for item in _undecided(records) for pair in _weightsIn(item).items()}
     for item in _of(records, "run"):
-        late = [(version, weights) for atMs, version, weights in named if atMs + 15000 < item["atMs"]]
-        if late:
-            version, weights = max(late)
-            since = {each for _, other, each in named if other >= version}
-            if item["weights"] in {each for _, other, each in named if other < version} - since:
-                yield f"{item['run']} started on {item['weights']} at {item['atMs']}, long after {weights}"
+        model = models.get(item["who"], next(iter(models.values()), ""))
+        mine = [(version, weights, atMs) for atMs, version, name, weights in named if name == model]
+        late = max([version for version, _, atMs in mine if atMs + 15000 < item["atMs"]], default=0)
+        allowed = {weights for version, weights, _ in mine if version >= late}
+        if mine and item["weights"] not in allowed and (model, item["weights"]) not in maybe:
+            yield f"{item['run']} started on {item['weights']} at {item['atMs']}, when version {late} had long been in force"
 
 
 def versionsStand(records, apart, extra):
     """Acknowledged versions are read back and never go back; two changes never share one."""
-    versions, newest = {}, 0
-    for item in _of(records, "change", "read"):
+    versions, newest = {}, (0, 0)
+    for item in sorted(_of(records, "change", "read"), key=lambda item: item["atMs"]):
         if item["kind"] == "change" and item["status"] == 200:
             version, change = item["answer"]["version"], item["answer"]["changeId"]
             if versions.setdefault(version, change) != change:
                 yield f"version {version} acknowledged for {versions[version]} and {change}"
-            newest = max(newest, version)
+            newest = max(newest, (version, item["atMs"]), key=lambda each: each[0])
         elif item["kind"] == "read" and item["status"] == 200:
-            if item["version"] < newest and item["askedMs"] > max(
-                    (each["atMs"] for each in _acknowledged(records) if each["answer"]["version"] == newest), default=0):
-                yield f"read version {item['version']} at {item['atMs']} after {newest} was acknowledged"
+            if item["version"] < newest[0] and item["askedMs"] > newest[1]:
+                yield f"read version {item['version']} at {item['atMs']} after {newest[0]} was acknowledged"
+
+
+def readBackWhole(records, apart, extra):
+    """What is read is byte for byte what the acknowledged changes made, and the day ends with a reading."""
+    changes = {item["answer"]["version"]: item for item in _acknowledged(records)}
+    made, document = {}, {}
+    for version in range(1, max(changes, default=0) + 1):
+        if version not in changes:
+            break
+        item = changes[version]
+        document = merge(document, item["document"]) if item["method"] == "PATCH" else item["document"]
+        made[version] = msgspec.json.encode(document, order="sorted")
+    reads = [item for item in _of(records, "read") if item["status"] == 200 and "document" in item]
+    for item in reads:
+        due = made.get(item["version"])
+        if due is not None and due != msgspec.json.encode(item["document"], order="sorted"):
+            yield f"version {item['version']} was read at {item['atMs']} otherwise than it was acknowledged"
+    if any(_of(records, "dayEnds")) and not any(
+            item["atMs"] >= max(each["atMs"] for each in _of(records, "dayEnds")) and item["version"] >= max(changes, default=0)
+            for item in reads):
+        yield "the configuration was not read back at the end of the day"
+
+
+def ackIsQuick(records, apart, extra):
+    """While nothing fails a change is acknowledged within about two seconds."""
+    quiet = [(item["atMs"], item["untilMs"]) for item in _of(records, "quiet")]
+    for item in _of(records, "change"):
+        if any(a <= item.get("askedMs", -1) and item["askedMs"] < b - 2000 for a, b in quiet):
+            if item["status"] not in (200, 409, 422) or item["atMs"] - item["askedMs"] > 2000:
+                yield f"change asked at {item['askedMs']} ended at {item['atMs']} with status {item['status']}"
+
+
+def _keysAt(records):
+    """(ack time, tenant, digests) of each acknowledged change of keys, in the order of versions."""
+    return [(item["atMs"], name, set((tenant or {}).get("keys", [])), tenant is None)
+            for item in sorted(_acknowledged(records), key=lambda item: item["answer"]["version"])
+            for name, tenant in (item["document"].get("tenants") or {}).items() if tenant is None or "keys" in tenant]
 
 
 def refusedIsNotObeyed(records, apart, extra):
-    """Nothing runs for a tenant that only refused configurations name, nor with a key that was taken away."""
-    taken = {name for item in _acknowledged(records) for name in item["document"].get("tenants") or {}}
-    refused = {name for item in _of(records, "change") if item["status"] in (409, 422)
-               for name in item["document"].get("tenants") or {}} - taken
-    yield from (f"{item['run']} of {item['tenant']}" for item in _of(records, "run") if item["tenant"] in refused)
-    revoked = {}
-    for item in _acknowledged(records):
-        for name, tenant in (item["document"].get("tenants") or {}).items():
-            if tenant is None or tenant.get("keys") == []:
-                revoked[name] = item["atMs"]
-            elif "keys" in tenant:
-                revoked.pop(name, None)
-    yield from (f"{item['run']} of {item['tenant']}, whose key was taken at {revoked[item['tenant']]}"
-                for item in _of(records, "run") if item["atMs"] > revoked.get(item["tenant"], 1 << 60) + 2000)
+    """Nothing runs for tenants, routes or keys that no configuration in force names when the call is made."""
+    sure, maybe = _acknowledged(records), _undecided(records)
+    for table in ("tenants", "routes"):
+        taken = {name for item in [*sure, *maybe] for name in item["document"].get(table) or {}}
+        refused = {name for item in _of(records, "change") if item["status"] in (409, 422)
+                   for name in item["document"].get(table) or {}} - taken
+        yield from (f"{item['run']} of {item[table[:-1]]}" for item in _of(records, "run") if item.get(table[:-1]) in refused)
+    keys, gone = _keysAt(records), [(item["atMs"], name) for item in sure
+                                    for name, route in (item["document"].get("routes") or {}).items() if route is None]
+    changing = {name for item in maybe for name in item["document"].get("tenants") or {}}
+    tries = {item["marker"]: item for item in _of(records, "try")}
+    for item in _of(records, "run"):
+        asked = tries.get(item["marker"])
+        if asked is None:
+            continue
+        mine = [(atMs, digests) for atMs, name, digests, _ in keys if name == asked["tenant"]]
+        before = [digests for atMs, digests in mine if atMs < asked["atMs"]][-1:]
+        after = [digests for atMs, digests in mine if asked["atMs"] <= atMs]
+        if "key" in asked and before and asked["tenant"] not in changing and not any(
+                asked["key"] in digests for digests in [*before, *after]):
+            yield f"{item['run']} of {asked['tenant']} with a key that was taken before {asked['atMs']}"
+        yield from (f"{item['run']} by route {name}, which was taken away at {atMs}" for atMs, name in gone
+                    if name == asked["route"] and atMs < asked["atMs"])
 
 
 def drainingIsLeft(records, apart, extra):
@@ -132,17 +236,130 @@
 
 
 def notCutOff(records, apart, extra):
-    """A stream does not break while its worker serves and its caller stays."""
-    fell = defaultdict(list)
-    for item in _of(records, "up", "kill", "quirk"):
-        fell[item["who"] if item["kind"] != "kill" else item["target"]].append(item["atMs"])
-    routersFell = [item["atMs"] for item in _of(records, "kill") if item["target"].startswith("router")]
+    """A call is not lost while its own router and its own worker serve and its caller stays."""
+    falls, tries = Falls(records), {}
     where = {item["run"]: item["who"] for item in _of(records, "run")}
-    for item in _of(records, "return"):
-        if item["run"] and not item["whole"] and item["code"] in (140, 142) and not item.get("gaveUp"):
-            near = [atMs for atMs in fell[where.get(item["run"])] + routersFell if abs(atMs - item["atMs"]) < 20000]
-            if not near:
-                yield f"{item['marker']} broke with code {item['code']} while {where.get(item['run'])} served"
+    runs = defaultdict(list)
+    for item in _of(records, "run"):
+        runs[item["marker"]].append(item)
+    for item in _of(records, "try", "return"):
+        if item["kind"] == "try":
+            tries[item["marker"]] = item
+            continue
+        asked = tries.get(item["marker"], {"atMs": item["atMs"], "door": ""})
+        if item["whole"] or item.get("gaveUp") or item.get("left"):
+            continue
+        isLost = item["status"] in (-1, -2) or 140 <= item["code"] < 145 or item["status"] == 200
+        workers = {where.get(item["run"]), *(run["who"] for run in runs[item["marker"]] if run["atMs"] >= asked["atMs"])} - {None}
+        if isLost and not falls.fell(asked.get("router", ""), asked["atMs"], item["atMs"]) and not any(
+                falls.fell(name, asked["atMs"], item["atMs"]) for name in workers):
+            yield (f"{item['marker']} broke at {item['atMs']} with code {item['code']}, status {item['status']}, "
+                   f"while {sorted(workers)} and {asked.get('router')} served")
+
+
+def laterCallsPass(records, apart, extra):
+    """A later call of an admitted conversation neither waits nor is refused for want of room while its worker serves."""
+    falls, last, tries = Falls(records), {}, {}
+    shown = [(item["atMs"], {worker["name"]: worker["draining"] for worker in item["workers"]}) for item in _of(records, "list")]
+
+    def serves(name, fromMs, toMs):
+        seen = [workers for atMs, workers in shown if atMs <= fromMs][-1:] + [
+            workers for atMs, workers in shown if fromMs < atMs <= toMs]
+        return not falls.fell(name, fromMs - BACK_MS, toMs) and all(not workers.get(name, True) for workers in seen)
+    for back in _of(records, "try", "return"):
+        if back["kind"] == "try":
+            tries[back["marker"]] = back
+            continue
+        asked = tries.get(back["marker"], {})
+        talk = asked.get("talk")
+        if not talk:
+            continue
+        before, last[talk] = last.get(talk), back
+        if asked["turn"] < 1 or before is None or not before["whole"] or asked["atMs"] - before["atMs"] > PAUSE_MS:
+            continue
+        if falls.chainFell(before["atMs"], back["atMs"]) or falls.keeperFell(before["atMs"] - 10000, back["atMs"]) or falls.fell(asked["router"], asked["atMs"], back["atMs"]) or (
+                falls.fell("platform", before["atMs"], back["atMs"])):
+            continue
+        isHeldUp = back["code"] in (110, 111, 112) or back["whole"] and back.get("waitedMs", 0) > 0
+        if isHeldUp and serves(before.get("worker"), before["atMs"], back["atMs"]):
+            yield (f"{asked['marker']}, turn {asked['turn']}, code {back['code']}, waited {back.get('waitedMs')} ms at "
+                   f"{back['atMs']} while {before.get('worker')} served")
+
+
+PAUSE_MS = 2500
+
+
+def _capsAt(records):
+    """For each model the caps that may be in force at a time."""
+    spans = defaultdict(list)
+    for item in _of(records, "change"):
+        for name, model in (item["document"].get("models") or {}).items():
+            if model and "cap" in model and item["status"] not in (400, 409, 422):
+                spans[name].append((item.get("askedMs", item["atMs"]), item["atMs"] if item["status"] == 200 else 1 << 60,
+                                    model["cap"]))
+
+    def capOf(name, atMs):
+        mine = spans[name]
+        newest = max((ack for _, ack, _ in mine if ack <= atMs - LATE_MS), default=0)
+        return max((cap for asked, ack, cap in mine if asked <= atMs and ack >= newest), default=1 << 30)
+    return capOf
+
+
+LATE_MS = 3000
+
+
+def startsWithinCap(records, apart, extra):
+    """No conversation starts on a worker that runs calls of K others, but for those that moved or whose router is cut off."""
+    falls, capOf, running = Falls(records), _capsAt(records), defaultdict(dict)
+    models = {worker["name"]: worker["model"] for item in _of(records, "list") for worker in item["workers"]}
+    tries = {item["marker"]: item for item in _of(records, "try")}
+    ends = {item["run"]: item["atMs"] for item in _of(records, "ran")}
+    homes = {}
+    for item in _of(records, "run", "up"):
+        if item["kind"] == "up":
+            running[item["who"]].clear()
+            continue
+        asked = tries.get(item["marker"])
+        if asked is None:
+            continue
+        talk, atMs, worker = asked.get("talk") or item["marker"], item["atMs"], item["who"]
+        here = running[worker]
+        for run in [run for run, (_, _, endMs) in here.items() if endMs <= atMs + 100]:
+            del here[run]
+        hasMoved = homes.get(talk, worker) != worker or not item["run"].endswith("-1")
+        isStart = talk not in homes
+        homes[talk] = worker
+        others = {other for other, router, _ in here.values() if other != talk
+                  and not falls.fell(router, atMs - 20000, atMs)}
+        cap = capOf(models.get(worker), atMs)
+        if isStart and not hasMoved and len(others) >= cap and not falls.keeperFell(atMs - 10000, atMs):
+            yield f"{item['run']} started on {worker} at {atMs} beside {len(others)} others, cap {cap}"
+        if not hasMoved:
+            here[item["run"]] = (talk, asked.get("router", ""), ends.get(item["run"], 1 << 60))
+
+
+def answeredAtOnce(records, apart, extra):
+    """A call that is given up has its return at once, with a time to come back, not near its horizon."""
+    falls, tries = Falls(records), {}
+    ended = defaultdict(int)
+    for item in _of(records, "try", "ran", "return"):
+        if item["kind"] == "try":
+            tries[item["marker"]] = item
+        elif item["kind"] == "ran":
+            ended[item["call"]] = item["atMs"]
+        elif not item["whole"] and item["code"]:
+            asked = tries.get(item["marker"])
+            if asked is None or falls.fell(asked.get("router", ""), asked["atMs"], item["atMs"]):
+                continue
+            tookMs, boundMs = item["atMs"] - asked["atMs"], WAIT_MS.get(asked["route"], 10000) + 1500
+            if item["code"] in (*REFUSALS, 145):
+                if not item.get("retryAfter"):
+                    yield f"{item['marker']} was refused with {item['code']} and no time to come back"
+                if tookMs > boundMs:
+                    yield f"{item['marker']} was refused with {item['code']} after {tookMs} ms"
+            sinceMs = item["atMs"] - ended[item["call"]]
+            if item["code"] in (140, 142, 143) and ended[item["call"]] and sinceMs > 4000:
+                yield f"{item['marker']} was given up {sinceMs} ms after its worker had ended it"
 
 
 def triesAreFew(records, apart, extra):
@@ -172,61 +389,117 @@
             yield from (f"no call of route {route} served from {endMs} to {endMs + 12000}" for route in sorted(before - after))
 
 
-RULES = {rule.__name__: rule for rule in (runsOnce, notRunStays, piecesBelong, apartStaysApart, weightsMatch, oldWeightsEnd,
-                                          versionsStand, refusedIsNotObeyed, drainingIsLeft, notCutOff, triesAreFew,
-                                          serviceReturns)}
+RULES = {rule.__name__: rule for rule in (
+    runsOnce, notRunStays, piecesBelong, apartStaysApart, weightsMatch, oldWeightsEnd, versionsStand, readBackWhole, ackIsQuick,
+    refusedIsNotObeyed, drainingIsLeft, notCutOff, laterCallsPass, startsWithinCap, answeredAtOnce, triesAreFew,
+    serviceReturns)}
 
 
 class CheckerTest(unittest.TestCase):
+    DOCUMENT = {"models": {"m": {"weights": "w1", "cap": 2}}, "tenants": {"a": {"keys": ["k"]}, "b": {"keys": ["l"]}},
+                "routes": {"check": {"model": "m"}}}
+
     def good(self):
-        document = {"models": {"m": {"weights": "w1"}}, "tenants": {"a": {"keys": ["k"]}, "b": {"keys": ["l"]}}}
+        """A day on which nothing went wrong."""
         lines = [
-            (0, "operator", "change", {"status": 200, "document": document, "answer": {"version": 1, "changeId": "c1"}}),
-            (10, "platform", "list", {"workers": [{"name": "w", "draining": False}]}),
-            (50, "caller", "try", {"marker": "1", "tenant": "a", "route": "check", "idempotency": "k1"}),
-            (60, "w", "run", {"run": "r-1", "call": "r", "tenant": "a", "weights": "w1", "loaded": "w1", "marker": "1"}),
-            (61, "w", "prefill", {"run": "r-1", "origins": [["a", "w1"]]}),
-            (90, "w", "ran", {"run": "r-1", "whole": True}),
-            (95, "caller", "return", {"marker": "1", "tenant": "a", "route": "check", "run": "r-1", "whole": True, "code": 0,
-                                      "notRun": False, "wrong": "", "status": 200}),
+            (0, "operator", "change", {"status": 200, "method": "PUT", "document": self.DOCUMENT, "askedMs": 0,
+                                       "answer": {"version": 1, "changeId": "c1"}}),
+            (10, "platform", "list", {"workers": [{"name": "w", "model": "m", "draining": False},
+                                                  {"name": "v", "model": "m", "draining": False}]}),
+            (95_000, "operator", "dayEnds", {}),
+            (95_500, "operator", "read", {"status": 200, "version": 1, "askedMs": 95_400, "document": self.DOCUMENT}),
         ]
-        return [self.line(*each) for each in lines]
+        return [*(self.line(*each) for each in lines), *self.served(50, "1", "r-1", talk="t", turn=0)]
+
+    def served(self, atMs, marker, run, **more):
+        """The lines of one call that is served whole."""
+        call = run.split("-")[0]
+        return [self.try_(atMs, marker, **more), self.run_(atMs + 10, run=run, call=call, marker=marker),
+                self.line(atMs + 11, "w", "prefill", {"run": run, "origins": [["a", "w1"]]}),
+                self.line(atMs + 40, "w", "ran", {"run": run, "call": call, "marker": marker, "whole": True}),
+                self.back(atMs + 45, marker, run=run, call=call, whole=True, status=200, worker="w", waitedMs=0)]
 
     @staticmethod
     def line(atMs, who, kind, fields):
         return {"atMs": atMs, "who": who, "kind": kind} | fields
 
-    def run_(self, atMs, **fields):
-        return self.line(atMs, "w", "run", {"run": "s-1", "call": "s", "tenant": "a", "weights": "w1", "loaded": "w1",
-                                            "marker": "1"} | fields)
+    def try_(self, atMs, marker, **fields):
+        return self.line(atMs, "caller", "try", {"marker": marker, "tenant": "a", "route": "check", "idempotency": f"k{marker}",
+                                                 "router": "router1", "key": "k", "talk": "", "turn": 0} | fields)
+
+    def run_(self, atMs, who="w", **fields):
+        return self.line(atMs, who, "run", {"run": "s-1", "call": "s", "tenant": "a", "weights": "w1", "loaded": "w1",
+                                            "marker": "1", "route": "check"} | fields)
+
+    def back(self, atMs, marker="1", **fields):
+        return self.line(atMs, "caller", "return", {"marker": marker, "tenant": "a", "route": "check", "run": "", "whole": False,
+                                                    "code": 0, "notRun": False, "wrong": "", "status": 503, "call": ""} | fields)
+
+    def ack(self, atMs, status=200, version=2, askedMs=None, **fields):
+        return self.line(atMs, "operator", "change", {"status": status, "document": {}, "method": "PATCH", "answer": {
+            "version": version, "changeId": f"c{version}"}, "askedMs": atMs - 10 if askedMs is None else askedMs} | fields)
 
-    def back(self, atMs, **fields):
-        return self.line(atMs, "caller", "return", {"marker": "1", "tenant": "a", "route": "check", "run": "", "whole": False,
-                                                    "code": 0, "notRun": False, "wrong": "", "status": 503} | fields)
+    def read(self, atMs, **fields):
+        return self.line(atMs, "operator", "read", {"status": 200, "version": 1, "askedMs": atMs - 50} | fields)
 
-    def ack(self, atMs, status=200, **fields):
-        return self.line(atMs, "operator", "change", {"status": status, "document": {}, "answer": {"version": 2, "changeId": "c2"}} | fields)
+    def found(self, *lines):
+        return check(sorted([*self.good(), *lines], key=lambda item: item["atMs"]), {"b"})
 
     def testAGoodRunHasNoBreaches(self):
-        self.assertEqual(check(self.good(), {"b"}), {})
+        self.assertEqual(self.found(), {})
+        self.assertEqual(self.found(*self.served(1000, "2", "q-1", talk="t", turn=1)), {})
 
     def testEachPlantedBreachIsCaught(self):
+        keys = {"tenants": {"a": {"keys": ["other"]}}}
         planted = {
-            "runsOnce": [self.run_(70)],
-            "notRunStays": [self.back(80, notRun=True)],
-            "piecesBelong": [self.back(80, wrong="piece of another run")],
-            "apartStaysApart": [self.line(70, "w", "prefill", {"run": "r-1", "origins": [["b", "w1"]]})],
-            "weightsMatch": [self.line(70, "w", "prefill", {"run": "r-1", "origins": [["a", "w0"]]})],
-            "oldWeightsEnd": [self.ack(100, document={"models": {"m": {"weights": "w2"}}}), self.run_(15200, marker="9")],
-            "versionsStand": [self.ack(100), self.line(200, "operator", "read", {"status": 200, "version": 1, "askedMs": 150})],
-            "refusedIsNotObeyed": [self.ack(100, 409, document={"tenants": {"z": {}}}), self.run_(200, tenant="z", marker="9")],
-            "drainingIsLeft": [self.line(100, "platform", "list", {"workers": [{"name": "w", "draining": True}]}),
-                               self.run_(3200, marker="9")],
-            "notCutOff": [self.back(200, run="r-1", code=140)],
-            "triesAreFew": [self.run_(70 + n, run=f"x{n}-2", marker=f"m{n}") for n in range(4)],
-            "serviceReturns": [self.line(100, "operator", "closing", {}), self.back(12200)],
+            "runsOnce": [[self.run_(70)], [self.try_(3000, "1"), self.run_(3010, run="z-1", call="z")]],
+            "notRunStays": [[self.back(80, notRun=True)], [self.back(80, call="r", notRun=True)]],
+            "piecesBelong": [[self.back(80, wrong="piece of another run")]],
+            "apartStaysApart": [[self.line(70, "w", "prefill", {"run": "r-1", "origins": [["b", "w1"]]})]],
+            "weightsMatch": [[self.line(70, "w", "prefill", {"run": "r-1", "origins": [["a", "w0"]]})]],
+            "oldWeightsEnd": [[self.ack(100, document={"models": {"m": {"weights": "w2"}}}), self.run_(15200, marker="9")],
+                              [self.ack(100, 409, document={"models": {"m": {"weights": "w2"}}}), self.run_(200, weights="w2")],
+                              [self.ack(100, document={"models": {"m": {"weights": "w2"}}}), self.run_(5000, weights="w2"),
+                               self.ack(6000, version=3, document={"models": {"m": {"weights": "w1"}}}),
+                               self.run_(21_500, weights="w2", marker="9")]],
+            "versionsStand": [[self.ack(100), self.read(200)], [self.ack(100), self.ack(200, answer={"version": 2, "changeId": "x"})]],
+            "readBackWhole": [[self.read(300, document={"models": {}})], [self.ack(95_200, askedMs=95_100)],
+                              [self.ack(100, document={"models": {"m": {"cap": 3}}}),
+                               self.read(300, version=2, document=self.DOCUMENT)]],
+            "ackIsQuick": [[self.line(0, "operator", "quiet", {"untilMs": 9000}), self.ack(4000, askedMs=1900)],
+                           [self.line(0, "operator", "quiet", {"untilMs": 9000}), self.ack(2000, 504)]],
+            "refusedIsNotObeyed": [
+                [self.ack(100, 409, document={"tenants": {"z": {}}}), self.run_(200, tenant="z", marker="9")],
+                [self.ack(100, 422, document={"routes": {"z": {}}}), self.run_(200, route="z", marker="9")],
+                [self.ack(100, document=keys), self.try_(101, "9"), self.run_(110, marker="9")],
+                [self.ack(100, document={"routes": {"check": None}}), self.try_(101, "9"), self.run_(110, marker="9")]],
+            "drainingIsLeft": [[self.line(100, "platform", "list", {"workers": [{"name": "w", "model": "m", "draining": True}]}),
+                                self.run_(3200, marker="9")]],
+            "notCutOff": [[self.back(200, run="r-1", code=140)], [self.try_(200, "2"), self.back(300, "2", status=-2)],
+                          [self.line(90, "operator", "kill", {"target": "router2", "id": 1}), self.back(200, run="r-1", code=144)]],
+            "laterCallsPass": [[*self.served(1000, "2", "q-1", talk="t", turn=1)[:-1],
+                                self.back(1100, "2", run="q-1", call="q", whole=True, status=200, worker="w", waitedMs=40)],
+                               [self.try_(1000, "2", talk="t", turn=1), self.back(1100, "2", code=110, notRun=True, retryAfter="2")]],
+            "startsWithinCap": [[each for at in range(3) for each in (self.try_(500 + at, f"m{at}"),
+                                 self.run_(510 + at, run=f"n{at}-1", call=f"n{at}", marker=f"m{at}"))]],
+            "answeredAtOnce": [[self.try_(1000, "2"), self.back(1100, "2", code=111, notRun=True)],
+                               [self.try_(1000, "2"), self.back(13_000, "2", code=111, notRun=True, retryAfter="2")],
+                               [self.back(9000, call="r", code=140)]],
+            "triesAreFew": [[self.run_(70 + n, run=f"x{n}-2", call=f"x{n}", marker=f"m{n}") for n in range(4)]],
+            "serviceReturns": [[self.line(100, "operator", "closing", {}), self.back(12200)]],
         }
         self.assertEqual(set(planted), set(RULES))
-        for name, lines in planted.items():
-            records = sorted([*self.good(), *lines], key=lambda item: item["atMs"])
-            self.assertIn(name, check(records, {"b"}), name)
+        for name, sets in planted.items():
+            for lines in sets:
+                self.assertIn(name, self.found(*lines), (name, lines[:2]))
+
+    def testAPardonIsTiedToTheRouterAndTheWorkerOfTheRun(self):
+        def kill(target, **more):
+            return self.line(90, "operator", "kill", {"target": target, "id": 7} | more)
+        broken = self.back(200, run="r-1", code=140)
+        for target, isPardoned in (("w", True), ("v", False), ("router1", True), ("router2", False)):
+            self.assertEqual("notCutOff" not in self.found(kill(target), broken), isPardoned, target)
+        back = self.line(95, "operator", "back", {"id": 7})
+        late = [self.try_(9000, "2"), self.back(9100, "2", status=-2)]
+        self.assertIn("notCutOff", self.found(kill("router1"), back, *late))
+        self.assertNotIn("notCutOff", self.found(kill("router1"), *late))
--- a/swiftdeck/bench/site.py
+++ b/swiftdeck/bench/site.py
@@ -26,14 +26,15 @@
     keys: dict
     apart: str
     agents: dict
+    tagModel: str
 
     def document(self, weights="w1", cap=4, **model) -> dict:
         """The first configuration of the site."""
         return {
-            "models": {self.model: {"weights": weights, "cap": cap} | model},
+            "models": {name: {"weights": weights, "cap": cap} | model for name in sorted({self.model, self.tagModel})},
             "tenants": {tenant: {"keys": [keyDigest(key)], "apart": tenant == self.apart} for tenant, key in self.keys.items()},
             "routes": {"check": {"model": self.model, "waitMs": 10000},
-                       "tag": {"model": self.model, "repeatable": True, "single": True, "waitMs": 8000}},
+                       "tag": {"model": self.tagModel, "repeatable": True, "single": True, "waitMs": 8000}},
         }
 
     def seeds(self):
@@ -41,7 +42,7 @@
         return [core["inner"] for core in self.cores]
 
 
-def planSite(name="hinokuni", ip=lambda machine: "127.0.0.1", basePort=21000, routers=9, workers=None):
+def planSite(name="hinokuni", ip=lambda machine: "127.0.0.1", basePort=21000, routers=9, workers=None, models=1):
     """Plan a site; with one IP for all machines each process gets ports of its own."""
     isHinokuni = name == "hinokuni"
     ports = iter(range(basePort, basePort + 1000))
@@ -55,15 +56,16 @@
         return {"name": machine, "inner": addr(machine, 7000), "http": addr(machine, 8000), "zone": f"z{(number - 1) % 3 + 1}"}
     count = workers or (6 if isHinokuni else 9)
     model = "screener" if isHinokuni else "classifier"
+    served = [model, "tagger"] if models > 1 else [model]
     tenants = TENANTS[name]
     return Site(
         name=name, model=model, cores=[node("core", number) for number in (1, 2, 3)],
         routers=[node("router", number) for number in range(1, routers + 1)],
-        workers=[{"name": f"worker{number}", "addr": addr(f"worker{number}", 9000), "model": model,
+        workers=[{"name": f"worker{number}", "addr": addr(f"worker{number}", 9000), "model": served[-1 if number > count - count // 3 else 0],
                   "zone": f"z{(number - 1) % 3 + 1}", "draining": False} for number in range(1, count + 1)],
         platform=addr("platform", 9000), store=addr("store", 9000),
         keys={tenant: f"key-{tenant}" for tenant in tenants}, apart=tenants[2],
-        agents={tenant: 4 if at < 2 else 1 for at, tenant in enumerate(tenants)})
+        agents={tenant: 4 if at < 2 else 1 for at, tenant in enumerate(tenants)}, tagModel=served[-1])
 
 
 class SiteTest(unittest.TestCase):
--- a/swiftdeck/bench/worker.py
+++ b/swiftdeck/bench/worker.py
@@ -69,6 +69,8 @@
         exchange.begin(200, [("content-type", "application/x-ndjson"), ("transfer-encoding", "chunked")])
         while True:
             items = [each for each in self.events if each["n"] > at]
+            if self.quirk == "old reports":
+                items = self.events[-20:]
             for item in items:
                 if self.quirk == "lose reports" and self.random.random() < 0.3:
                     continue
@@ -146,7 +148,7 @@
             if self.store and whole:
                 asyncio.ensure_future(self._save(chain, tokens, body))
         finally:
-            self.record("ran", run=run, call=call, whole=whole)
+            self.record("ran", run=run, call=call, whole=whole, marker=marker)
 
     async def _stream(self, exchange, run, marker, count, depth, parts, new):
         exchange.begin(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")])
--- a/swiftdeck/control/core.py
+++ b/swiftdeck/control/core.py
@@ -45,9 +45,9 @@
         if isFault(fault):
             return fault
         self.me.coreId = self.agreement.coreId
-        await self.mesh.start()
         await self.chain.start()
         self.ballots.start()
+        await self.mesh.start()
         self.membership.start()
         self.news.start()
         self.chart.learn(self.agreement.decided)
--- a/swiftdeck/sim/cases/calls.py
+++ b/swiftdeck/sim/cases/calls.py
@@ -24,6 +24,7 @@
     def quirk(self, town, quirk):
         for worker in town.site.workers:
             town.up[worker["name"]].quirk = quirk
+            town.up[worker["name"]].record("quirk", quirk=quirk)
 
     def sound(self, town):
         self.assertEqual(check(town.records, {town.site.apart}), {})
@@ -179,7 +180,6 @@
         self.assertLessEqual(extra, 40 // 5 + 3)
         self.assertEqual({each[0]["code"] for each in box}, {WORKER_LOST.code})
 
-    def testACallCountsOnceHoweverOftenItsFirstLegIsGranted(self):
     def testACallWaitsOnceForLicenceAndGrantTogether(self):
         town = self.town(routers=2, workers=1)
         [town.world.kill(name) for name in [*town.coreNames(), "platform"]]
@@ -214,6 +214,7 @@
         starts = [item for name in town.routerNames() for item in town.up[name].decisions.items if item["kind"] == "start"]
         self.assertEqual((ends, starts), ([], []))
 
+    def testACallCountsOnceHoweverOftenItsFirstLegIsGranted(self):
         town, look, failures = self.town(workers=1), Call._mayBeSent, [STALE_LIST] * 5
 
         def fails(call, leg):
@@ -383,6 +384,7 @@
         second = town.spawn(lambda: town.caller.call("oita", "check", ["book", "b"], door=door))
         town.world.run(0.5)
         town.world.freeze(other)
+        town.record("operator")("kill", target=other, id=1)
         town.world.run(3)
         got = town.change("PATCH", {"models": {"screener": {"weights": "w2"}}})
         self.assertEqual(got[0], 200)
--- a/swiftdeck/sim/cases/config.py
+++ b/swiftdeck/sim/cases/config.py
@@ -21,6 +21,8 @@
 
     def settle(self, town, members=3):
         """Let the chain mend itself to so many members."""
+        town.world.run(0.05)
+
         def isMended():
             cores = [town.up[name] for name in town.coreNames()]
             return all(len(core.agreement.decided.members) == members and core.chain.isWhole() and
@@ -354,8 +356,6 @@
         self.assertEqual(town.call("saga", "tag", ["a", "b"], door=door)["status"], 401)
         self.assertEqual(town.call("oita", "tag", ["a", "b"], door=door)["status"], 200)
 
-    def testARevokedKeyIsRefusedOnAKeptAliveConnection(self):
-        town = self.town()
     def testAKeyThatIsTakenWhileItsCallWaitsEndsTheCallAtOnce(self):
         town = self.town(routers=2, workers=1)
         self.assertEqual(town.change("PATCH", self.cap(1))[0], 200)
@@ -367,6 +367,8 @@
         town.world.run(until=lambda: box, limitS=1.5)
         self.assertTrue(box and box[0]["status"] == 401 and box[0]["notRun"], box)
 
+    def testARevokedKeyIsRefusedOnAKeptAliveConnection(self):
+        town = self.town()
         bodies = msgspec.json.encode({"model": "tag", "parts": ["a"], "stream": False})
 
         async def talk():
--- a/swiftdeck/sim/storm.py
+++ b/swiftdeck/sim/storm.py
@@ -1,8 +1,11 @@
 """Faults drawn from a seed, upon a whole site in virtual time, judged by the records."""
+import time
 import unittest
 from collections import Counter
+from unittest import mock
 
 from swiftdeck.bench.checker import check
+from swiftdeck.config.document import keyDigest
 from swiftdeck.http.client import fetchJson
 from swiftdeck.sim.town import Town
 
@@ -13,20 +16,47 @@
     def __init__(self, scenario, seed, seconds=60.0, site=None, routers=9, speed=0.1, **settings):
         self.scenario, self.seed, self.seconds = scenario, seed, seconds
         site = site or ("hinokuni" if seed % 2 else "serraria")
-        self.town = Town(seed, site, routers=routers, workers=None, speed=speed, **settings)
+        self.town = Town(seed, site, routers=routers, workers=None, speed=speed, models=2 if seed % 3 == 0 else 1, **settings)
         self.random = self.town.world.random
-        self.done = []
+        self.done, self.falls, self.fallen = [], 0, {}
+        self.weights, self.wallS, self.keys, self.isRolling = "w1", 0.0, 0, False
 
     def log(self, what):
-        """Note a fault in the records and in the trace."""
+        """Note a fault in the trace."""
         self.done.append((round(self.town.world.now, 3), what))
 
+    def fall(self, name):
+        """Note that a process is not well from now on; gives what is to be called when it is well again."""
+        self.falls += 1
+        number, town = self.falls, self.town
+        self.fallen[number] = name
+        town.record("operator")("kill", target=name, id=number, keeper=name in town.keeperNames())
+
+        def back():
+            if self.fallen.pop(number, None):
+                town.record("operator")("back", id=number, target=name)
+        return back
+
+    def traffic(self):
+        """Long checks as agents and short calls, either crowded or with short calls ten times as many."""
+        town = self.town
+        town.caller.returns = 3
+        isCrowded = self.seed // 2 % 2
+        agents = {name: 1 + (at < 2) if isCrowded else at < 3 for at, name in enumerate(town.site.keys)}
+        town.spawn(lambda: town.caller.run(self.seconds + 55, {name: int(count) for name, count in agents.items()},
+                                           1.5 if isCrowded else 1.0))
+
     def run(self) -> dict:
         """Traffic while faults come, then a closing fault; gives breaches and sums."""
+        with mock.patch("time.time", lambda wall=time.time: wall() + self.wallS):
+            return self._run()
+
+    def _run(self):
         town = self.town
         town.start(cap=self.random.choice([2, 4, 8]))
         world = town.world
-        town.spawn(lambda: town.caller.run(self.seconds + 45, {name: 1 + (at < 2) for at, name in enumerate(town.site.keys)}, 1.5))
+        self.traffic()
+        self.quiet()
         endS = world.now + self.seconds
         nextReadS = world.now
         while world.now < endS:
@@ -49,16 +79,28 @@
         if town.world.faults:
             breaches["noTraceback"] = [f"{name}: {context.get('message')} {context.get('exception')!r}"
                                        for name, context in town.world.faults[:5]]
+        failed = town.counters()["faults.404"] + town.counters()["http.faults.404"]
+        if failed:
+            breaches["noHandlerFails"] = [f"{failed} messages or exchanges met an internal fault"]
         back = [item for item in town.records if item["kind"] == "return"]
         return {"seed": self.seed, "breaches": breaches, "faults": len(self.done), "returns": len(back),
                 "served": sum(item["whole"] for item in back), "codes": dict(Counter(item["code"] for item in back)),
                 "runs": sum(item["kind"] == "run" for item in town.records), "version": town.version,
-                "steps": world.steps}
+                "steps": world.steps, "acts": dict(town.counters())}
+
+    def quiet(self):
+        """Some seconds in which nothing fails and changes are made."""
+        town = self.town
+        town.record("operator")("quiet", untilMs=int(town.world.now * 1000) + 6000)
+        for _ in range(4):
+            self.random.choice([self.patch, self.rekey, self.race, self.route])()
+            town.world.run(1.5)
 
     def closing(self):
-        """One last fault that nobody mends."""
+        """One last fault that nobody mends, or an outage that ends by itself."""
         town = self.town
-        fault = self.random.choice(["kill some", "cut a zone", "kill all cores", "freeze keeper and tail"])
+        fault = self.random.choice(["kill some", "cut a zone", "kill all cores", "freeze keeper and tail", "cut the core in two",
+                                    "whole outage", "platform restarts"])
         tail = next((name for name in town.coreNames() if town.up[name].chain.isLast()), None)
         keeper = town.keeper()
         self.log(f"closing: {fault}")
@@ -66,21 +108,33 @@
             others = [name for name in town.routerNames() if name != keeper]
             for name in (tail, keeper, self._pick(others), self._pick(self._workers())):
                 if name:
-                    town.record("operator")("kill", target=name)
+                    self.fall(name)
                     town.world.kill(name, silent=True)
         elif fault == "cut a zone":
             zone = self.random.choice(["z1", "z2", "z3"])
             nodes = [*town.site.cores, *town.site.routers]
             near = [self._ip(node["name"]) for node in nodes if node["zone"] == zone]
             near += [worker["addr"].rpartition(":")[0] for worker in town.site.workers if worker["zone"] == zone]
-            [town.record("operator")("kill", target=node["name"]) for node in [*nodes, *town.site.workers] if node["zone"] == zone]
+            [self.fall(node["name"]) for node in [*nodes, *town.site.workers] if node["zone"] == zone]
             town.world.net.cut(near, [ip for ip in town.ips.values() if ip not in near])
         elif fault == "kill all cores":
             for name in town.coreNames():
                 self._kill(name, least=0.5, most=2.0)
+        elif fault == "cut the core in two":
+            names = town.coreNames()
+            alone = self._pick(names)
+            town.world.net.cut([self._ip(alone)], [self._ip(name) for name in town.addresses if name != alone])
+        elif fault == "whole outage":
+            for name in [*town.coreNames(), *town.routerNames(), *self._workers()]:
+                self._kill(name, least=0.5, most=2.0)
+        elif fault == "platform restarts":
+            town.world.kill("platform")
+            self.fall("platform")
+            self._later(lambda: town.world.start("platform", town.site.platform.rpartition(":")[0], town.up["platform"].start),
+                        1, 4)
         else:
             for name in [each for each in (tail, keeper) if each]:
-                town.record("operator")("kill", target=name)
+                self.fall(name)
                 town.world.freeze(name)
         town.record("operator")("closing")
 
@@ -106,18 +160,20 @@
         elif name.startswith("worker"):
             town.startWorker(name, weights=self.random.choice(["w1", self.weights]))
 
-    weights = "w1"
-
     def _kill(self, name, silent=False, least=1.0, most=12.0):
         town = self.town
         if name is None or name not in town.world.loops:
             return
-        town.record("operator")("kill", target=name)
+        back = self.fall(name)
         town.world.kill(name, silent)
         if name in town.folders:
             town.folders[name].losePower(torn=self.random.choice([0, 0, 1, 7, 40]))
         self.log(f"kill {name}")
-        self._later(lambda: self._back(name), least, most)
+
+        def again():
+            self._back(name)
+            back()
+        self._later(again, least, most)
 
     def _workers(self):
         return [worker["name"] for worker in self.town.site.workers if worker["name"] in self.town.world.loops]
@@ -148,23 +204,26 @@
         self.killCore()
 
     def freeze(self):
+        self._freeze(self._pick([*self.town.coreNames(), *self.town.routerNames()]))
+
+    def freezeKeeper(self):
+        self._freeze(self.town.keeper())
+
+    def freezeWorker(self):
+        self._freeze(self._pick(self._workers()), most=6)
+
+    def _freeze(self, name, most=15):
         town = self.town
-        name = self._pick([*town.coreNames(), *town.routerNames()])
         if name and not town.world.loops[name].frozen:
             town.world.freeze(name)
-            town.record("operator")("kill", target=name)
-            loop = town.world.loops[name]
+            back, loop = self.fall(name), town.world.loops[name]
             self.log(f"freeze {name}")
-            self._later(lambda: town.world.thaw(name) if town.world.loops.get(name) is loop and loop.frozen else None, 0.5, 15)
 
-    def freezeKeeper(self):
-        name = self.town.keeper()
-        if name:
-            self.town.world.freeze(name)
-            loop = self.town.world.loops[name]
-            self.town.record("operator")("kill", target=name)
-            self.log(f"freeze {name}")
-            self._later(lambda: self.town.world.thaw(name) if self.town.world.loops.get(name) is loop and loop.frozen else None, 1, 15)
+            def thaw():
+                if town.world.loops.get(name) is loop and loop.frozen:
+                    town.world.thaw(name)
+                back()
+            self._later(thaw, 0.5, most)
 
     def _ip(self, name):
         return self.town.addresses[name]["inner"].rpartition(":")[0]
@@ -174,12 +233,15 @@
         everyone = [self._ip(name) for name in town.addresses] + [town.site.platform.rpartition(":")[0]]
         workers = [worker["addr"].rpartition(":")[0] for worker in town.site.workers]
         far = [ip for ip in everyone + (workers if self.random.random() < 0.3 else []) if ip not in near]
-        for name in town.routerNames():
-            if self._ip(name) in near:
-                town.record("operator")("kill", target=name)
+        backs = [self.fall(name) for name in town.routerNames() if self._ip(name) in near]
         town.world.net.cut(near, far, both)
         self.log(f"cut {near} both={both}")
-        self._later(town.world.net.heal, 1, 15)
+
+        def heal():
+            town.world.net.heal()
+            for back in backs:
+                back()
+        self._later(heal, 1, 15)
 
     def cutRouter(self):
         self._cut([self._ip(self._pick(self.town.addresses))], self.random.random() < 0.7)
@@ -230,20 +292,21 @@
         self.log(f"empty {name} at a new address")
         self._later(lambda: self._back(name), 2, 6)
 
-    def _patch(self, document):
+    def _patch(self, document, then=lambda: None, name=None):
         town = self.town
-        name, base = self._pick(town.coreNames()), town.version
+        name, base = name or self._pick(town.coreNames()), town.version
         if name is None:
             return
-        changeId = f"storm-{len(town.records)}-{self.random.getrandbits(32)}"
+        changeId, askedMs = f"storm-{len(town.records)}-{self.random.getrandbits(32)}", int(town.world.now * 1000)
 
         async def work():
             got = await fetchJson(town.addresses[name]["http"], "PATCH", f"/v1/config?base={base}", document,
                                   [("change-id", changeId)], 14000)
             if got and got[0] == 200:
                 town.version = max(town.version, got[1]["version"])
+                then()
             town.record("operator")("change", method="PATCH", base=base, document=document, status=got[0] if got else 0,
-                                    answer=got[1] if got else {})
+                                    answer=got[1] if got else {"changeId": changeId}, askedMs=askedMs)
         town.spawn(work)
 
     def patch(self):
@@ -255,8 +318,121 @@
     def invalid(self):
         self._patch({"tenants": {"nobody": {"keys": ["sha256:" + "0" * 64]}}, "routes": {"check": {"model": "nobody"}}})
 
+    def rekey(self):
+        """A tenant's key is exchanged; its callers know the new one once it is in force."""
+        town, tenant = self.town, self._pick(self.town.site.keys)
+        self.keys += 1
+        key = f"key-{tenant}-{self.keys}"
+        self._patch({"tenants": {tenant: {"keys": [keyDigest(key)]}}}, lambda: town.caller.keys.update({tenant: key}))
+        self.log(f"rekey {tenant}")
+
+    def route(self):
+        """A route comes, and goes with a later change."""
+        held = [name for item in self.town.records if item["kind"] == "change" and item["status"] == 200
+                for name, route in (item["document"].get("routes") or {}).items() if route and name.startswith("extra-")]
+        if held and self.random.random() < 0.5:
+            self._patch({"routes": {self.random.choice(held): None}})
+        else:
+            self._patch({"routes": {f"extra-{len(self.town.records)}": {"model": self.town.site.model}}})
+
+    def powerAfterAck(self):
+        """Power goes, of one core or of all, in the moment of an acknowledgement."""
+        names = self.town.coreNames() if self.random.random() < 0.5 else [self._pick(self.town.coreNames())]
+        self._patch({"models": {self.town.site.model: {"lineMax": self.random.randint(20, 90)}}},
+                    lambda: self.town.world.at(0.0, lambda: [self._kill(name, least=0.3, most=3.0) for name in names]))
+
+    def killAfterFault(self):
+        """A second fault soon after a first: slow disk then power, freeze then kill, cut then restart."""
+        name = self._pick(self.town.coreNames())
+        if name is None or len(self.town.coreNames()) < 3:
+            return
+        first = self.random.choice(["slow", "freeze", "cut"])
+        self.patch()
+        if first == "slow":
+            self._slowDisk(name, self.random.uniform(0.1, 0.9))
+        elif first == "freeze":
+            self._freeze(name)
+        else:
+            self._cut([self._ip(name)], self.random.random() < 0.5)
+        self._later(lambda: self._kill(name, least=0.2, most=4.0), 0.2, 2.0)
+
+    def slowDisk(self):
+        self._slowDisk(self._pick(self.town.coreNames()), self.random.uniform(0.02, 0.9))
+
+    def _slowDisk(self, name, stallS):
+        folder = self.town.folders.get(name)
+        if folder:
+            folder.stallS = stallS
+            self.log(f"slow disk {name} {stallS:.2f}")
+            self._later(lambda: setattr(folder, "stallS", 0.0), 2, 15)
+
+    def jumpWall(self):
+        """The wall clocks jump; no process may notice."""
+        self.wallS += self.random.choice([-86400.0, -30.0, 30.0, 86400.0])
+        self.log("wall clock")
+
+    def cutPlatform(self):
+        """Some routers, or all, can't reach the platform, and one side may be shown a drain."""
+        town = self.town
+        some = self.random.sample(town.routerNames(), self.random.randint(1, len(town.routerNames())))
+        town.world.net.cut([self._ip(name) for name in some], [town.site.platform.rpartition(":")[0]], self.random.random() < 0.5)
+        backs = [self.fall(name) for name in some]
+        self.log(f"cut platform from {len(some)}")
+        self._later(lambda: (town.world.net.heal(), [back() for back in backs]), 1, 10)
+        self.drain()
+
+    def oneWay(self):
+        name = self._pick(self.town.addresses)
+        self._cut([self._ip(name)], False)
+
+    def writeBothSides(self):
+        """The core is cut in two, and operators write on both sides."""
+        names = self.town.coreNames()
+        if len(names) == 3:
+            alone = self._pick(names)
+            routers = self.town.routerNames()
+            near = [alone, *self.random.sample(routers, len(routers) // 2)]
+            self._cut([self._ip(name) for name in near], True)
+            for name in (alone, next(name for name in names if name != alone)):
+                self._patch({"models": {self.town.site.model: {"cap": self.random.randint(2, 8)}}}, name=name)
+
+    def rollWorkers(self):
+        """All workers are replaced, one after another."""
+        town = self.town
+        for at, worker in enumerate(town.site.workers):
+            self._later(lambda name=worker["name"]: self._release(name), 1 + 7 * at, 2 + 7 * at)
+        self.log("roll workers")
+
+    def rollNodes(self):
+        """All routers and cores are ended politely and started again, one after another."""
+        town, names = self.town, sorted(self.town.addresses)
+        if self.isRolling:
+            return
+        self.isRolling = True
+        self.random.shuffle(names)
+
+        def roll(name):
+            if not self.isRolling or name not in town.world.loops or town.world.loops[name].frozen:
+                return
+            back, loop = self.fall(name), town.world.loops[name]
+            town.world._within(loop, lambda: loop.create_task(town.up[name].stop()))
+
+            def again():
+                if town.world.loops.get(name) is loop:
+                    town.world.kill(name)
+                if name in town.folders:
+                    town.folders[name].losePower()
+                self._back(name)
+                back()
+            self._later(again, 4, 6)
+        for at, name in enumerate(names):
+            self._later(lambda name=name: roll(name), 1 + 8 * at, 2 + 8 * at)
+        self.log("roll nodes")
+
     def newWeights(self):
-        self.weights = f"w{int(self.weights[1:]) + 1}"
+        number = int(self.weights[1:])
+        again = number > 2 and self.random.random() < 0.25
+        self.weights = f"w{number - 1}" if again else f"w{number + 1}"
         self._patch({"models": {self.town.site.model: {"weights": self.weights}}})
         self.log(f"weights {self.weights}")
 
@@ -265,29 +441,37 @@
         self._patch({"routes": {f"grown-{at}-{number}": {"model": self.town.site.model} for number in range(400)}})
 
     def drain(self):
+        self._release(self._pick([worker["name"] for worker in self.town.site.workers]))
+
+    def _release(self, name):
+        """A worker drains, leaves the list, ends, and a new one takes its place."""
         town = self.town
-        platform, shown = town.up.get("platform"), [worker for worker in town.site.workers]
-        name = self._pick([worker["name"] for worker in shown])
-        if platform and name in platform.workers and sum(not each["draining"] for each in platform.workers.values()) > 3:
-            platform.drain(name)
-            self.log(f"drain {name}")
-
-            def leave():
-                town.record("operator")("kill", target=name)
-                platform.remove(name)
-                town.world.kill(name)
-
-            def back():
-                self._back(name)
-                platform.add(next(worker for worker in shown if worker["name"] == name))
-            self._later(leave, 6, 10)
-            self._later(back, 11, 16)
+        platform, plan = town.up.get("platform"), next(worker for worker in town.site.workers if worker["name"] == name)
+        left = [each for each in platform.workers.values() if not each["draining"] and each["model"] == plan["model"]]
+        if name not in platform.workers or platform.workers[name]["draining"] or len(left) < 2:
+            return
+        platform.drain(name)
+        self.log(f"drain {name}")
+        falls = []
+
+        def leave():
+            falls.append(self.fall(name))
+            platform.remove(name)
+            town.world.kill(name)
+
+        def again():
+            self._back(name)
+            platform.add(plan)
+            for back in falls:
+                back()
+        self._later(leave, 4, 5.5)
+        self._later(again, 6, 7)
 
     def quirk(self):
         town, name = self.town, self._pick(self._workers())
         if name:
             worker, quirk = town.up[name], self.random.choice(
-                ["lose reports", "double reports", "late reports", "die midway", "foreign", "repeat", "malformed", "hang"])
+                ["lose reports", "double reports", "late reports", "old reports", "die midway", "foreign", "repeat", "malformed", "hang"])
             worker.quirk = quirk
             worker.record("quirk", quirk=quirk)
             self.log(f"quirk {name} {quirk}")
@@ -313,8 +497,9 @@
         town = self.town
         if "platform" in town.world.loops and not town.world.loops["platform"].frozen:
             town.world.freeze("platform")
+            back = self.fall("platform")
             self.log("freeze platform")
-            self._later(lambda: town.world.thaw("platform"), 1, 8)
+            self._later(lambda: (town.world.thaw("platform"), back()), 1, 8)
 
     def loseDatagrams(self):
         self.town.world.net.lossRate = self.random.choice([0.0, 0.1, 0.4])
@@ -337,12 +522,12 @@
             got = await fetchJson(town.addresses[name]["http"], "GET", "/v1/config", timeoutMs=5000)
             isGood = bool(got) and got[0] == 200
             town.record("operator")("read", status=got[0] if got else 0, version=got[1]["version"] if isGood else 0,
-                                    askedMs=askedMs)
+                                    askedMs=askedMs, **({"document": got[1]["document"]} if isGood else {}))
         town.spawn(work)
 
     def mendAll(self):
         """End all faults."""
-        town = self.town
+        town, self.isRolling = self.town, False
         town.world.net.heal()
         town.world.net.lossRate = 0.0
         for folder in town.folders.values():
@@ -356,35 +541,48 @@
         if "store" not in town.world.loops:
             town.startStore()
         for worker in town.site.workers:
-            town.up[worker["name"]].quirk = ""
+            if town.up[worker["name"]].quirk:
+                town.up[worker["name"]].quirk = ""
+                town.up[worker["name"]].record("quirk", quirk="")
             town.up["platform"].workers.setdefault(worker["name"], worker)
             town.up["platform"].drain(worker["name"], False)
+        for number, name in list(self.fallen.items()):
+            del self.fallen[number]
+            town.record("operator")("back", id=number, target=name)
 
     def readBack(self):
-        """At the end the newest acknowledged version, or a later one, is read back whole."""
+        """What became of each undecided change, and the whole configuration at the end of the day."""
         town = self.town
-        got = town.ask("GET", "/v1/config")
+        town.record("operator")("dayEnds")
+        known = {item["answer"].get("changeId") for item in town.records if item["kind"] == "change" and item["status"] == 200}
+        for item in [each for each in town.records if each["kind"] == "change" and each["status"] not in (200, 409, 422)]:
+            changeId = item["answer"].get("changeId", "")
+            got = town.ask("GET", f"/v1/changes/{changeId}") if changeId and changeId not in known else None
+            if got and got[0] == 200:
+                item |= {"status": 200, "answer": got[1], "atMs": int(town.world.now * 1000), "settled": True}
+        askedMs, got = int(town.world.now * 1000), town.ask("GET", "/v1/config")
         isGood = bool(got) and got[0] == 200
-        town.record("operator")("read", status=200, version=got[1]["version"] if isGood else 0,
-                                askedMs=int(town.world.now * 1000))
+        town.record("operator")("read", status=got[0] if got else 0, version=got[1]["version"] if isGood else 0, askedMs=askedMs,
+                                **({"document": got[1]["document"]} if isGood else {}))
 
 
-CONTROL = ["patch", "race", "invalid"]
+CONTROL = ["patch", "race", "invalid", "rekey", "route"]
 SCENARIOS = {
-    "workers": ["crashWorker", "vanishWorker", "drain", "quirk", "slowLinks"],
-    "release": ["drain", "drain", "crashWorker"],
+    "workers": ["crashWorker", "vanishWorker", "freezeWorker", "drain", "quirk", "slowLinks"],
+    "release": ["drain", "drain", "crashWorker", "rollWorkers"],
+    "rolling": ["rollNodes", "rollNodes", "patch", "rekey"],
     "routers": ["killRouter", "killKeeper", "killRouter", "killMany"],
-    "cores": ["killCore", "killAllCores", *CONTROL],
-    "freezes": ["freeze", "freeze", "freezeKeeper", "patch", "newWeights", "slowClock"],
-    "disks": ["loseDisk", "fillDisk", "stallDisk", *CONTROL],
-    "cuts": ["cutRouter", "cutCore", "loseDatagrams", *CONTROL],
+    "cores": ["killCore", "killAllCores", "powerAfterAck", "killAfterFault", *CONTROL],
+    "freezes": ["freeze", "freeze", "freezeKeeper", "freezeWorker", "patch", "newWeights", "slowClock", "jumpWall"],
+    "disks": ["loseDisk", "fillDisk", "stallDisk", "slowDisk", "powerAfterAck", "killAfterFault", *CONTROL],
+    "cuts": ["cutRouter", "cutCore", "oneWay", "writeBothSides", "loseDatagrams", *CONTROL],
     "addresses": ["newAddress", "patch", "killRouter"],
-    "operators": ["race", "invalid", "grow", "patch", "killCore", "freeze"],
+    "operators": ["race", "invalid", "grow", "patch", "rekey", "route", "killCore", "freeze", "writeBothSides"],
     "weights": ["newWeights", "newWeights", "killKeeper", "cutRouter", "crashWorker", "freeze"],
     "store": ["loseStore", "slowLinks", "drain", "quirk"],
-    "platform": ["losePlatform", "drain", "cutRouter", "crashWorker"],
+    "platform": ["losePlatform", "cutPlatform", "drain", "cutRouter", "crashWorker"],
 }
-SCENARIOS["mix"] = sorted({name for names in SCENARIOS.values() for name in names} - {"newAddress"})
+SCENARIOS["mix"] = sorted({name for names in SCENARIOS.values() for name in names} - {"newAddress", "rollNodes", "rollWorkers"})
 
 
 class StormTest(unittest.TestCase):
--- a/swiftdeck/sim/town.py
+++ b/swiftdeck/sim/town.py
@@ -1,6 +1,7 @@
 """A whole site in one process: cores, routers and stand-ins on simulated machines."""
 import asyncio
 import random
+from collections import Counter
 
 from swiftdeck.bench.caller import Caller
 from swiftdeck.bench.platform import Platform
@@ -19,15 +20,15 @@
 class Town:
     """Starts, breaks and mends the processes of a site in virtual time, and collects the records."""
 
-    def __init__(self, seed=1, site="hinokuni", routers=3, workers=2, speed=0.2, **settings):
+    def __init__(self, seed=1, site="hinokuni", routers=3, workers=2, speed=0.2, models=1, **settings):
         self.world = World(seed)
         self.ips = {}
-        self.site = planSite(site, self.ip, routers=routers, workers=workers)
+        self.site = planSite(site, self.ip, routers=routers, workers=workers, models=models)
         self.settings, self.speed = settings, speed
         self.records, self.folders, self.up = [], {}, {}
         self.addresses = {node["name"]: node for node in [*self.site.cores, *self.site.routers]}
         self.seeds = self.site.seeds()
-        self.version = 0
+        self.version, self.all = 0, {}
 
     def ip(self, machine):
         """The address of a machine."""
@@ -46,7 +47,7 @@
         folder = self.folders.setdefault(name, SimFolder())
 
         async def main():
-            self.up[name] = Core(self._settings(node), folder, random.Random(self.world.random.random()))
+            self.up[name] = self.all[len(self.all)] = Core(self._settings(node), folder, random.Random(self.world.random.random()))
             await self.up[name].start()
         self.world.start(name, node["inner"].rpartition(":")[0], main)
 
@@ -55,7 +56,7 @@
         node = self.addresses[name]
 
         async def main():
-            self.up[name] = Router(self._settings(node), random.Random(self.world.random.random()))
+            self.up[name] = self.all[len(self.all)] = Router(self._settings(node), random.Random(self.world.random.random()))
             await self.up[name].start()
         self.world.start(name, node["inner"].rpartition(":")[0], main)
 
@@ -90,7 +91,8 @@
         self.world.start("operator", self.ip("operator"), lambda: asyncio.sleep(0))
         self.world.start("callers", self.ip("callers"), lambda: asyncio.sleep(0))
         doors = [node["http"] for node in self.site.routers]
-        self.caller = Caller("c", doors, self.record("caller"), random.Random(self.world.random.random()), self.site.keys)
+        self.caller = Caller("c", doors, self.record("caller"), random.Random(self.world.random.random()), self.site.keys,
+                             routers={node["http"]: node["name"] for node in self.site.routers})
         self.world.run(until=self.coresServe, limitS=30)
         got = self.change("PUT", self.site.document(**model))
         assert got[0] == 200, got
@@ -118,6 +120,15 @@
                     return name
         return None
 
+    def keeperNames(self):
+        """The routers that keep the books of some model now."""
+        return {name for name in self.routerNames() for keeper in self.up[name].keepers.values() if keeper.duty.isHeld()}
+
+    def counters(self):
+        """All counters of all processes that ever ran, and those of the routers' workers' lists and doors."""
+        return sum((Counter(node.counters()) + Counter({f"http.{name}": count for name, count in node.http.count.items()})
+                    for node in self.all.values()), Counter())
+
     def books(self):
         """The books of the present keeper."""
         return next(iter(self.up[self.keeper()].keepers.values())).books
@@ -132,11 +143,12 @@
         name = name or self.coreNames()[0]
         base = self.version if base is None else base
         headers = [("change-id", changeId)] if changeId else []
+        askedMs = int(self.world.now * 1000)
         got = self.ask(method, f"/v1/config?base={base}", document, name, headers)
         if got and got[0] == 200:
             self.version = max(self.version, got[1]["version"])
         self.record("operator")("change", method=method, base=base, document=document,
-                                status=got[0] if got else 0, answer=got[1] if got else {})
+                                status=got[0] if got else 0, answer=got[1] if got else {}, askedMs=askedMs)
         return got
 
     def call(self, tenant, route, parts, **more):
