What a router that is cut off can add to K is bounded, and a case shows the bound

Cause: streams of a router that is cut off go on while their slots count as free; it was named as a limit, without a bound.

Ruled out: ending the streams (an admitted conversation is never cut off while its worker serves), keeping the slots until the calls' horizon (two minutes with a ninth of the room gone at each crash of a router), asking the workers what they run (their published reports do not say).

--- a/swiftdeck/sim/cases/admission.py
+++ b/swiftdeck/sim/cases/admission.py
@@ -120,6 +120,41 @@
         self.assertTrue(got["whole"], got)
         self.assertLess(town.world.now - atS, 9)
 
+    def testARouterThatIsCutOffAddsNoMoreThanWhatItRanAndOnlyUntilThatEnds(self):
+        town = self.town(cap=2, routers=4, idleMs=8000, pauseMs=3000)
+        name = next(each for each in town.routerNames() if each != town.keeper())
+        doors = [town.addresses[each]["http"] for each in town.routerNames() if each != name]
+
+        def running():
+            ended = {item["run"] for item in town.records if item["kind"] == "ran"}
+            return len([item for item in town.records if item["kind"] == "run" and item["run"] not in ended])
+        own = [town.spawn(lambda number=number: town.caller.call("saga", "check", ["b", str(number)], isLast=True, maxTokens=12000,
+                                                                 door=town.addresses[name]["http"])) for number in range(2)]
+        town.world.run(1)
+        ip = town.addresses[name]["inner"].rpartition(":")[0]
+        town.world.net.cut([ip], [node["inner"].rpartition(":")[0] for each, node in town.addresses.items() if each != name])
+        town.record("operator")("kill", target=name, id=1)
+        cut = town.spawn(lambda: town.caller.call("saga", "check", ["b", "cut off"],
+                                                  door=town.addresses[name]["http"]))
+        box = [town.spawn(lambda number=number: town.caller.agents("oita", turns=(1, 3), restS=0.1)) for number in range(6)]
+        town.caller.doors, most, over = doors, 0, 0
+        for _ in range(140):
+            town.world.run(0.1)
+            most, over = max(most, running()), over + (running() > 2)
+        self.assertEqual((most, any(own)), (4, False))
+        self.assertGreater(over, 10)
+        town.world.net.heal()
+        town.record("operator")("back", id=1, target=name)
+        self.assertTrue(town.world.run(until=lambda: self.open(town) > 2, limitS=3))
+        town.world.run(until=lambda: all(own), limitS=60)
+        starts = [item for each in town.routerNames() for item in town.up[each].decisions.items if item["kind"] == "start"]
+        self.assertTrue(all(item["open"] <= item["cap"] for item in starts))
+        self.assertTrue(all(each[0]["whole"] for each in own))
+        self.assertTrue(cut and cut[0]["notRun"])
+        town.caller.stopping = True
+        town.world.run(until=lambda: all(box), limitS=60)
+        self.sound(town)
+
     def testANewKeeperCountsOpenConversationsBeforeItGrantsAStart(self):
         for how in ("kill", "freeze", "cut"):
             town = self.town(cap=2, routers=4, idleMs=60000, pauseMs=60000)
