--- a/swiftdeck/chain/agreement.py
+++ b/swiftdeck/chain/agreement.py
@@ -184,6 +184,7 @@
             self.decided, self.slot = view, Slot()
             self.licenceUntilS = -1.0
         if self.board:
+            self.board.count["views"] += 1
             self.board.put("view", {"number": view.number, "members": [ref.addr for ref in view.members]})
         [watch(view) for watch in self.watchers]
 
--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -365,6 +365,7 @@
         if changeId in stored.batches:
             return OutcomeReturn(results=stored.batches[changeId])
         change = stored.changes.get(changeId)
+        self.board.count["acksHeld"] += bool(change) and not self.isInForce(change[0])
         return OutcomeReturn(version=change[0]) if change and self.isInForce(change[0]) else None
 
     async def _awaitCommit(self, endS):
--- a/swiftdeck/programs/bench.py
+++ b/swiftdeck/programs/bench.py
@@ -18,7 +18,7 @@
 from swiftdeck.bench.record import FileRecord
 from swiftdeck.bench.store import Store
 from swiftdeck.bench.worker import Worker
-from swiftdeck.sim.storm import SCENARIOS, Storm
+from swiftdeck.sim.storm import BITES, SCENARIOS, Storm, idle
 from swiftdeck.programs.loop import BootLoop, runUntilSignal
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
@@ -27,6 +27,9 @@
 RecordFile = Annotated[str, typer.Option(help="File that takes what the stand-in saw.")]
 
 
+BITES_SEEDS = 8
+
+
 def runStorm(work):
     """One seed of a scenario: what came of it, and its faults."""
     storm = Storm(*work)
@@ -124,16 +127,20 @@
         typer.echo(f"scenarios: {', '.join(sorted(SCENARIOS))}", err=True)
         raise typer.Exit(2)
     work = [(name, number, seconds) for name in names for number in range(seed, seed + seeds)]
-    broken, sums = 0, Counter()
+    broken, sums, acts = 0, Counter(), {name: Counter() for name in names}
     with ProcessPoolExecutor(jobs) as pool:
         for (name, number, _), (got, faults) in zip(work, pool.map(runStorm, work)):
             broken += bool(got["breaches"])
+            acts[name].update(got.pop("acts", {}))
             sums.update({key: got.get(key, 0) for key in ("faults", "returns", "served", "runs")})
             if got["breaches"] or trace or len(work) <= 5:
                 typer.echo(json.dumps({"scenario": name} | got))
                 [typer.echo(f"  {atS} {what}") for atS, what in faults if trace]
     typer.echo(json.dumps({"seeds": len(work), "broken": broken} | sums))
-    raise typer.Exit(1 if broken else 0)
+    for name in names if seeds >= BITES_SEEDS else []:
+        typer.echo(json.dumps({"scenario": name, "acts": {each: acts[name][each] for each in BITES[name]}}))
+    toothless = [name for name in names if seeds >= BITES_SEEDS and idle(name, acts[name])]
+    raise typer.Exit(1 if broken or toothless else 0)
 
 
 def runMeasure(work):
--- a/swiftdeck/sim/cases/config.py
+++ b/swiftdeck/sim/cases/config.py
@@ -367,6 +367,21 @@
         town.world.run(until=lambda: box, limitS=1.5)
         self.assertTrue(box and box[0]["status"] == 401 and box[0]["notRun"], box)
 
+    def testChangesAreInForceWithinTwoSecondsWhileNothingFails(self):
+        town = self.town(routers=9)
+        town.record("operator")("quiet", untilMs=int(town.world.now * 1000) + 60000)
+        for number in range(4):
+            self.assertEqual(town.change("PATCH", self.cap(number + 3))[0], 200)
+            town.world.run(0.37)
+        for number in range(3):
+            key = f"key-{number}"
+            self.assertEqual(town.change("PATCH", {"tenants": {"saga": {"keys": [keyDigest(key)]}}})[0], 200)
+            got = [town.call("saga", "tag", ["a", "b"], key=old, door=node["http"])["status"]
+                   for node in town.site.routers for old in (key, f"key-{number - 1}")]
+            self.assertEqual(got, [200, 401] * 9)
+            town.world.run(0.37)
+        self.assertEqual(check(town.records), {})
+
     def testARevokedKeyIsRefusedOnAKeptAliveConnection(self):
         town = self.town()
         bodies = msgspec.json.encode({"model": "tag", "parts": ["a"], "stream": False})
--- a/swiftdeck/sim/cases/mutations.py
+++ b/swiftdeck/sim/cases/mutations.py
@@ -7,6 +7,7 @@
 
 from swiftdeck.chain.agreement import Agreement
 from swiftdeck.chain.chain import Chain
+from swiftdeck.chain.mender import Mender
 from swiftdeck.chain.state import ChainState
 from swiftdeck.config.document import readDocument
 from swiftdeck.disk.journal import Journal
@@ -82,6 +83,19 @@
     return self._isReady()
 
 
+def _namedByWeights(**fields):
+    return GrantAsk(**fields | {"talk": fields["chain"]})
+
+
+def _untilTheHorizon(ledger, nowMs):
+    move, fault = nextMove(ledger, nowMs)
+    return (Move.NOMINATE, None) if move is Move.GIVE_UP and fault.notRun and nowMs < ledger.horizonMs else (move, fault)
+
+
+def _waitsAnew(self, router, exchange, held, tenant, route, body, startS, init=Call.__init__):
+    init(self, router, exchange, held, tenant, route, body, router.loop.time())
+
+
 def _anyBase(self, change, examine=ChainState.examine):
     return examine(self, change | ({"base": self.stored.version} if change["t"] == "config" else {}))
 
@@ -152,6 +166,24 @@
      [("swiftdeck.traffic.keeper.HoldReturn", "lost", property(lambda self: (), lambda self, value: None))]),
     ("late requests at a worker", calls.CallsCase, "testWhatAProcessFrozenBetweenItsLookAndItsWriteSendsLaterIsNoRun",
      [("swiftdeck.bench.worker", "LATE_MS", 60000)]),
+    ("later calls pass the line", admission.AdmissionCase, "testALaterCallOfAnAdmittedConversationNeverWaitsBehindTheLine",
+     [(Keeper, "_continued", lambda self, ask: None)]),
+    ("conversations known without their weights", weights.WeightsCase, "testAnOpenConversationKeepsItsAdmissionUnderNewWeights",
+     [("swiftdeck.traffic.call", "GrantAsk", _namedByWeights)]),
+    ("conversations of a draining worker move", admission.AdmissionCase, "testConversationsOfADrainingWorkerMoveAndKeepTheirAdmission",
+     [(Keeper, "_goOn", lambda self, conversation, ask, sender: self._grant(conversation, ask, sender, False))]),
+    ("the view is mended", config.ConfigCase, "testEachMemberMayBeKilledInTurn", [(Mender, "_mend", _syncsNothing)]),
+    ("routers renew often and are nudged", config.ConfigCase, "testChangesAreInForceWithinTwoSecondsWhileNothingFails",
+     [(ConfigLicence, "onNudge", lambda self, nudge, sender: None),
+      ("swiftdeck.traffic.licence.ConfigLicence", "renewMs", property(lambda self: 2900, lambda self, value: None))]),
+    ("given up at once", admission.AdmissionCase, "testAFullLineAndALongWaitEndAtOnceWithATimeToComeBack",
+     [("swiftdeck.traffic.call", "nextMove", _untilTheHorizon)]),
+    ("a worker's refusal is no run", weights.WeightsCase, "testASwitchUnderLoadEndsTheOldWeights",
+     [("swiftdeck.traffic.call", "OTHER_WEIGHTS", NO_LICENCE)]),
+    ("what was served stays open", calls.CallsCase, "testAConversationWhoseGrantIsHandedBackAfterAChangeOfKeeperStaysOpen",
+     [("swiftdeck.traffic.book.Conversation", "isServed", property(lambda self: False, lambda self, value: None))]),
+    ("one wait for a whole call", calls.CallsCase, "testACallWaitsOnceForLicenceAndGrantTogether",
+     [("swiftdeck.traffic.router.Call", "__init__", _waitsAnew)]),
     ("cap", admission.AdmissionCase, "testStartsFromManyRoutersAtOnceNeverPassTheCap", [(Book, "hasRoom", lambda self: True)]),
     ("open conversations gathered", admission.AdmissionCase, "testANewKeeperCountsOpenConversationsBeforeItGrantsAStart",
      [(Keeper, "_gather", _gathersNothing)]),
--- a/swiftdeck/sim/storm.py
+++ b/swiftdeck/sim/storm.py
@@ -585,7 +585,34 @@
 SCENARIOS["mix"] = sorted({name for names in SCENARIOS.values() for name in names} - {"newAddress", "rollNodes", "rollWorkers"})
 
 
+BITES = {
+    "workers": ["legsFailed", "moves", "faults.142"],
+    "release": ["moves", "fetches"],
+    "rolling": ["takeovers", "views", "copies"],
+    "routers": ["takeovers", "legsReclaimed"],
+    "cores": ["views", "copies", "acksHeld", "claimBatchesAgain", "slotsHandedBack"],
+    "freezes": ["takeovers", "legsReclaimed", "looks.114"],
+    "disks": ["copies", "views", "slotsHandedBack"],
+    "cuts": ["licencesRelayed", "listsFromNeighbours", "views", "acksHeld", "legsReclaimed"],
+    "addresses": ["copies", "views"],
+    "operators": ["faults.200", "faults.201", "faults.101"],
+    "weights": ["weightsAsked", "takeovers"],
+    "store": ["fetches", "fetchesBounded"],
+    "platform": ["listsFromNeighbours", "moves", "faults.114"],
+    "mix": ["faults.130", "slotsReclaimed", "waits", "budgetRefusals"],
+}
+
+
+def idle(scenario, acts):
+    """Mechanisms that the faults of a scenario are there for and that never acted in all its runs."""
+    return [name for name in BITES[scenario] if not acts.get(name)]
+
+
 class StormTest(unittest.TestCase):
+    def testAScenarioThatDoesNotBiteIsFound(self):
+        self.assertEqual(set(BITES), set(SCENARIOS))
+        self.assertEqual(idle("routers", {"takeovers": 3, "legsReclaimed": 0}), ["legsReclaimed"])
+
     def testASeedGivesTheSameTraceEachTime(self):
         got = [Storm("mix", 5, 8.0, routers=3).run() for _ in range(2)]
         self.assertEqual(got[0], got[1])
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -194,7 +194,9 @@
             self.avoid.append(leg.grant.worker)
         else:
             leg.fault = self._mayBeSent(leg)
-            if leg.fault is None:
+            if leg.fault is not None:
+                self.router.board.count[f"looks.{leg.fault.code}"] += 1
+            else:
                 self.router.board.count["legsSent"] += 1
                 leg.wasSent = True
                 self.router.legSent(leg)
@@ -211,7 +213,7 @@
                 leg.grant = None
 
     async def _fetch(self, leg):
-        boundMs = leg.grant.fetchMs
+        boundMs = int(max(50, min(leg.grant.fetchMs, self._leftMs())))
         startMs = self.nowMs()
         got = await fetchJson(leg.grant.url, "POST", "/v1/fetch", {
             "from": leg.grant.fetchFrom, "chain": [link.hex() for link in self.chain], "weights": self.weights,
@@ -220,6 +222,7 @@
         self.slowFrom = leg.grant.fetchFrom if isFault(got) or tookMs > 0.8 * boundMs else ""
         parts = got[1].get("parts", 0) if not isFault(got) and isinstance(got[1], dict) else 0
         self.router.board.count["fetches"] += 1
+        self.router.board.count["fetchesBounded"] += bool(self.slowFrom)
         self.router.board.count["fetchedParts"] += parts if isinstance(parts, int) else 0
         self.router.decisions.add("fetch", call=self.name, source=leg.grant.fetchFrom, worker=leg.grant.worker,
                                   parts=parts, tookMs=tookMs)
--- a/swiftdeck/traffic/licence.py
+++ b/swiftdeck/traffic/licence.py
@@ -74,6 +74,7 @@
         for each in asked:
             got = await each
             if not isFault(got):
+                self.board.count["licencesRelayed"] += 1
                 return got
         return NO_LICENCE
 
--- a/swiftdeck/traffic/workers.py
+++ b/swiftdeck/traffic/workers.py
@@ -81,6 +81,7 @@
         heard = [each for each in got if not isFault(each)]
         for each in sorted(heard, key=lambda each: each.ageMs)[:1]:
             if each.body and sentS - each.ageMs / 1000 > self.readS:
+                self.board.count["listsFromNeighbours"] += 1
                 self._take(each.body, sentS - each.ageMs / 1000)
 
     def _take(self, body, readS):
