Cold starts have a case, and the one-machine fleet keeps the sharper records

A cold start of either whole site, empty and with its data, serves a once-only check within twelve simulated seconds.

--- a/swiftdeck/bench/fleet.py
+++ b/swiftdeck/bench/fleet.py
@@ -13,7 +13,7 @@
 
 from swiftdeck.bench.caller import Caller
 from swiftdeck.bench.checker import check
-from swiftdeck.bench.record import FileRecord, readRecords
+from swiftdeck.bench.record import FileRecord, bootMs, readRecords
 from swiftdeck.bench.site import planSite
 from swiftdeck.fault import isFault
 from swiftdeck.http.client import fetchJson
@@ -96,9 +96,10 @@
 
     async def change(self, method, document, base):
         """One change, recorded."""
+        askedMs = bootMs()
         got = await self.ask(method, f"/v1/config?base={base}", document)
         self.record("change", method=method, base=base, document=document, status=0 if not got else got[0],
-                    answer={} if not got else got[1])
+                    answer={} if not got else got[1], askedMs=askedMs)
         return got
 
     async def configure(self, limitS=60, **model):
@@ -124,13 +125,18 @@
         """Traffic for some time while faults happen; gives what the checker says."""
         doors = [node["http"] for node in self.site.routers]
         caller = Caller("c", doors, FileRecord(self.folder / "records" / "caller.jsonl", "caller"), random.Random(seed),
-                        self.site.keys, scale=0.5)
+                        self.site.keys, scale=0.5, routers={node["http"]: node["name"] for node in self.site.routers})
+        caller.returns = 3
         traffic = asyncio.ensure_future(caller.run(seconds, self.site.agents, shortEveryS))
         sampling = asyncio.ensure_future(self._sampling())
         if faults:
             await self.breakThings(seconds)
         await traffic
         sampling.cancel()
+        self.record("dayEnds")
+        askedMs, got = bootMs(), await self.ask("GET", "/v1/config")
+        if got and got[0] == 200:
+            self.record("read", status=200, askedMs=askedMs, **got[1])
         self.record("versions", seen=[(await fetchJson(node["http"], "GET", "/v1/status", timeoutMs=2000) or (0, {}))[1].get("version")
                                       for node in [*self.site.cores, *self.site.routers]])
 
@@ -142,9 +148,12 @@
                 try:
                     stat = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
                     files = len(os.listdir(f"/proc/{process.pid}/fd"))
+                    logBytes = sum(path.stat().st_size for path in (self.folder / node["name"]).glob("*.log"))
                 except OSError:
                     continue
-                self.record("sample", name=node["name"], pid=process.pid, files=files,
+                status = await fetchJson(node["http"], "GET", "/v1/status", timeoutMs=2000)
+                self.record("sample", name=node["name"], pid=process.pid, files=files, logBytes=logBytes,
+                            tasks=status[1].get("tasks", 0) if status and status[0] == 200 else 0,
                             cpuMs=(int(stat[11]) + int(stat[12])) * 1000 // os.sysconf("SC_CLK_TCK"),
                             residentKiB=int(stat[21]) * os.sysconf("SC_PAGE_SIZE") // 1024)
             await asyncio.sleep(10.0)
@@ -173,45 +182,61 @@
 
     weights = "w1"
 
+    def _fell(self, name, asWhat):
+        """Note a fall; gives what is to be called when the process is well again."""
+        self.falls += 1
+        number = self.falls
+        self.record("kill", target=name, asWhat=asWhat, id=number, keeper=name == self.lastKeeper)
+        return lambda: self.record("back", id=number, target=name)
+
+    falls, lastKeeper = 0, ""
+
     async def _named(self, name):
-        return name if name != "keeper" else await self.keeper() or "router1"
+        self.lastKeeper = await self.keeper() or "router1"
+        return name if name != "keeper" else self.lastKeeper
 
     async def killed(self, what):
         """SIGKILL, and a new start three seconds later."""
         name = await self._named(what)
-        self.record("kill", target=name, asWhat=f"killed {what}")
+        back = self._fell(name, f"killed {what}")
         self.signal(name, signal.SIGKILL)
         await asyncio.sleep(3.0)
         self._start(name)
+        await asyncio.sleep(2.0)
+        back()
 
     async def frozen(self, what):
         """SIGSTOP for six seconds."""
         name = await self._named(what)
-        self.record("kill", target=name, asWhat=f"froze {what}")
+        back = self._fell(name, f"froze {what}")
         self.signal(name, signal.SIGSTOP)
         await asyncio.sleep(6.0)
         self.signal(name, signal.SIGCONT)
+        back()
 
     async def emptied(self, name):
         """SIGKILL and the loss of the data folder right after an acknowledgement."""
         got = await self.ask("GET", "/v1/config")
         if got and got[0] == 200:
             await self.change("PATCH", {"models": {self.site.model: {"cap": 5}}}, got[1]["version"])
-        self.record("kill", target=name, asWhat=f"emptied {name}")
+        back = self._fell(name, f"emptied {name}")
         self.signal(name, signal.SIGKILL)
         shutil.rmtree(self.folder / name)
         await asyncio.sleep(3.0)
         self._start(name)
+        await asyncio.sleep(2.0)
+        back()
 
     async def released(self, name):
         """A worker drains, is replaced and comes back."""
         await fetchJson(self.site.platform, "POST", "/v1/drain", {"name": name})
         await asyncio.sleep(4.0)
-        self.record("kill", target=name, asWhat=f"released {name}")
+        back = self._fell(name, f"released {name}")
         self.signal(name, signal.SIGTERM)
         self.processes[name].wait()
         self._start(name)
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(2.0)
+        back()
         await fetchJson(self.site.platform, "POST", "/v1/drain", {"name": name, "draining": False})
 
     async def weighed(self, weights):
@@ -224,20 +249,26 @@
     async def rolled(self):
         """Two routers are ended politely and started again, one by one."""
         for name in ("router4", "router5"):
+            back = self._fell(name, f"rolled {name}")
             self.signal(name, signal.SIGTERM)
             while self.processes[name].poll() is None:
                 await asyncio.sleep(0.1)
             self._start(name)
+            await asyncio.sleep(2.0)
+            back()
 
     async def powerLost(self):
         """All cores are killed at once."""
         names = [node["name"] for node in self.site.cores]
+        backs = [self._fell(name, "killed all cores") for name in names]
         for name in names:
-            self.record("kill", target=name, asWhat="killed all cores")
             self.signal(name, signal.SIGKILL)
         await asyncio.sleep(1.0)
         for name in names:
             self._start(name)
+        await asyncio.sleep(2.0)
+        for back in backs:
+            back()
 
     def verdict(self):
         """What the checker finds in the records, and sums of what was served."""
@@ -257,7 +288,7 @@
             cpuMs += sum(max(0, b["cpuMs"] - a["cpuMs"]) for a, b in zip(mine, mine[1:]) if a["pid"] == b["pid"]
                          and name.startswith("router"))
             if len(whole) > 1:
-                steady[name] = {key: [whole[0][key], whole[-1][key]] for key in ("residentKiB", "files")}
+                steady[name] = {key: [whole[0][key], whole[-1][key]] for key in ("residentKiB", "files", "tasks", "logBytes")}
         sums = {"routerCpuMsPerCall": round(cpuMs / max(1, len(served)), 2), "steady": steady, "returns": len(back), "served": len(served), "codes": Counter(str(item["code"]) for item in back),
                 "agents": sum(item["kind"] == "agent" for item in records), "gaps": gaps,
                 "versions": next((item["seen"] for item in records if item["kind"] == "versions"), [])}
--- a/swiftdeck/control/node.py
+++ b/swiftdeck/control/node.py
@@ -31,6 +31,10 @@
         """All counters of the process by name."""
         return dict(self.board.count + self.mesh.count)
 
+    def tasks(self):
+        """How many tasks the loop has."""
+        return len(asyncio.all_tasks())
+
     def clockMs(self):
         """The clock by which this process keeps its licences."""
         return int(asyncio.get_running_loop().time() * 1000)
--- a/swiftdeck/sim/cases/config.py
+++ b/swiftdeck/sim/cases/config.py
@@ -277,6 +277,27 @@
         self.settle(town)
         self.assertEqual({town.up[name].chain.state.stored.version for name in town.coreNames()}, {2})
 
+    def testAColdStartServesWithinTwelveSecondsEmptyAndWithItsData(self):
+        for site in ("hinokuni", "serraria"):
+            town = Town(3, site, routers=9, workers=None).start()
+            self.assertTrue(town.call("saga" if site == "hinokuni" else "ipe", "check", ["b", "x"], idempotency="k")["whole"])
+            self.assertLess(town.world.now, 12, site)
+            version = town.version
+            names = list(town.world.loops)
+            [town.world.kill(name) for name in names if name not in ("operator", "callers")]
+            [folder.losePower(torn=7) for folder in town.folders.values()]
+            startS = town.world.now
+            [town.startCore(node["name"]) for node in town.site.cores]
+            town.world.start("platform", town.site.platform.rpartition(":")[0], town.up["platform"].start)
+            town.startStore()
+            [town.startWorker(worker["name"]) for worker in town.site.workers]
+            [town.startRouter(node["name"]) for node in town.site.routers]
+            got = {"whole": False}
+            while not got["whole"] and town.world.now < startS + 30:
+                got = town.call("saga" if site == "hinokuni" else "ipe", "check", ["b", "y"], idempotency="again")
+            self.assertLess(town.world.now - startS, 12, site)
+            self.assertEqual(town.ask("GET", "/v1/config")[1]["version"], version)
+
     def testDamageOnDiskIsRefusedAndMendedByCopying(self):
         town = self.town()
         [town.change("PATCH", self.cap(20 + number)) for number in range(4)]
