The status counts its tasks under a name of its own

The method was hidden by the router's list of tasks, so that a router's status ended with 404; six cases of the doctor show it.

--- a/swiftdeck/control/node.py
+++ b/swiftdeck/control/node.py
@@ -31,7 +31,7 @@
         """All counters of the process by name."""
         return dict(self.board.count + self.mesh.count)
 
-    def tasks(self):
+    def taskCount(self):
         """How many tasks the loop has."""
         return len(asyncio.all_tasks())
 
