A configuration travels as its changes, the whole only on a mismatch

Cause: each change put the whole document into the log, sent it to each router, and had it read on the one loop of each process.

Change: entries as they will be, with a digest of the result that costs what the change touches; whole documents only for a first reading or a digest that differs. Logs of the earlier form are read.

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -115,6 +115,8 @@
 
     def _apply(self, serial, body):
         self.state.apply(msgspec.msgpack.decode(body))
+        if not self.state.isTrue:
+            self.fault, self.needsCopy = DAMAGED.because("a change gave another configuration here"), True
         self.serial = serial
         self.entries[serial] = body
         while len(self.entries) > KEPT_ENTRIES:
@@ -383,7 +385,7 @@
     def onConfigAsk(self, ask, sender):
         if not self.mayAnswer():
             return NOT_TAIL
-        return ConfigReturn(version=self.state.stored.version, document=self.state.stored.document)
+        return ConfigReturn(version=self.state.stored.version, document=self.state.config.bytes())
 
     def onLicenceAsk(self, ask, sender):
         if not self.mayAnswer():
@@ -401,6 +403,11 @@
         self.holders = {name: each for name, each in self.holders.items() if each.untilS > nowS}
         if held >= stored.version:
             self._wakeCommitters()
-        document = stored.document if ask.held < stored.version else b""
-        return LicenceReturn(licenceMs=self.licenceMs, version=stored.version, document=document,
-                             view=self.agreement.decided.number)
+        told, digest = LicenceReturn(licenceMs=self.licenceMs, version=stored.version, view=self.agreement.decided.number), (
+            self.state.config.digest())
+        if ask.held < stored.version or ask.digest != digest:
+            told.deltas = (self.state.since(ask.held, ask.digest) if ask.digest else None) or []
+            told.document = b"" if told.deltas else self.state.config.bytes()
+            self.board.count["wholesSent"] += not told.deltas
+            told.digest = digest
+        return told
--- a/swiftdeck/chain/state.py
+++ b/swiftdeck/chain/state.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from swiftdeck.config.document import merge, readDocument
+from swiftdeck.config.configuration import Configuration
 from swiftdeck.fault import INVALID, LOST_RACE, REUSED_CHANGE, isFault
 
-CHANGES_KEPT, BATCHES_KEPT = 5000, 4000
+CHANGES_KEPT, BATCHES_KEPT, DELTAS_KEPT = 5000, 4000, 64
 FREED_KEPT_MS = 600000
 CLAIM, FINISH, RELEASE = 0, 1, 2
 HELD, OVER, WITHDRAWN, FULL = "claimed", "finished", "withdrawn", "full"
@@ -32,14 +32,27 @@
         self.stored = Stored()
         self.keepMs, self.claimsMost = keepMs, claimsMost
         self.onConfig = lambda entry: None
+        self.config, self.deltas, self.isTrue = Configuration.empty(), {}, True
 
     def toBytes(self) -> bytes:
         """The whole state."""
+        self.stored.document = self.config.bytes()
         return msgspec.msgpack.encode(self.stored)
 
     def fromBytes(self, data: bytes):
         """Take a whole state over."""
-        self.stored = msgspec.msgpack.decode(data, type=Stored)
+        stored = msgspec.msgpack.decode(data, type=Stored)
+        config = Configuration.read(stored.document)
+        if isFault(config):
+            raise msgspec.DecodeError(config.reason)
+        self.stored, self.config, self.deltas, self.isTrue = stored, config, {}, True
+
+    def since(self, version: int, digest: bytes):
+        """The changes that lead from a version with this digest to the newest, or none if they are not kept."""
+        versions = range(version + 1, self.stored.version + 1)
+        if not all(each in self.deltas for each in versions) or not versions or self.deltas[version + 1][0] != digest:
+            return None
+        return [self.deltas[each][1] for each in versions]
 
     def examine(self, change: dict):
         """Turn an asked change into an entry, None when it was made already, or a fault; only the head does this."""
@@ -51,25 +64,20 @@
             return None if old[1] == digest else REUSED_CHANGE.because(change["id"])
         if change["base"] != self.stored.version:
             return LOST_RACE.because(f"base {change['base']}, newest {self.stored.version}")
-        if change["op"] == "patch":
-            wanted = merge(msgspec.json.decode(self.stored.document), change["document"])
-        else:
-            wanted = change["document"]
-        data = msgspec.json.encode(wanted)
-        checked = readDocument(data)
-        if isFault(checked):
-            return checked
+        delta = self.config.patch(change["document"]) if change["op"] == "patch" else self.config.put(change["document"])
+        if isFault(delta):
+            return delta
         return {"t": "config", "id": change["id"], "digest": digest, "version": self.stored.version + 1,
-                "author": change.get("author", ""), "document": data}
+                "author": change.get("author", ""), "delta": delta, "mark": self.config.apply(delta).digest()}
 
     def apply(self, entry: dict):
         """Take one entry in."""
         stored = self.stored
         if entry["t"] == "config":
-            stored.version, stored.document = entry["version"], bytes(entry["document"])
+            self._change(entry)
             stored.changes[entry["id"]] = [entry["version"], entry["digest"], entry["author"]]
             self._bound(stored.changes, CHANGES_KEPT)
-            self.onConfig(entry)
+            self.onConfig(entry | {"document": self.config})
         elif entry["t"] == "claims":
             stored.elapsedMs += entry["elapsedMs"]
             self._expire(stored.claims, entry.get("keepMs", self.keepMs))
@@ -79,6 +87,18 @@
                 stored.batches[entry["id"]] = [self._claim(most, *each) for each in entry["ops"]]
                 self._bound(stored.batches, BATCHES_KEPT)
 
+    def _change(self, entry):
+        """The next configuration, from its change, or from its whole text as an earlier form of the log has it."""
+        before = self.config.digest()
+        if "delta" in entry:
+            self.config = self.config.apply(entry["delta"])
+            self.isTrue = self.isTrue and self.config.digest() == entry["mark"]
+            self.deltas[entry["version"]] = (before, msgspec.msgpack.encode(entry["delta"]))
+            self._bound(self.deltas, DELTAS_KEPT)
+        else:
+            self.config, self.deltas = Configuration.read(bytes(entry["document"])), {}
+        self.stored.version = entry["version"]
+
     def _claim(self, most, key, run, digest, op):
         stored = self.stored
         held = stored.claims.get(key)
@@ -145,7 +165,14 @@
         self.change(state, id="d", base=1, op="patch", document={"models": {"m": {"weights": "w2"}}})
         copy = ChainState()
         copy.fromBytes(state.toBytes())
-        self.assertEqual((copy.stored.version, msgspec.json.decode(copy.stored.document)["models"]["m"]["weights"]), (2, "w2"))
+        self.assertEqual((copy.stored.version, copy.config.document.models["m"].weights), (2, "w2"))
+        self.assertEqual((copy.config.digest(), copy.toBytes()), (state.config.digest(), state.toBytes()))
+        first = state.since(1, ChainState().config.digest())
+        self.assertIsNone(first)
+        old = ChainState()
+        old.apply({"t": "config", "id": "a", "version": 1, "digest": "d", "author": "x", "document": msgspec.json.encode(whole)})
+        last = state.since(1, old.config.digest())
+        self.assertEqual(old.config.apply(msgspec.msgpack.decode(last[0])).digest(), state.config.digest())
 
     def testAClaimIsHeldByOneRunUntilItsTimeIsCountedOut(self):
         state = ChainState(keepMs=100, claimsMost=2)
--- /dev/null
+++ b/swiftdeck/config/configuration.py
@@ -0,0 +1,156 @@
+"""A configuration in force: its entries as they were given, checked, with a digest that each change carries on."""
+import hashlib
+import unittest
+
+import msgspec
+
+from swiftdeck.config.document import Document, Model, Name, Route, Tenant, merge, told
+from swiftdeck.fault import INVALID, isFault
+
+KINDS = {"models": Model, "tenants": Tenant, "routes": Route}
+BYTES_MOST = 16 << 20
+
+
+def _mark(table, name, entry):
+    """What one entry adds to the digest, and its size."""
+    data = msgspec.json.encode(entry, order="sorted")
+    return int.from_bytes(hashlib.blake2b(f"{table}/{name}/".encode() + data, digest_size=16).digest(), "big"), len(data) + len(name) + 4
+
+
+class Configuration:
+    """Never changed in place: a change gives the next one, and costs what it touches."""
+
+    __slots__ = ("raws", "document", "mark", "size", "_bytes", "_next")
+
+    def __init__(self, raws, document, mark=0, size=0):
+        self.raws, self.document, self.mark, self.size, self._bytes, self._next = raws, document, mark, size, None, (None, None)
+
+    @classmethod
+    def empty(cls):
+        """Nothing yet."""
+        return cls({}, Document())
+
+    @classmethod
+    def read(cls, data: bytes):
+        """A whole one from its text, or a fault."""
+        try:
+            raws = msgspec.json.decode(data or b"{}")
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            return INVALID.because(f"$: {error}")
+        empty = cls.empty()
+        delta = empty.put(raws)
+        return delta if isFault(delta) else empty.apply(delta)
+
+    def bytes(self) -> bytes:
+        """The whole text."""
+        if self._bytes is None:
+            self._bytes = msgspec.json.encode(self.raws)
+        return self._bytes
+
+    def digest(self) -> bytes:
+        """Equal only where all entries are."""
+        return self.mark.to_bytes(16, "big")
+
+    def patch(self, asked: dict):
+        """The entries that a JSON merge patch changes, as they will be, or a fault."""
+        return self._checked({table: part if not isinstance(part, dict) else {
+            name: merge(self.raws.get(table, {}).get(name), entry) for name, entry in part.items()} for table, part in asked.items()})
+
+    def put(self, whole):
+        """The entries in which a whole document differs, or a fault."""
+        if not isinstance(whole, dict):
+            return INVALID.because("$: expected an object")
+        delta = {table: None for table in self.raws if table not in whole}
+        for table, part in whole.items():
+            if not isinstance(part, dict):
+                delta[table] = part if part is not None else False
+                continue
+            held = self.raws.get(table, {})
+            fresh = {name: entry for name, entry in part.items() if name not in held or held[name] != entry}
+            gone = {name: None for name in held if name not in part}
+            if fresh or gone or table not in self.raws:
+                delta[table] = gone | fresh
+            if None in fresh.values():
+                return INVALID.because(f"$.{table}: an entry is null")
+        return self._checked(delta)
+
+    def _checked(self, delta):
+        for table, part in delta.items():
+            if table not in KINDS:
+                return INVALID.because(f"$: unknown table `{table}`")
+            if part is not None and not isinstance(part, dict):
+                return INVALID.because(f"$.{table}: expected an object")
+            for name, entry in (part or {}).items():
+                try:
+                    msgspec.convert(name, Name)
+                    if entry is not None:
+                        msgspec.convert(entry, KINDS[table])
+                except msgspec.ValidationError as error:
+                    return INVALID.because(told(error, f"$.{table}.{name}"))
+        fresh = self.apply(delta)
+        if fresh.size > BYTES_MOST:
+            return INVALID.because(f"$: configuration is over {BYTES_MOST} bytes")
+        first = next(fresh.document.dangling(), None)
+        self._next = (delta, fresh)
+        return delta if first is None else INVALID.because(first)
+
+    def apply(self, delta: dict) -> "Configuration":
+        """The configuration after a checked change: entries as they will be, or none where they go."""
+        if delta is self._next[0]:
+            return self._next[1]
+        raws, typed, mark, size = dict(self.raws), {}, self.mark, self.size
+        for table, part in delta.items():
+            held = raws.get(table, {})
+            changes = dict.fromkeys(held) if part is None else part
+            kept, shown = dict(held), dict(getattr(self.document, table))
+            for name, entry in changes.items():
+                if name in kept:
+                    oldMark, oldSize = _mark(table, name, kept[name])
+                    mark, size = mark - oldMark, size - oldSize
+                if entry is None:
+                    kept.pop(name, None)
+                    shown.pop(name, None)
+                else:
+                    kept[name], shown[name] = entry, msgspec.convert(entry, KINDS[table])
+                    newMark, newSize = _mark(table, name, entry)
+                    mark, size = mark + newMark, size + newSize
+            raws[table], typed[table] = kept, shown
+            if part is None:
+                del raws[table]
+        old = self.document
+        document = Document(**{table: typed.get(table, getattr(old, table)) for table in KINDS})
+        return Configuration(raws, document, mark % (1 << 128), size)
+
+
+class ConfigurationTest(unittest.TestCase):
+    WHOLE = {"models": {"m": {"weights": "w"}}, "routes": {"r": {"model": "m"}, "s": {"model": "m", "single": True}}}
+
+    def testAChangeGivesWhatReadingTheWholeGives(self):
+        held = Configuration.read(msgspec.json.encode(self.WHOLE))
+        for patch in ({"models": {"m": {"cap": 3}}}, {"routes": {"r": None, "t": {"model": "m"}}}, {"tenants": {"a": {}}},
+                      {"models": {"n": {"weights": "v"}}}, {"routes": {"s": {"single": None}}}, {"tenants": None}):
+            whole = merge(msgspec.json.decode(held.bytes()), patch)
+            held = held.apply(held.patch(patch))
+            other = Configuration.read(msgspec.json.encode(whole))
+            self.assertEqual((held.raws, held.document, held.digest(), held.size),
+                             (other.raws, other.document, other.digest(), other.size), patch)
+            self.assertEqual(held.bytes(), msgspec.json.encode(whole))
+
+    def testPuttingAWholeDocumentChangesOnlyWhatDiffers(self):
+        held = Configuration.read(msgspec.json.encode(self.WHOLE))
+        fresh = self.WHOLE | {"routes": {"r": {"model": "m"}, "u": {"model": "m"}}}
+        delta = held.put(fresh)
+        self.assertEqual(delta, {"routes": {"s": None, "u": {"model": "m"}}})
+        self.assertEqual(held.apply(delta).digest(), Configuration.read(msgspec.json.encode(fresh)).digest())
+        self.assertNotEqual(held.digest(), held.apply(delta).digest())
+
+    def testFaultsNameThePath(self):
+        held = Configuration.read(msgspec.json.encode(self.WHOLE))
+        for patch, path in [({"routes": {"r": {"model": "x"}}}, "$.routes.r.model"), ({"routes": {"r": {"foo": 1}}}, "$.routes.r"),
+                            ({"models": {"m": {"cap": 0}}}, "$.models.m.cap"), ({"models": {"m": None}}, "$.routes.r.model"),
+                            ({"routes": {"R!": {"model": "m"}}}, "$.routes.R!"), ({"rows": {}}, "$"), ({"routes": 3}, "$.routes"),
+                            ({"routes": {"r": 3}}, "$.routes.r")]:
+            fault = held.patch(patch)
+            self.assertTrue(isFault(fault), patch)
+            self.assertTrue(fault.reason.startswith(path), fault.reason)
+        self.assertTrue(all(isFault(held.put(wrong)) for wrong in ([], {"routes": None}, {"routes": {"r": None}})))
--- a/swiftdeck/config/document.py
+++ b/swiftdeck/config/document.py
@@ -75,12 +75,12 @@
     try:
         document = msgspec.json.decode(data, type=Document)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return INVALID.because(next(_wrongEntries(data), None) or _told(error, "$"))
+        return INVALID.because(next(_wrongEntries(data), None) or told(error, "$"))
     first = next(document.dangling(), None)
     return document if first is None else INVALID.because(first)
 
 
-def _told(error, path):
+def told(error, path):
     """A fault's text with the path to the field in front."""
     text = str(error)
     found = re.search(r" - at `\$([^`]*)`$", text)
@@ -99,7 +99,7 @@
                 msgspec.convert(name, Name)
                 msgspec.json.decode(raw, type=kind)
             except msgspec.ValidationError as error:
-                yield _told(error, f"$.{table}.{name}")
+                yield told(error, f"$.{table}.{name}")
 
 
 def merge(target, patch):
--- a/swiftdeck/control/archive.py
+++ b/swiftdeck/control/archive.py
@@ -61,7 +61,7 @@
         with self._repo() as repo:
             if REF in repo.refs and self._shown(repo[repo.refs[REF]])["version"] >= entry["version"]:
                 return
-            document = msgspec.json.format(bytes(entry["document"]), indent=1) + b"\n"
+            document = msgspec.json.format(entry["document"].bytes(), indent=1) + b"\n"
             blob, tree, commit = Blob.from_string(document), Tree(), Commit()
             tree.add(FILE, 0o100644, blob.id)
             name = re.sub(r"[<>\n\0]", " ", entry["author"]).strip() or "operator"
@@ -102,13 +102,15 @@
     def testVersionsAreCommitsAndADamagedStoreHarmsNobody(self):
         from swiftdeck.board.board import Board
         from swiftdeck.chain.state import ChainState
+        from swiftdeck.config.configuration import Configuration
+        held = Configuration.read(b'{"models":{}}')
 
         class Alone:
             state = ChainState()
         with tempfile.TemporaryDirectory() as path:
             archive = Archive(f"{path}/history", Alone(), None, Board(), wall=lambda: 7)
             for version in (1, 2, 1):
-                archive.keep({"version": version, "id": f"c{version}", "author": "ana <x>\n", "document": b'{"models":{}}'})
+                archive.keep({"version": version, "id": f"c{version}", "author": "ana <x>\n", "document": held})
             self.assertEqual([(each["version"], each["changeId"], each["author"]) for each in archive.log()],
                              [(2, "c2", "ana  x"), (1, "c1", "ana  x")])
             self.assertEqual(msgspec.json.decode(archive.document(1)), {"models": {}})
@@ -118,7 +120,7 @@
                     each.write_bytes(b"damage")
 
             async def main():
-                return await archive.run(archive.keep, {"version": 3, "id": "c", "author": "", "document": b"{}"})
+                return await archive.run(archive.keep, {"version": 3, "id": "c", "author": "", "document": held})
             self.assertIsNone(asyncio.run(main()))
             self.assertEqual(archive.board.count["archiveFailures"], 1)
             archive.pool.shutdown()
--- a/swiftdeck/control/operators.py
+++ b/swiftdeck/control/operators.py
@@ -39,8 +39,7 @@
             got = await self.core.scribe.readTail(ConfigAsk())
             if isFault(got):
                 return got
-            document = msgspec.json.decode(got.document or b"{}")
-            return await exchange.give(200, {"version": got.version, "document": document})
+            return await exchange.give(200, {"version": got.version, "document": msgspec.Raw(got.document or b"{}")})
         if method not in ("PUT", "PATCH"):
             return BAD_METHOD
         body = exchange.json()
--- a/swiftdeck/programs/bench.py
+++ b/swiftdeck/programs/bench.py
@@ -13,6 +13,7 @@
 
 from swiftdeck.bench.caller import Caller
 from swiftdeck.bench.fleet import Fleet
+from swiftdeck.bench.growth import growth
 from swiftdeck.bench.measure import MEASURES
 from swiftdeck.bench.platform import Platform
 from swiftdeck.bench.record import FileRecord
@@ -143,6 +144,21 @@
     raise typer.Exit(1 if broken or toothless else 0)
 
 
+@app.command("growth")
+def growthCommand(folder: Annotated[str, typer.Option(help="Folder for data, records and logs.")],
+                  routes: Annotated[list[int], typer.Option(help="How many routes; may be given several times.")] = [0, 1000, 5000],
+                  basePort: int = 22000):
+    """Measure acknowledgements and stalls on real processes, with configurations of many routes."""
+    for at, count in enumerate(routes):
+        it = Fleet(f"{folder}/{count}", basePort=basePort + 100 * at)
+        it.startAll()
+        try:
+            with asyncio.Runner(loop_factory=BootLoop) as runner:
+                typer.echo(json.dumps(runner.run(growth(it, count))))
+        finally:
+            it.stopAll()
+
+
 def runMeasure(work):
     """One measurement under one seed."""
     name, seed = work
--- a/swiftdeck/sim/cases/config.py
+++ b/swiftdeck/sim/cases/config.py
@@ -2,6 +2,7 @@
 import asyncio
 import unittest
 
+import attrs
 import msgspec
 
 from swiftdeck.bench.checker import check
@@ -364,6 +365,37 @@
         self.assertTrue(all(len(town.up[name].licence.held.document.routes) == 3002 for name in town.routerNames()))
         self.assertEqual(town.call("saga", "route-2999", ["a", "b"])["status"], 200)
 
+    def testAChangeTravelsAsAChangeAndTheWholeOnlyOnAMismatch(self):
+        town = self.town()
+        routes = {f"route-{number}": {"model": "screener"} for number in range(2000)}
+        self.assertEqual(town.change("PATCH", {"routes": routes})[0], 200)
+        town.world.run(1)
+        wholes = town.counters()["wholesSent"]
+        for number in range(5):
+            self.assertEqual(town.change("PATCH", {"routes": {f"route-{number}": None}, "tenants": {"saga": {"apart": True}}})[0], 200)
+        self.assertEqual((town.counters()["wholesSent"] - wholes, town.counters()["configsMismatched"]), (0, 0))
+        licence = town.up["router2"].licence
+        wrong = licence.held.config.apply({"routes": {"tag": None}})
+        licence.held = attrs.evolve(licence.held, config=wrong)
+        self.assertEqual(town.change("PATCH", self.cap(9))[0], 200)
+        town.world.run(1)
+        held = {town.up[name].licence.held.config.digest() for name in town.routerNames()}
+        self.assertEqual((len(held), town.counters()["wholesSent"] - wholes), (1, 1))
+        self.assertEqual(town.call("saga", "tag", ["a", "b"], door=town.addresses["router2"]["http"])["status"], 200)
+        sizes = {len(entry) for name in town.coreNames() for entry in town.up[name].chain.entries.values()}
+        self.assertLess(sorted(sizes)[-2], 2000)
+
+    def testAConfigurationBeyondItsBoundIsRefusedWithItsCode(self):
+        town = self.town(bodyBytes=8 << 20)
+        routes = {f"route-{number}": {"model": "screener", "tenants": ["saga"] * 200} for number in range(4000)}
+        for at in range(5):
+            got = town.change("PATCH", {"routes": {f"{name}-{at}": route for name, route in routes.items()}})
+            if got[0] != 200:
+                break
+        self.assertEqual((got[0], got[1]["code"]), (422, INVALID.code))
+        self.assertIn("bytes", got[1]["reason"])
+        self.assertEqual(town.call("saga", "tag", ["a", "b"])["status"], 200)
+
     def testARouterCutFromTheCoresHoldsItsLicenceThroughANeighbour(self):
         town = self.town(routers=3)
         ip = town.addresses["router1"]["inner"].rpartition(":")[0]
--- a/swiftdeck/sim/cases/mutations.py
+++ b/swiftdeck/sim/cases/mutations.py
@@ -5,11 +5,12 @@
 import unittest
 from unittest import mock
 
+import attrs
+
 from swiftdeck.chain.agreement import Agreement
 from swiftdeck.chain.chain import Chain
 from swiftdeck.chain.mender import Mender
 from swiftdeck.chain.state import ChainState
-from swiftdeck.config.document import readDocument
 from swiftdeck.disk.journal import Journal
 from swiftdeck.fault import NO_LICENCE, OLD_VIEW, WAITED_OUT
 from swiftdeck.http.server import HttpConversation
@@ -96,6 +97,14 @@
     init(self, router, exchange, held, tenant, route, body, router.loop.time())
 
 
+def _keepsItsKeys(self, got, install=ConfigLicence._install):
+    old = self.held
+    done = install(self, got)
+    if old and old.tenantByKey:
+        self.held = attrs.evolve(self.held, tenantByKey=old.tenantByKey)
+    return done
+
+
 def _anyBase(self, change, examine=ChainState.examine):
     return examine(self, change | ({"base": self.stored.version} if change["t"] == "config" else {}))
 
@@ -150,7 +159,7 @@
     ("the shorter log copies from the longer", config.ConfigCase,
      "testAHeadThatLostTheEndOfItsFileCopiesFromTheLongerOne", [(Chain, "_copyFrom", _copiesNothingFromBehind)]),
     ("key on each request", config.ConfigCase, "testARevokedKeyIsRefusedOnAKeptAliveConnection",
-     [("swiftdeck.traffic.licence", "readDocument", None)]),
+     [(ConfigLicence, "_install", _keepsItsKeys)]),
     ("no call to a draining worker", admission.AdmissionCase, "testConversationsOfADrainingWorkerMoveAndKeepTheirAdmission",
      [(WorkerList, "mayTake", lambda self, name: name in self.workers), (Keeper, "onWorkers", lambda self: None)]),
     ("an old list stands for nobody", calls.CallsCase,
@@ -209,25 +218,12 @@
     with contextlib.ExitStack() as stack:
         for owner, attribute, other in changes:
             target = f"{owner}.{attribute}" if isinstance(owner, str) else None
-            if other is None:
-                other = _firstDocumentOnly()
             stack.enter_context(mock.patch(target, other, create=True) if target else mock.patch.object(owner, attribute, other))
         result = unittest.TestResult()
         case(name).run(result)
         return result.wasSuccessful()
 
 
-def _firstDocumentOnly():
-    kept = []
-
-    def read(data):
-        document = readDocument(data)
-        if document.tenants:
-            kept.append(document)
-        return kept[0] if kept else document
-    return read
-
-
 class MutationsTest(unittest.TestCase):
     def testEachMechanismIsMissedByItsCase(self):
         for what, case, name, changes in MUTATIONS:
--- a/swiftdeck/traffic/licence.py
+++ b/swiftdeck/traffic/licence.py
@@ -2,9 +2,10 @@
 import asyncio
 
 import attrs
+import msgspec
 
-from swiftdeck.config.document import readDocument
-from swiftdeck.fault import NO_LICENCE, isFault
+from swiftdeck.config.configuration import Configuration
+from swiftdeck.fault import INVALID, NO_LICENCE, isFault
 from swiftdeck.wire.messages import LicenceAsk, LicenceReturn, Nudge, Relay
 
 
@@ -13,9 +14,14 @@
     """A version in force, with its names mapped to what the door needs."""
 
     version: int
-    document: object
+    config: object
     tenantByKey: dict
 
+    @property
+    def document(self):
+        """The entries, read."""
+        return self.config.document
+
 
 class ConfigLicence:
     """Renews from the tail, directly or through a neighbour; without it nothing is sent to a worker."""
@@ -25,7 +31,7 @@
         self.renewMs = renewMs
         self.router = f"{me.name}/{me.incarnation:x}"
         self.held, self.untilS, self.watchers = None, -1.0, []
-        self.waiting, self.stopping = [], False
+        self.waiting, self.stopping, self.mustHaveWhole = [], False, False
         mesh.on(Nudge, self.onNudge)
         mesh.on(Relay, self.onRelay)
 
@@ -55,7 +61,7 @@
 
     def _ask(self, handBack=False):
         return LicenceAsk(router=self.router, addr=self.me.addr, held=self.held.version if self.held else 0,
-                          handBack=handBack)
+                          handBack=handBack, digest=self.held.config.digest() if self.held and not self.mustHaveWhole else b"")
 
     async def _renew(self):
         sentS, ask, tail = self.loop.time(), self._ask(), self.chart.tail()
@@ -81,7 +87,7 @@
     def _take(self, got, sentS):
         held = self.held.version if self.held else -1
         isNew = got.version > held
-        if isNew and not self._install(got.version, got.document):
+        if (isNew or got.document and got.version == held) and not self._install(got):
             return False
         if got.version >= held and got.licenceMs:
             self.untilS = max(self.untilS, sentS + got.licenceMs / 1000 * 0.95)
@@ -89,17 +95,33 @@
             [done.set_result(None) for done in waiting if not done.done()]
         return isNew
 
-    def _install(self, version, data):
-        document = readDocument(data or b"{}")
-        if isFault(document):
-            self.board.note("configuration in force does not read", version=version, reason=document.reason)
+    def _install(self, got):
+        config = self._next(got)
+        if isFault(config) or config.digest() != got.digest:
+            self.board.count["configsMismatched"] += 1
+            self.board.note("configuration in force is not what was told", version=got.version)
+            self.mustHaveWhole = True
             return False
-        byKey = {key: name for name, tenant in document.tenants.items() for key in tenant.keys}
-        self.held = Held(version, document, byKey)
-        self.board.put("config", version)
+        self.mustHaveWhole = False
+        byKey = {key: name for name, tenant in config.document.tenants.items() for key in tenant.keys}
+        self.held = Held(got.version, config, byKey)
+        self.board.put("config", got.version)
         [watch(self.held) for watch in self.watchers]
         return True
 
+    def _next(self, got):
+        """The configuration told, whole or as changes of the one held."""
+        if not got.deltas:
+            return Configuration.read(got.document)
+        config = self.held.config if self.held else Configuration.empty()
+        try:
+            for delta in got.deltas:
+                config = config.apply(msgspec.msgpack.decode(delta))
+        except (msgspec.DecodeError, msgspec.ValidationError, KeyError, TypeError, AttributeError) as error:
+            return INVALID.because(repr(error))
+        self.board.count["configsChanged"] += 1
+        return config
+
     async def onRelay(self, relay, sender):
         tail = self.chart.tail()
         return NO_LICENCE if tail is None else await self.mesh.ask(tail, relay.ask, 700)
--- a/swiftdeck/wire/mesh.py
+++ b/swiftdeck/wire/mesh.py
@@ -9,7 +9,7 @@
 from swiftdeck.sim.world import World
 from swiftdeck.wire.messages import KINDS, NUMBERS, Done, FaultReturn, ListAsk, ListReturn
 
-FRAME_LIMIT = 32 << 20
+FRAME_LIMIT = 64 << 20
 OPEN_LIMIT = 8192
 HEAD = struct.Struct(">HQBB")
 
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -244,6 +244,7 @@
     addr: str = bp.string_field(2)
     held: int = bp.uint64_field(3)
     handBack: bool = bp.bool_field(4)
+    digest: bytes = bp.bytes_field(5)
 
 
 @message
@@ -252,6 +253,8 @@
     version: int = bp.uint64_field(2)
     document: bytes = bp.bytes_field(3)
     view: int = bp.uint64_field(4)
+    deltas: list[bytes] = bp.bytes_field(5)
+    digest: bytes = bp.bytes_field(6)
 
 
 @message
