The keeper is taken apart by what each part owns: books, lines, placement, moves, fetches

A command runs to its end before anything else does, as all of it is on one loop; so the queue of commands is the loop's own, and none is kept beside it.

--- a/swiftdeck/sim/cases/mutations.py
+++ b/swiftdeck/sim/cases/mutations.py
@@ -19,7 +19,10 @@
 from swiftdeck.traffic.budget import Budget
 from swiftdeck.traffic.call import Call
 from swiftdeck.traffic.claims import Claims
+from swiftdeck.traffic.books import Books
 from swiftdeck.traffic.keeper import Keeper
+from swiftdeck.traffic.moves import Moves
+from swiftdeck.traffic.takeover import Takeover
 from swiftdeck.traffic.ledger import Ledger, Move, nextMove
 from swiftdeck.traffic.licence import ConfigLicence
 from swiftdeck.traffic.line import Line
@@ -79,9 +82,9 @@
 
 async def _polls(self, sinceS, waitS):
     endS = self.loop.time() + waitS
-    while not self._isReady() and self.loop.time() < endS:
+    while not self.host.isReady() and self.loop.time() < endS:
         await asyncio.sleep(0.05)
-    return self._isReady()
+    return self.host.isReady()
 
 
 def _namedByWeights(**fields):
@@ -168,7 +171,7 @@
     ("claims in their own time", calls.CallsCase, "testACallerToldNotRunIsServedAtAnyRouterWithTheSameKey",
      [(Call, "_promised", _asIs)]),
     ("who waited longest before a new keeper", admission.AdmissionCase,
-     "testTheLineOfALostKeeperStandsAnewInTheOrderOfWaiting", [(Keeper, "_gathered", _polls)]),
+     "testTheLineOfALostKeeperStandsAnewInTheOrderOfWaiting", [(Takeover, "gathered", _polls)]),
     ("age of a grant", admission.AdmissionCase, "testAGrantThatOutlivedAFreezeIsNotActedOn",
      [("swiftdeck.traffic.router.Router", "isGrantValid", lambda self, name: True)]),
     ("a lapsed grant is not revived by a hold", admission.AdmissionCase, "testAGrantThatOutlivedAFreezeIsNotActedOn",
@@ -176,11 +179,11 @@
     ("late requests at a worker", calls.CallsCase, "testWhatAProcessFrozenBetweenItsLookAndItsWriteSendsLaterIsNoRun",
      [("swiftdeck.bench.worker", "LATE_MS", 60000)]),
     ("later calls pass the line", admission.AdmissionCase, "testALaterCallOfAnAdmittedConversationNeverWaitsBehindTheLine",
-     [(Keeper, "_continued", lambda self, ask: None)]),
+     [(Books, "continued", lambda self, ask: None)]),
     ("conversations known without their weights", weights.WeightsCase, "testAnOpenConversationKeepsItsAdmissionUnderNewWeights",
      [("swiftdeck.traffic.call", "GrantAsk", _namedByWeights)]),
     ("conversations of a draining worker move", admission.AdmissionCase, "testConversationsOfADrainingWorkerMoveAndKeepTheirAdmission",
-     [(Keeper, "_goOn", lambda self, conversation, ask, sender: self._grant(conversation, ask, sender, False))]),
+     [(Moves, "settle", lambda self, conversation, ask: None)]),
     ("the view is mended", config.ConfigCase, "testEachMemberMayBeKilledInTurn", [(Mender, "_mend", _syncsNothing)]),
     ("routers renew often and are nudged", config.ConfigCase, "testChangesAreInForceWithinTwoSecondsWhileNothingFails",
      [(ConfigLicence, "onNudge", lambda self, nudge, sender: None),
@@ -195,11 +198,11 @@
      [("swiftdeck.traffic.router.Call", "__init__", _waitsAnew)]),
     ("cap", admission.AdmissionCase, "testStartsFromManyRoutersAtOnceNeverPassTheCap", [(Book, "hasRoom", lambda self: True)]),
     ("open conversations gathered", admission.AdmissionCase, "testANewKeeperCountsOpenConversationsBeforeItGrantsAStart",
-     [(Keeper, "_gather", _gathersNothing)]),
+     [(Takeover, "gather", _gathersNothing)]),
     ("tenants in turn", admission.AdmissionCase, "testTheLineServesTenantsInTurn", [(Line, "take", _takesFirstTenant),
      (Line, "first", lambda self: next((line[0] for line in self.tenants.values()), None))]),
     ("silent routers' slots", admission.AdmissionCase, "testSlotsOfADeadRouterComeBackOnceItsLicenceHasRunOut",
-     [(Keeper, "_seen", lambda self, addr: None)]),
+     [(Books, "seen", lambda self, addr: None)]),
     ("budget", calls.CallsCase, "testTheBudgetBoundsExtraTriesInAnOutage", [(Budget, "draw", lambda self, nowS, extra: True)]),
     ("a call counts once", calls.CallsCase, "testACallCountsOnceHoweverOftenItsFirstLegIsGranted",
      [("swiftdeck.traffic.call", "GrantAsk", _forgetsGrants)]),
--- a/swiftdeck/sim/town.py
+++ b/swiftdeck/sim/town.py
@@ -116,7 +116,7 @@
         """The name of the router that keeps the books, if one does."""
         for name in self.routerNames():
             for keeper in self.up[name].keepers.values():
-                if keeper._isReady() and not self.world.loops[name].frozen:
+                if keeper.isReady() and not self.world.loops[name].frozen:
                     return name
         return None
 
@@ -131,7 +131,7 @@
 
     def books(self):
         """The books of the present keeper."""
-        return next(iter(self.up[self.keeper()].keepers.values())).books
+        return next(iter(self.up[self.keeper()].keepers.values())).books.table
 
     def ask(self, method, path, body=None, name=None, headers=(), timeoutMs=15000):
         """An operator's exchange with a process."""
