House style: loops for effects, codes by their names, the house's words

57 comprehensions that were run only for their effects are loops; the codes after which a call asks again, and those after which a change is refused, are named by their faults; `answer` gave way to the house's word or to another in our own names (the outward fields stay).

--- a/swiftdeck/bench/caller.py
+++ b/swiftdeck/bench/caller.py
@@ -167,4 +167,5 @@
         await asyncio.sleep(seconds)
         self.stopping = True
         await asyncio.wait(tasks, timeout=30)
-        [task.cancel() for task in tasks]
+        for task in tasks:
+            task.cancel()
--- a/swiftdeck/bench/checker.py
+++ b/swiftdeck/bench/checker.py
@@ -338,7 +338,7 @@
             here[item["run"]] = (talk, asked.get("router", ""), ends.get(item["run"], 1 << 60))
 
 
-def answeredAtOnce(records, apart, extra):
+def returnedAtOnce(records, apart, extra):
     """A call that is given up has its return at once, with a time to come back, not near its horizon."""
     falls, tries = Falls(records), {}
     ended = defaultdict(int)
@@ -391,7 +391,7 @@
 
 RULES = {rule.__name__: rule for rule in (
     runsOnce, notRunStays, piecesBelong, apartStaysApart, weightsMatch, oldWeightsEnd, versionsStand, readBackWhole, ackIsQuick,
-    refusedIsNotObeyed, drainingIsLeft, notCutOff, laterCallsPass, startsWithinCap, answeredAtOnce, triesAreFew,
+    refusedIsNotObeyed, drainingIsLeft, notCutOff, laterCallsPass, startsWithinCap, returnedAtOnce, triesAreFew,
     serviceReturns)}
 
 
@@ -482,7 +482,7 @@
                                [self.try_(1000, "2", talk="t", turn=1), self.back(1100, "2", code=110, notRun=True, retryAfter="2")]],
             "startsWithinCap": [[each for at in range(3) for each in (self.try_(500 + at, f"m{at}"),
                                  self.run_(510 + at, run=f"n{at}-1", call=f"n{at}", marker=f"m{at}"))]],
-            "answeredAtOnce": [[self.try_(1000, "2"), self.back(1100, "2", code=111, notRun=True)],
+            "returnedAtOnce": [[self.try_(1000, "2"), self.back(1100, "2", code=111, notRun=True)],
                                [self.try_(1000, "2"), self.back(13_000, "2", code=111, notRun=True, retryAfter="2")],
                                [self.back(9000, call="r", code=140)]],
             "triesAreFew": [[self.run_(70 + n, run=f"x{n}-2", call=f"x{n}", marker=f"m{n}") for n in range(4)]],
--- a/swiftdeck/bench/fleet.py
+++ b/swiftdeck/bench/fleet.py
@@ -60,8 +60,10 @@
                    "--record", str(self.folder / "records" / "platform.jsonl"))
         self.start("store", "swiftdeck.programs.bench", "store", "--addr", self.site.store,
                    "--record", str(self.folder / "records" / "store.jsonl"))
-        [self.startWorker(worker) for worker in self.site.workers]
-        [self.startNode(node) for node in [*self.site.cores, *self.site.routers]]
+        for worker in self.site.workers:
+            self.startWorker(worker)
+        for node in [*self.site.cores, *self.site.routers]:
+            self.startNode(node)
 
     def signal(self, name, number):
         """Send a signal to a process of the fleet."""
--- a/swiftdeck/bench/worker.py
+++ b/swiftdeck/bench/worker.py
@@ -38,7 +38,9 @@
         self.events.append({"n": self.number, "kind": kind} | ({"prefix": link.hex()} if link else {}) | more)
         del self.events[:-5000]
         waiting, self.watching = self.watching, []
-        [done.set_result(None) for done in waiting if not done.done()]
+        for done in waiting:
+            if not done.done():
+                done.set_result(None)
 
     async def handle(self, exchange):
         """One exchange of the workers' protocol."""
--- a/swiftdeck/board/board.py
+++ b/swiftdeck/board/board.py
@@ -34,5 +34,6 @@
             def info(self, event, **fields):
                 lines.append((event, fields["now"]))
         board = Board(Log())
-        [board.put("health", value) for value in (1, 1, 2, 2, 1)]
+        for value in (1, 1, 2, 2, 1):
+            board.put("health", value)
         self.assertEqual(lines, [("health", 1), ("health", 2), ("health", 1)])
--- a/swiftdeck/chain/agreement.py
+++ b/swiftdeck/chain/agreement.py
@@ -186,7 +186,8 @@
         if self.board:
             self.board.count["views"] += 1
             self.board.put("view", {"number": view.number, "members": [ref.addr for ref in view.members]})
-        [watch(view) for watch in self.watchers]
+        for watch in self.watchers:
+            watch(view)
 
     def onViewAsk(self, ask, sender):
         return ViewReturn(view=self.decided, coreId=self.coreId, fresh=self.isFresh(), fault=self.trouble())
@@ -253,8 +254,9 @@
         if isFault(got):
             return got
         await self.learn(chosen)
-        [self.mesh.tell(ref.addr, Decided(view=chosen)) for ref in {ref.addr: ref for ref in
-         [*voters, *chosen.members, *chosen.voters]}.values() if ref.addr != self.addr]
+        for ref in {ref.addr: ref for ref in [*voters, *chosen.members, *chosen.voters]}.values():
+            if ref.addr != self.addr:
+                self.mesh.tell(ref.addr, Decided(view=chosen))
         return chosen
 
     async def _round(self, voters, ask):
--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -109,7 +109,7 @@
         """Whether this member has all that the chain before it had at the start of the view."""
         return self.wholeIn == self.agreement.decided.number > 0 and not self.needsCopy
 
-    def mayAnswer(self):
+    def mayTell(self):
         """Whether this is the tail and may speak for the chain now."""
         return self.isLast() and self.isWhole() and self.agreement.mayServe()
 
@@ -151,10 +151,12 @@
             else:
                 waiting.append((done, WriteReturn(serial=self.serial, view=view)))
         if await self._sync():
-            [self._finish(done, got) for done, got in waiting]
+            for done, got in waiting:
+                self._finish(done, got)
             self.kick.set()
         else:
-            [self._finish(done, OLD_VIEW.because("synced nowhere")) for done, _ in waiting]
+            for done, _ in waiting:
+                self._finish(done, OLD_VIEW.because("synced nowhere"))
 
     @staticmethod
     def _finish(done, got):
@@ -307,10 +309,13 @@
 
     def _wakeCommitters(self):
         waiting, self.committers = self.committers, []
-        [done.set_result(None) for done in waiting if not done.done()]
+        for done in waiting:
+            if not done.done():
+                done.set_result(None)
         if self.isLast():
-            [self.mesh.tell(holder.addr, Nudge(version=self.state.stored.version)) for holder in self.holders.values()
-             if holder.held < self.state.stored.version and holder.untilS > self.loop.time()]
+            for holder in self.holders.values():
+                if holder.held < self.state.stored.version and holder.untilS > self.loop.time():
+                    self.mesh.tell(holder.addr, Nudge(version=self.state.stored.version))
 
     async def onCopyAsk(self, ask, sender):
         """The state as far as it is synced here, which it is between two commands of the owner."""
@@ -353,7 +358,7 @@
     async def onOutcomeAsk(self, ask, sender):
         endS = self.loop.time() + min(ask.waitMs, 30000) / 1000
         while True:
-            if not self.mayAnswer() or len(self.agreement.decided.members) < 2:
+            if not self.mayTell() or len(self.agreement.decided.members) < 2:
                 return NOT_TAIL
             found = self._outcome(ask.changeId)
             if found is not None:
@@ -383,12 +388,12 @@
         return all(holder.held >= version or holder.untilS <= nowS for holder in self.holders.values())
 
     def onConfigAsk(self, ask, sender):
-        if not self.mayAnswer():
+        if not self.mayTell():
             return NOT_TAIL
         return ConfigReturn(version=self.state.stored.version, document=self.state.config.bytes())
 
     def onLicenceAsk(self, ask, sender):
-        if not self.mayAnswer():
+        if not self.mayTell():
             return NOT_TAIL
         nowS, stored = self.loop.time(), self.state.stored
         if ask.handBack:
--- a/swiftdeck/chain/chart.py
+++ b/swiftdeck/chain/chart.py
@@ -55,4 +55,6 @@
         """Ask all cores that are known."""
         addrs = {each.addr for each in self.membership.alive("core")} | {ref.addr for ref in self.view.members}
         got = await asyncio.gather(*(self.mesh.ask(addr, ViewAsk(), 500) for addr in sorted(addrs)))
-        [self.learn(each.view) for each in got if not isFault(each)]
+        for each in got:
+            if not isFault(each):
+                self.learn(each.view)
--- a/swiftdeck/chain/scribe.py
+++ b/swiftdeck/chain/scribe.py
@@ -3,10 +3,11 @@
 
 import msgspec
 
-from swiftdeck.fault import (NO_VIEW, NOT_HEAD, NOT_TAIL, OLD_VIEW, TIMED_OUT, UNDECIDED, UNKNOWN_CHANGE, UNREACHABLE,
+from swiftdeck.fault import (BAD_FRAME, INVALID, LOST_RACE, NO_VIEW, NOT_HEAD, NOT_TAIL, OLD_VIEW, REUSED_CHANGE, TIMED_OUT, UNDECIDED, UNKNOWN_CHANGE, UNREACHABLE,
                              isFault)
 from swiftdeck.wire.messages import OutcomeAsk, Write
 
+REFUSALS = {LOST_RACE.code, INVALID.code, REUSED_CHANGE.code, BAD_FRAME.code}
 NEVER_TAKEN = {UNREACHABLE.code, NOT_HEAD.code, NO_VIEW.code}
 
 
@@ -33,8 +34,8 @@
                 if not isFault(outcome) or outcome.code != UNKNOWN_CHANGE.code:
                     return outcome if not isFault(outcome) else UNDECIDED.because(changeId)
                 continue
-            if got.code in (200, 201, 204, 402):
-                return got if not mayBeTaken or got.code == 204 else await self._settle(changeId, got, endS)
+            if got.code in REFUSALS:
+                return got if not mayBeTaken or got.code == REUSED_CHANGE.code else await self._settle(changeId, got, endS)
             mayBeTaken = mayBeTaken or got.code not in NEVER_TAKEN
             last = got
             self.chart.refresh()
--- a/swiftdeck/control/client.py
+++ b/swiftdeck/control/client.py
@@ -43,9 +43,9 @@
                 bad = 1
                 continue
             got = await self.ask("POST", "/v1/changes", asked, timeoutMs=15000)
-            answer = got.asBody() if isFault(got) else got[1]
-            bad |= int(bool(answer.get("code")))
-            say(msgspec.json.encode(answer).decode())
+            told = got.asBody() if isFault(got) else got[1]
+            bad |= int(bool(told.get("code")))
+            say(msgspec.json.encode(told).decode())
         return bad
 
     async def statuses(self):
@@ -103,7 +103,8 @@
                 return 1
             streams = [asyncio.ensure_future(self._decisions(door, marks, say, follow)) for door in doors]
             await asyncio.wait(streams, timeout=None if not follow else 5.0)
-            [each.cancel() for each in streams]
+            for each in streams:
+                each.cancel()
             if not follow:
                 return 0
 
--- a/swiftdeck/control/operators.py
+++ b/swiftdeck/control/operators.py
@@ -47,14 +47,14 @@
             return body
         change = {"id": exchange.headers.get("change-id") or self._newId(), "op": "put" if method == "PUT" else "patch",
                   "base": exchange.query.get("base"), "author": exchange.headers.get("author", ""), "document": body}
-        status, answer, headers = await self.change(change)
-        return await exchange.give(status, answer, headers)
+        status, told, headers = await self.change(change)
+        return await exchange.give(status, told, headers)
 
     def _newId(self):
         return "%020x" % self.core.random.getrandbits(80)
 
     async def change(self, asked):
-        """Put one change through the chain: (status, answer, headers)."""
+        """Put one change through the chain: (status, told, headers)."""
         fault = self._malformed(asked)
         if fault is None:
             entry = {"t": "config", "base": int(asked["base"]), "op": asked["op"],
@@ -65,11 +65,11 @@
                 return 200, {"code": 0, "changeId": asked["id"], "version": got.version}, []
             fault = got
         self.core.board.count["faults.%d" % fault.code] += 1
-        answer = fault.asBody()
+        told = fault.asBody()
         if isinstance(asked, dict) and isinstance(asked.get("id"), str):
-            answer["changeId"] = asked["id"]
+            told["changeId"] = asked["id"]
         wait = [("retry-after", str(max(1, fault.retryMs // 1000)))] if fault.retryMs else []
-        return fault.status, answer, wait
+        return fault.status, told, wait
 
     def _malformed(self, asked):
         if not isinstance(asked, dict):
@@ -95,10 +95,10 @@
             if line.strip():
                 try:
                     asked = msgspec.json.decode(line)
-                    _, answer, _ = await self.change(({"id": self._newId()} | asked) if isinstance(asked, dict) else asked)
+                    _, told, _ = await self.change(({"id": self._newId()} | asked) if isinstance(asked, dict) else asked)
                 except (msgspec.DecodeError, RecursionError) as error:
-                    answer = BAD_REQUEST.because(f"line is not JSON: {error}").asBody()
-                await exchange.piece(msgspec.json.encode(answer) + b"\n")
+                    told = BAD_REQUEST.because(f"line is not JSON: {error}").asBody()
+                await exchange.piece(msgspec.json.encode(told) + b"\n")
         exchange.finish()
 
     async def _outcome(self, exchange, changeId):
--- a/swiftdeck/disk/folder.py
+++ b/swiftdeck/disk/folder.py
@@ -91,5 +91,6 @@
                 await folder.sync("f")
             asyncio.run(main())
             self.assertEqual(folder.read("f"), b"newer")
-            [file.close() for file in folder.files.values()]
+            for file in folder.files.values():
+                file.close()
             folder.pool.shutdown()
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -278,7 +278,9 @@
         """Take no more connections and close the idle ones."""
         self.stopping = True
         self.server.close()
-        [each.transport.close() for each in list(self.open) if each.task is None]
+        for each in list(self.open):
+            if each.task is None:
+                each.transport.close()
 
 
 class HttpServerTest(unittest.TestCase):
--- a/swiftdeck/member/membership.py
+++ b/swiftdeck/member/membership.py
@@ -90,11 +90,13 @@
     def _changed(self, member):
         if self.board:
             self.board.put(f"neighbour.{member.name}", STATES[member.state])
-        [watch(member) for watch in self.watchers]
+        for watch in self.watchers:
+            watch(member)
 
     def onProbe(self, probe, sender):
         self.learn(probe.sender, True)
-        [self.learn(each) for each in probe.about]
+        for each in probe.about:
+            self.learn(each)
         if probe.target and probe.target != self.me.addr:
             return asyncio.ensure_future(self._secondOpinion(probe, sender))
         about = self._about()
@@ -107,15 +109,17 @@
         if await self._reach(probe.target, self.probeMs * 0.4):
             self.mesh.cast(sender, ProbeReturn(sender=self.me, target=probe.target, serial=probe.serial))
 
-    def onProbeReturn(self, answer, sender):
-        self.learn(answer.sender, True)
-        [self.learn(each) for each in answer.about]
-        done = self.waiting.get(answer.serial)
+    def onProbeReturn(self, told, sender):
+        self.learn(told.sender, True)
+        for each in told.about:
+            self.learn(each)
+        done = self.waiting.get(told.serial)
         if done and not done.done():
             done.set_result(True)
 
     def onRoster(self, roster, sender):
-        [self.learn(each) for each in roster.members]
+        for each in roster.members:
+            self.learn(each)
         return Roster(members=[self.me, *(each.member for each in self.known.values())])
 
     async def _reach(self, addr, waitMs, through=None):
@@ -123,7 +127,8 @@
         number, done = self.serial, self.loop.create_future()
         self.waiting[number] = done
         probe = Probe(sender=self.me, target=addr, serial=number, about=self._about())
-        [self.mesh.cast(each, probe) for each in (through or [addr])]
+        for each in through or [addr]:
+            self.mesh.cast(each, probe)
         try:
             async with asyncio.timeout(waitMs / 1000):
                 return await done
@@ -179,7 +184,8 @@
     async def _join(self, addr):
         got = await self.mesh.ask(addr, Roster(members=[self.me, *self.alive()]))
         if not isFault(got) and not isinstance(got, Done):
-            [self.learn(each) for each in got.members]
+            for each in got.members:
+                self.learn(each)
 
     def setSeeds(self, seeds):
         """Exchange the seeds at run time."""
--- a/swiftdeck/member/news.py
+++ b/swiftdeck/member/news.py
@@ -38,11 +38,13 @@
         fresh = [item for item in items if item.key not in self.items or item.stamp > self.items[item.key].stamp]
         for item in fresh:
             self.items[item.key] = item
-            [watcher(item.key, item.stamp, item.body) for prefix, watcher in self.watchers.items()
-             if item.key.startswith(prefix)]
+            for prefix, watcher in self.watchers.items():
+                if item.key.startswith(prefix):
+                    watcher(item.key, item.stamp, item.body)
         if fresh:
-            [self.mesh.tell(each.addr, News(items=fresh)) for each in self.membership.some(self.fanOut)
-             if each.addr != sender]
+            for each in self.membership.some(self.fanOut):
+                if each.addr != sender:
+                    self.mesh.tell(each.addr, News(items=fresh))
 
     async def _mending(self):
         while True:
@@ -66,7 +68,8 @@
                 tables[number].start()
             return main
         world.run(3)
-        [world.do(f"n{number}", begin(number)) for number in range(5)]
+        for number in range(5):
+            world.do(f"n{number}", begin(number))
         world.net.cut(["10.0.0.5"], [f"10.0.0.{n}" for n in range(1, 5)])
 
         async def post():
--- a/swiftdeck/programs/bench.py
+++ b/swiftdeck/programs/bench.py
@@ -136,7 +136,9 @@
             sums.update({key: got.get(key, 0) for key in ("faults", "returns", "served", "runs")})
             if got["breaches"] or trace or len(work) <= 5:
                 typer.echo(json.dumps({"scenario": name} | got))
-                [typer.echo(f"  {atS} {what}") for atS, what in faults if trace]
+                for atS, what in faults:
+                    if trace:
+                        typer.echo(f"  {atS} {what}")
     typer.echo(json.dumps({"seeds": len(work), "broken": broken} | sums))
     for name in names if seeds >= BITES_SEEDS else []:
         typer.echo(json.dumps({"scenario": name, "acts": {each: acts[name][each] for each in BITES[name]}}))
@@ -174,7 +176,8 @@
         raise typer.Exit(2)
     with ProcessPoolExecutor(jobs) as pool:
         for number, rows in zip(range(seed, seed + seeds), pool.map(runMeasure, [(name, each) for each in range(seed, seed + seeds)])):
-            [typer.echo(json.dumps({"seed": number} | row)) for row in rows]
+            for row in rows:
+                typer.echo(json.dumps({"seed": number} | row))
 
 
 def main():
--- a/swiftdeck/sim/cases/admission.py
+++ b/swiftdeck/sim/cases/admission.py
@@ -64,7 +64,8 @@
 
     def testSharingTheLongBookIsNoContinuation(self):
         town = self.town(cap=8)
-        [town.call("saga", "check", ["the long book", f"case {number}"]) for number in range(3)]
+        for number in range(3):
+            town.call("saga", "check", ["the long book", f"case {number}"])
         self.assertEqual(self.open(town), 3)
 
     def testTheLineServesTenantsInTurn(self):
@@ -368,7 +369,8 @@
         town = self.town(cap=8, adapts=True, capLeast=2, pauseMs=8000, idleMs=9000)
         town.up["worker1"].cache.room = 30000
         town.caller.book["check"] = "rules "
-        [town.spawn(lambda number=number: town.caller.agents("saga", turns=(10, 14), restS=0.1)) for number in range(8)]
+        for number in range(8):
+            town.spawn(lambda number=number: town.caller.agents("saga", turns=(10, 14), restS=0.1))
         caps = []
         with mock.patch("swiftdeck.traffic.keeper.ADAPT_S", 5.0):
             for _ in range(25):
--- a/swiftdeck/sim/cases/calls.py
+++ b/swiftdeck/sim/cases/calls.py
@@ -144,7 +144,8 @@
 
     def testARepeatableCallGoesElsewhereWhenItsWorkerIsGone(self):
         town = self.town()
-        [town.call("saga", "tag", ["book", str(number)]) for number in range(20)]
+        for number in range(20):
+            town.call("saga", "tag", ["book", str(number)])
         town.world.run(11)
         town.world.kill("worker1")
         got = [town.call("saga", "tag", ["book", f"again {number}"]) for number in range(10)]
@@ -182,12 +183,14 @@
 
     def testACallWaitsOnceForLicenceAndGrantTogether(self):
         town = self.town(routers=2, workers=1)
-        [town.world.kill(name) for name in [*town.coreNames(), "platform"]]
+        for name in [*town.coreNames(), "platform"]:
+            town.world.kill(name)
         town.world.run(5)
         startS = town.world.now
         box = town.spawn(lambda: town.caller.call("saga", "check", ["b", "x"]))
         town.world.run(2)
-        [town.startCore(node["name"]) for node in town.site.cores]
+        for node in town.site.cores:
+            town.startCore(node["name"])
         self.assertTrue(town.world.run(until=lambda: any(town.up[name].licence.isHeld() for name in town.routerNames()), limitS=8))
         town.world.run(until=lambda: box, limitS=30)
         self.assertTrue(box[0]["notRun"] and box[0]["retryAfter"], box)
@@ -237,7 +240,8 @@
 
     def testExtraTriesOfAllModelsTogetherStayWithinOneAllowance(self):
         town = self.town(workers=4)
-        [town.up["platform"].workers[name].update(model="other") for name in ("worker2", "worker4")]
+        for name in ("worker2", "worker4"):
+            town.up["platform"].workers[name].update(model="other")
         self.assertEqual(town.change("PATCH", {"models": {"other": {"weights": "w1", "cap": 50}, "screener": {"cap": 50}}, "routes": {
             "ad": {"model": "other", "repeatable": True, "single": True}}})[0], 200)
         town.world.run(13)
@@ -342,7 +346,8 @@
         town.world.run(4)
 
         async def drain():
-            [town.up["platform"].drain(worker["name"]) for worker in town.site.workers]
+            for worker in town.site.workers:
+                town.up["platform"].drain(worker["name"])
         town.world.do("platform", drain)
         town.world.run(5)
         got = town.call("saga", "tag", ["a", "b"], door=town.addresses[keeper]["http"])
--- a/swiftdeck/sim/cases/config.py
+++ b/swiftdeck/sim/cases/config.py
@@ -189,7 +189,7 @@
         near = next(name for name in town.coreNames() if name != tail)
         self.assertEqual(town.change("PATCH", self.cap(13), name=near)[0], 200)
         self.assertNotEqual(town.ask("GET", "/v1/config", name=tail)[0], 200)
-        self.assertFalse(town.up[tail].chain.mayAnswer())
+        self.assertFalse(town.up[tail].chain.mayTell())
         town.world.net.heal()
         self.settle(town)
         self.assertEqual(town.ask("GET", "/v1/config", name=tail)[1]["version"], town.version)
@@ -200,9 +200,9 @@
         town.world.freeze(tail)
         near = next(name for name in town.coreNames() if name != tail)
         self.insist(town, 14, near)
-        self.assertFalse(town.up[tail].chain.mayAnswer())
+        self.assertFalse(town.up[tail].chain.mayTell())
         town.world.thaw(tail)
-        self.assertFalse(town.up[tail].chain.mayAnswer())
+        self.assertFalse(town.up[tail].chain.mayTell())
         self.settle(town)
 
     def testAFullDiskRefusesAndAStalledOneLeavesTheChain(self):
@@ -285,14 +285,20 @@
             self.assertLess(town.world.now, 12, site)
             version = town.version
             names = list(town.world.loops)
-            [town.world.kill(name) for name in names if name not in ("operator", "callers")]
-            [folder.losePower(torn=7) for folder in town.folders.values()]
+            for name in names:
+                if name not in ("operator", "callers"):
+                    town.world.kill(name)
+            for folder in town.folders.values():
+                folder.losePower(torn=7)
             startS = town.world.now
-            [town.startCore(node["name"]) for node in town.site.cores]
+            for node in town.site.cores:
+                town.startCore(node["name"])
             town.world.start("platform", town.site.platform.rpartition(":")[0], town.up["platform"].start)
             town.startStore()
-            [town.startWorker(worker["name"]) for worker in town.site.workers]
-            [town.startRouter(node["name"]) for node in town.site.routers]
+            for worker in town.site.workers:
+                town.startWorker(worker["name"])
+            for node in town.site.routers:
+                town.startRouter(node["name"])
             got = {"whole": False}
             while not got["whole"] and town.world.now < startS + 30:
                 got = town.call("saga" if site == "hinokuni" else "ipe", "check", ["b", "y"], idempotency="again")
@@ -301,7 +307,8 @@
 
     def testDamageOnDiskIsRefusedAndMendedByCopying(self):
         town = self.town()
-        [town.change("PATCH", self.cap(20 + number)) for number in range(4)]
+        for number in range(4):
+            town.change("PATCH", self.cap(20 + number))
         name = self.member(town, 1)
         town.world.kill(name)
         data = town.folders[name].written["chain.log"]
@@ -314,7 +321,8 @@
 
     def testASweepMendsDamageBeforeAnyRestartMeetsIt(self):
         town = self.town()
-        [town.change("PATCH", self.cap(20 + number)) for number in range(4)]
+        for number in range(4):
+            town.change("PATCH", self.cap(20 + number))
         name = self.member(town, 1)
         for file in ("chain.log", "agreement.log"):
             data = town.folders[name].written[file]
--- a/swiftdeck/sim/storm.py
+++ b/swiftdeck/sim/storm.py
@@ -115,7 +115,9 @@
             nodes = [*town.site.cores, *town.site.routers]
             near = [self._ip(node["name"]) for node in nodes if node["zone"] == zone]
             near += [worker["addr"].rpartition(":")[0] for worker in town.site.workers if worker["zone"] == zone]
-            [self.fall(node["name"]) for node in [*nodes, *town.site.workers] if node["zone"] == zone]
+            for node in [*nodes, *town.site.workers]:
+                if node["zone"] == zone:
+                    self.fall(node["name"])
             town.world.net.cut(near, [ip for ip in town.ips.values() if ip not in near])
         elif fault == "kill all cores":
             for name in town.coreNames():
@@ -288,7 +290,8 @@
         machine = f"{name}-{len(self.done)}"
         town.addresses[name] |= {"inner": f"{town.ip(machine)}:7000", "http": f"{town.ip(machine)}:8000"}
         town.seeds = [core["inner"] for core in town.site.cores]
-        [town.up[other].membership.setSeeds(town.seeds) for other in [*town.coreNames(), *town.routerNames()]]
+        for other in [*town.coreNames(), *town.routerNames()]:
+            town.up[other].membership.setSeeds(town.seeds)
         self.log(f"empty {name} at a new address")
         self._later(lambda: self._back(name), 2, 6)
 
@@ -313,7 +316,8 @@
         self._patch({"models": {self.town.site.model: {"cap": self.random.randint(2, 8)}}})
 
     def race(self):
-        [self.patch() for _ in range(3)]
+        for _ in range(3):
+            self.patch()
 
     def invalid(self):
         self._patch({"tenants": {"nobody": {"keys": ["sha256:" + "0" * 64]}}, "routes": {"check": {"model": "nobody"}}})
--- a/swiftdeck/sim/town.py
+++ b/swiftdeck/sim/town.py
@@ -79,15 +79,18 @@
 
     def start(self, **model):
         """Start everything and put the first configuration."""
-        [self.startCore(node["name"]) for node in self.site.cores]
+        for node in self.site.cores:
+            self.startCore(node["name"])
 
         async def platform():
             self.up["platform"] = Platform(self.site.platform, self.record("platform"), self.site.workers)
             await self.up["platform"].start()
         self.world.start("platform", self.site.platform.rpartition(":")[0], platform)
         self.startStore()
-        [self.startWorker(worker["name"]) for worker in self.site.workers]
-        [self.startRouter(node["name"]) for node in self.site.routers]
+        for worker in self.site.workers:
+            self.startWorker(worker["name"])
+        for node in self.site.routers:
+            self.startRouter(node["name"])
         self.world.start("operator", self.ip("operator"), lambda: asyncio.sleep(0))
         self.world.start("callers", self.ip("callers"), lambda: asyncio.sleep(0))
         doors = [node["http"] for node in self.site.routers]
@@ -102,7 +105,7 @@
 
     def coresServe(self):
         """Whether some core may answer for the chain."""
-        return any(self.up[name].chain.mayAnswer() for name in self.coreNames() if name in self.up)
+        return any(self.up[name].chain.mayTell() for name in self.coreNames() if name in self.up)
 
     def coreNames(self):
         """Cores that run."""
--- a/swiftdeck/traffic/book.py
+++ b/swiftdeck/traffic/book.py
@@ -79,7 +79,8 @@
     def testSlotsComeBackFromThePausedOnlyWhenDue(self):
         book = Book("w", 2)
         first, second = (Conversation(name, "t", "shared", "w", "w1") for name in "ab")
-        [book.entry(each) for each in (first, second)]
+        for each in (first, second):
+            book.entry(each)
         self.assertFalse(book.hasRoom())
         first.running["c"], second.idleSinceS = 1, 10.0
         self.assertIsNone(book.longestPaused(12.0, 3000))
--- a/swiftdeck/traffic/budget.py
+++ b/swiftdeck/traffic/budget.py
@@ -35,7 +35,9 @@
 class BudgetTest(unittest.TestCase):
     def testOneInFivePlusAnAllowanceThatANewKeeperLacks(self):
         budget = Budget(startS=0)
-        [budget.call(1) for _ in range(10)]
+        for _ in range(10):
+            budget.call(1)
         self.assertEqual([budget.draw(2, 3) for _ in range(4)], [True, True, False, False])
-        [budget.call(15) for _ in range(10)]
+        for _ in range(10):
+            budget.call(15)
         self.assertEqual([budget.draw(15, 3) for _ in range(7)], [True] * 5 + [False] * 2)
--- a/swiftdeck/traffic/decisions.py
+++ b/swiftdeck/traffic/decisions.py
@@ -19,7 +19,9 @@
             self.items.popleft()
             self.first += 1
         waiting, self.waiting = self.waiting, []
-        [done.set_result(None) for done in waiting if not done.done()]
+        for done in waiting:
+            if not done.done():
+                done.set_result(None)
 
     def since(self, number: int):
         """How many after a number are no longer here, and those that are."""
@@ -43,7 +45,8 @@
 class DecisionsTest(unittest.TestCase):
     def testAResumeSaysHowManyWereDropped(self):
         decisions = Decisions(lambda: 0.0, keep=3)
-        [decisions.add("start", call=str(number)) for number in range(5)]
+        for number in range(5):
+            decisions.add("start", call=str(number))
         lost, items = decisions.since(1)
         self.assertEqual((lost, [item["n"] for item in items]), (1, [3, 4, 5]))
         self.assertEqual(decisions.since(4)[1][0]["n"], 5)
--- a/swiftdeck/traffic/ledger.py
+++ b/swiftdeck/traffic/ledger.py
@@ -4,9 +4,12 @@
 
 import attrs
 
-from swiftdeck.fault import (BUDGET_SPENT, HORIZON, LINE_FULL, NOT_KEEPER, UNREACHED, WAITED_OUT, WORKER_LOST, Fault)
+from swiftdeck.fault import (BUDGET_SPENT, HANDLER_FAILED, HORIZON, LINE_FULL, NO_CLAIM, NO_KEEPER, NO_LICENCE, NO_WORKER,
+                             NOT_KEEPER, OLD_TERM, RECOVERING, STALE_LIST, TIMED_OUT, UNREACHABLE, UNREACHED, WAITED_OUT,
+                             WORKER_LOST, Fault)
 
-AGAIN = {118, 111, 112, 113, 114, 115, 401, 400, 501, 503, 500, 404}
+AGAIN = {each.code for each in (WAITED_OUT, NO_WORKER, NO_LICENCE, STALE_LIST, NO_KEEPER, NO_CLAIM, UNREACHABLE, TIMED_OUT,
+                                HANDLER_FAILED, OLD_TERM, NOT_KEEPER, RECOVERING)}
 
 
 class Move(enum.Enum):
--- a/swiftdeck/traffic/licence.py
+++ b/swiftdeck/traffic/licence.py
@@ -92,7 +92,9 @@
         if got.version >= held and got.licenceMs:
             self.untilS = max(self.untilS, sentS + got.licenceMs / 1000 * 0.95)
             waiting, self.waiting = self.waiting, []
-            [done.set_result(None) for done in waiting if not done.done()]
+            for done in waiting:
+                if not done.done():
+                    done.set_result(None)
         return isNew
 
     def _install(self, got):
@@ -106,7 +108,8 @@
         byKey = {key: name for name, tenant in config.document.tenants.items() for key in tenant.keys}
         self.held = Held(got.version, config, byKey)
         self.board.put("config", got.version)
-        [watch(self.held) for watch in self.watchers]
+        for watch in self.watchers:
+            watch(self.held)
         return True
 
     def _next(self, got):
--- a/swiftdeck/traffic/line.py
+++ b/swiftdeck/traffic/line.py
@@ -72,5 +72,6 @@
 
     def testWhoHasWaitedLongerElsewhereStandsBefore(self):
         line = Line()
-        [line.add(Waiting("t", sinceS, None, sinceS)) for sinceS in (5, 7, 3)]
+        for sinceS in (5, 7, 3):
+            line.add(Waiting("t", sinceS, None, sinceS))
         self.assertEqual([line.first().ask, *(line.take().ask for _ in range(3))], [3, 3, 5, 7])
--- a/swiftdeck/traffic/workers.py
+++ b/swiftdeck/traffic/workers.py
@@ -95,7 +95,8 @@
         self.readS, self.body = max(readS, self.readS), body
         if fresh != self.workers:
             self.workers = fresh
-            [watch() for watch in self.watchers]
+            for watch in self.watchers:
+                watch()
 
 
 class WorkerListTest(unittest.TestCase):
--- a/swiftdeck/wire/mesh.py
+++ b/swiftdeck/wire/mesh.py
@@ -75,7 +75,9 @@
     def connection_lost(self, error):
         self.gone = True
         self.mesh.links.pop(self, None)
-        [task.cancel() for task, isBound in list(self.handled.values()) if isBound]
+        for task, isBound in list(self.handled.values()):
+            if isBound:
+                task.cancel()
         if self.addr and self.mesh.dialled.get(self.addr) is self:
             del self.mesh.dialled[self.addr]
         for number, (link, done) in list(self.mesh.asked.items()):
@@ -105,7 +107,8 @@
         """Stop listening and drop all links."""
         self.server.close()
         self.datagrams.close()
-        [link.transport.abort() for link in list(self.links)]
+        for link in list(self.links):
+            link.transport.abort()
 
     def on(self, kind, handler, isBound=False):
         """Hand messages of a kind to `handler(message, senderAddr)`; a bound one is cancelled with its link."""
