--- a/swiftdeck/bench/measure.py
+++ b/swiftdeck/bench/measure.py
@@ -1,8 +1,17 @@
 """Measurements of the design in virtual time; each gives figures that its command repeats."""
+import contextlib
+import random
 import statistics
+import time
+import tracemalloc
 import unittest
+from unittest import mock
+
+import msgspec
 
 from swiftdeck.bench.thrash import Thrash
+from swiftdeck.chain.state import CLAIM, FINISH, ChainState
+from swiftdeck.disk.journal import Journal
 from swiftdeck.sim.town import Town
 from swiftdeck.traffic.ring import Ring
 
@@ -108,7 +117,71 @@
     yield {"calls": 200, "runs": runs, "amplification": round(runs / 200, 3)}
 
 
-MEASURES = {each.__name__: each for each in (thrash, ring, failover, acks, fetch, outage)}
+def warm(seed):
+    """The traffic of each site on caches that hold the shared texts and little more, placed by warmth and without it."""
+    for site in ("hinokuni", "serraria"):
+        for how in ("by warmth", "without regard"):
+            with contextlib.ExitStack() as stack:
+                if how == "without regard":
+                    stack.enter_context(mock.patch("swiftdeck.traffic.index.PrefixIndex.depth", lambda self, worker, chain: 0))
+                    stack.enter_context(mock.patch("swiftdeck.traffic.ring.Ring.walk", _anyOrder(seed)))
+                yield {"site": site, "placed": how} | _warmth(seed, site)
+
+
+def day(seed):
+    """A day of once-only calls, one a second, in a core: memory, the whole state, what is written, and the longest rewrite."""
+    for perS in (0.1, 1.0, 2.0):
+        tracemalloc.start()
+        state, log, written, rewrites, longestMs, limit = ChainState(), 0, 0, 0, 0.0, 1 << 20
+        rng = random.Random(seed)
+        for number in range(int(86400 * perS * 1.1)):
+            key, run = f"tenant{number % 8}:{rng.getrandbits(128):032x}", f"{rng.getrandbits(80):020x}"
+            for op in (CLAIM, FINISH):
+                entry = state.examine({"t": "claims", "id": f"batch/router{number % 9}/{rng.getrandbits(64):x}",
+                                       "ops": [[key, run, f"{rng.getrandbits(128):032x}", op]]})
+                entry["elapsedMs"] = int(500 / perS)
+                size = len(Journal.frame({"k": "e", "n": number, "b": msgspec.msgpack.encode(entry)}))
+                state.apply(entry)
+                log, written = log + size, written + size
+                if log > limit:
+                    startS = time.perf_counter()
+                    data = state.toBytes()
+                    longestMs = max(longestMs, (time.perf_counter() - startS) * 1000)
+                    log, written, rewrites, limit = len(data), written + len(data), rewrites + 1, max(1 << 20, 4 * len(data))
+        yield {"callsPerS": perS, "claims": len(state.stored.claims), "stateMB": round(len(state.toBytes()) / 1e6, 1),
+               "memoryMB": round(tracemalloc.get_traced_memory()[0] / 1e6, 1), "logMostMB": round(limit / 1e6, 1),
+               "writtenMB": round(written / 1e6), "rewrites": rewrites, "longestEncodeMs": round(longestMs)}
+        tracemalloc.stop()
+
+
+def _anyOrder(seed):
+    order = random.Random(seed)
+
+    def walk(self, key):
+        yield from order.sample(self.workers, len(self.workers))
+    return walk
+
+
+def _warmth(seed, site, seconds=90.0):
+    town = Town(seed, site, routers=9, workers=None, speed=0.5).start(cap=6, fetches=False)
+    for worker in town.site.workers:
+        town.up[worker["name"]].cache.room = 13000
+    tenants = list(town.site.keys)
+    startMs = town.world.now * 1000
+    town.spawn(lambda: town.caller.run(seconds, {name: int(at < 2) for at, name in enumerate(tenants)}, 0.8))
+    town.world.run(seconds + 30)
+    runs = {item["run"]: item for item in town.records if item["kind"] == "run" and item["atMs"] > startMs}
+    turns = {item["marker"]: item["turn"] for item in town.records if item["kind"] == "try" and item.get("talk")}
+    prefills = [(runs[item["run"]], item) for item in town.records if item["kind"] == "prefill" and item["run"] in runs]
+    shared = [item["hitParts"] >= 1 for run, item in prefills if not turns.get(run["marker"])]
+    later = [item["hitParts"] >= item["parts"] - 2 for run, item in prefills if turns.get(run["marker"])]
+    checks = sum(run["route"] == "check" for run in runs.values())
+    return {"checks": checks, "shorts": len(runs) - checks, "sharedTextHits": round(sum(shared) / max(1, len(shared)), 3),
+            "laterTurnHits": round(sum(later) / max(1, len(later)), 3),
+            "computedTokensPerCall": round(sum(item["newTokens"] for _, item in prefills) / max(1, len(prefills)))}
+
+
+MEASURES = {each.__name__: each for each in (thrash, ring, failover, acks, fetch, outage, warm, day)}
 
 
 class MeasureTest(unittest.TestCase):
--- a/swiftdeck/programs/bench.py
+++ b/swiftdeck/programs/bench.py
@@ -168,7 +168,7 @@
 
 
 @app.command()
-def measure(name: Annotated[str, typer.Argument(help="thrash, ring, failover, acks, fetch or outage.")],
+def measure(name: Annotated[str, typer.Argument(help="thrash, ring, failover, acks, fetch, outage, warm or day.")],
             seed: int = 1, seeds: int = 3, jobs: int = 4):
     """Measure the design in virtual time: a line of figures for each case and seed."""
     if name not in MEASURES:
