--- a/swiftdeck/sim/storm.py
+++ b/swiftdeck/sim/storm.py
@@ -371,7 +371,7 @@
             self._later(lambda: setattr(folder, "stallS", 0.0), 2, 15)
 
     def jumpWall(self):
-        """The wall clocks jump; no process may notice."""
+        """The wall clocks jump; nothing that decides may notice."""
         self.wallS += self.random.choice([-86400.0, -30.0, 30.0, 86400.0])
         self.log("wall clock")
 
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -1,7 +1,6 @@
 """One call on its way through a router: a ledger of legs from which the next move is derived."""
 import asyncio
 import hashlib
-import json
 from typing import Annotated
 
 import msgspec
@@ -230,9 +229,9 @@
     slowFrom, keyDigest, group = "", "", None
 
     async def _runAtWorker(self, leg):
-        body = json.dumps({"run": self.run(), "call": self.name, "weights": self.weights, "group": self.group,
+        body = msgspec.json.encode({"run": self.run(), "call": self.name, "weights": self.weights, "group": self.group,
                            "parts": self.body.parts, "maxTokens": self.body.maxTokens, "route": self.body.model,
-                           "tenant": self.tenant, "key": self.claimKey}).encode()
+                           "tenant": self.tenant, "key": self.claimKey})
         leftS = max(0.05, self.ledger.horizonMs / 1000 - self.loop.time())
         try:
             async with asyncio.timeout(min(leftS, self.route.firstPieceMs / 1000)):
