--- a/swiftdeck/sim/storm.py
+++ b/swiftdeck/sim/storm.py
@@ -20,6 +20,7 @@
         self.random = self.town.world.random
         self.done, self.falls, self.fallen = [], 0, {}
         self.weights, self.wallS, self.keys, self.isRolling = "w1", 0.0, 0, False
+        self.rolled = {}
 
     def log(self, what):
         """Note a fault in the trace."""
@@ -422,12 +423,15 @@
             town.world._within(loop, lambda: loop.create_task(town.up[name].stop()))
 
             def again():
+                if self.rolled.pop(name, None) is None:
+                    return
                 if town.world.loops.get(name) is loop:
                     town.world.kill(name)
                 if name in town.folders:
                     town.folders[name].losePower()
                 self._back(name)
                 back()
+            self.rolled[name] = again
             self._later(again, 4, 6)
         for at, name in enumerate(names):
             self._later(lambda name=name: roll(name), 1 + 8 * at, 2 + 8 * at)
@@ -532,6 +536,8 @@
     def mendAll(self):
         """End all faults."""
         town, self.isRolling = self.town, False
+        for again in list(self.rolled.values()):
+            again()
         town.world.net.heal()
         town.world.net.lossRate = 0.0
         for folder in town.folders.values():
