Sectors that a lost power never filled are torn, not damage

Cause: since damage is told from a torn record, a file that had grown before its data were written (zeros from some sector on) would read as damage; three cores losing power together could all refuse their own logs.

Ruled out: a flipped bit in a record that ends in zeros over a whole sector (records hold no such runs).

Change: zeros from a sector's boundary to the end of the file count as never written.

Before: a record half of which reads as zeros was refused as damage; after: cut off, the records before it stand.

--- a/swiftdeck/disk/journal.py
+++ b/swiftdeck/disk/journal.py
@@ -11,6 +11,7 @@
 
 HEADER, CHECK = struct.Struct(">IIB"), struct.Struct(">H")
 MARK, OLD_MARK = 0xD6, 0xD5
+SECTOR = 512
 LEAD = HEADER.size + CHECK.size
 
 
@@ -23,8 +24,8 @@
 class Journal:
     """Records in one file; a torn last one is cut off, damage anywhere is refused.
 
-    A write that the power cut short leaves the beginning of a record; a record that is all there but does not add up was
-    whole once, and may have been acknowledged.
+    A write that the power cut short leaves the beginning of a record, and where the file had grown already, zeros from some
+    sector on; a record that is all there but does not add up was whole once, and may have been acknowledged.
     """
 
     def __init__(self, folder, name):
@@ -68,6 +69,9 @@
         """Whether what begins here can be the beginning of a record whose end was never written."""
         if len(data) - at < LEAD or not any(data[at:]):
             return True
+        written = at + len(data[at:].rstrip(b"\0"))
+        if -(-written // SECTOR) * SECTOR < len(data):
+            return True
         length, _, mark = HEADER.unpack_from(data, at)
         isHead = mark == OLD_MARK or zlib.crc32(data[at:at + HEADER.size]) & 0xFFFF == CHECK.unpack_from(data, at + HEADER.size)[0]
         return isHead and at + LEAD + length > len(data)
@@ -167,6 +171,17 @@
             del folder.written["j"][size - cut:]
             self.assertEqual([record["n"] for record in Journal(folder, "j").load()], [1, 2])
 
+    def testSectorsThatWereNeverWrittenAreTorn(self):
+        folder = self.build()
+        size = len(folder.written["j"])
+        Journal(folder, "j").append({"n": 4, "x": bytes(range(1, 256)) * 8})
+        data, whole = folder.written["j"], len(folder.written["j"])
+        for start in range(SECTOR, whole, SECTOR):
+            cut = self.build()
+            cut.written["j"] = bytearray(data[:start] + bytes(whole - start))
+            self.assertEqual([record["n"] for record in Journal(cut, "j").load()], [1, 2, 3], start)
+            self.assertEqual(len(cut.written["j"]), size)
+
     def testRecordsOfTheEarlierFormStillRead(self):
         folder, body = SimFolder(), msgspec.msgpack.encode({"n": 0})
         folder.append("j", HEADER.pack(len(body), zlib.crc32(body), OLD_MARK) + body)
