The doctor finds settings that differ and claims that are nearly full

Each status shows the settings that must be the same at a site (names, addresses, folders and keys left out).

--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -12,6 +12,9 @@
 Ms = Annotated[int, msgspec.Meta(ge=10, le=600000)]
 
 
+OWN = {"name", "inner", "http", "seeds", "zone", "dataFolder", "platform", "store", "operatorKey"}
+
+
 class Settings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Where a process stands and how it keeps time; every duration is in milliseconds."""
 
@@ -46,6 +49,10 @@
     bodyBytes: Annotated[int, msgspec.Meta(ge=1024, le=64 << 20)] = 4 << 20
     partsMost: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 2000
 
+    def shared(self):
+        """The settings that must be the same in all processes of a site."""
+        return {field.name: getattr(self, field.name) for field in msgspec.structs.fields(self) if field.name not in OWN}
+
     def faults(self):
         """What is wrong beyond the types."""
         for name in ("inner", "http"):
--- a/swiftdeck/control/core.py
+++ b/swiftdeck/control/core.py
@@ -83,6 +83,7 @@
             "position": self.agreement.position(), "mayServe": self.agreement.mayServe(), "whole": chain.isWhole(),
             "serial": chain.serial, "version": chain.state.stored.version, "trouble": self.agreement.trouble(),
             "diskFreeBytes": self.folder.freeBytes(), "logBytes": chain.journal.size,
-            "claims": len(chain.state.stored.claims), "licences": len(chain.holders), "clockMs": self.clockMs(), "tasks": self.taskCount(),
+            "claims": len(chain.state.stored.claims), "claimsMost": self.settings.claimsMost,
+            "shared": self.settings.shared(), "licences": len(chain.holders), "clockMs": self.clockMs(), "tasks": self.taskCount(),
             "neighbours": self.neighbours(), "seeds": self.membership.seeds, "counters": self.counters(),
         }
--- a/swiftdeck/control/doctor.py
+++ b/swiftdeck/control/doctor.py
@@ -26,6 +26,8 @@
     715: ("clock runs at another rate", "Mend the machine's clock source; licences allow for five in a hundred."),
     716: ("no configuration", "Put one with `swiftdeck ctl put`."),
     717: ("waiting line is nearly full", "Add workers, or raise cap or lineMax if the cache allows it."),
+    718: ("once-only claims are nearly full", "Raise `claimsMost`, or shorten `claimKeepMs` if no caller comes back as late."),
+    719: ("settings differ between processes", "Make them the same in all processes of the site but for names, addresses and folders."),
 }
 
 
@@ -113,6 +115,8 @@
             yield finding(705, f"{name}: {each['trouble']}")
         if each["position"] >= 0 and not each["mayServe"]:
             yield finding(707, name)
+        if each["claims"] > 0.8 * each.get("claimsMost", 1 << 30):
+            yield finding(718, f"{name}: {each['claims']} of {each['claimsMost']}")
 
 
 def _routers(statuses):
@@ -131,6 +135,10 @@
         yield finding(706, f"{len(newest['members']) if newest else 0} members")
     if len(views) > 1:
         yield finding(714, f"numbers {sorted(views)}")
+    shared = [each["shared"] for each in present if "shared" in each]
+    differing = sorted({name for each in shared for name in each if each[name] != shared[0].get(name)})
+    if differing:
+        yield finding(719, ", ".join(differing))
     versions = {each["version"] for each in present if each["role"] == "router" or each.get("position", -1) >= 0}
     if len(versions) > 1:
         yield finding(710, f"versions {sorted(versions)}")
--- a/swiftdeck/sim/cases/doctor.py
+++ b/swiftdeck/sim/cases/doctor.py
@@ -66,6 +66,8 @@
             711: lambda s: [each.update(keeps=[]) for each in s.values()],
             712: lambda s: self.book(s).update(up=False), 713: lambda s: self.book(s).update(weights="w0"),
             717: lambda s: self.book(s).update(line=64),
+            718: lambda s: s["core2"].update(claims=170000),
+            719: lambda s: s["router2"]["shared"].update(grantMs=1),
         }
         for code, plant in planted.items():
 
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -331,6 +331,6 @@
                      "workers": [msgspec.to_builtins(worker) for worker in self.workers.workers.values()]},
             "keepers": {model: {"term": term, "addr": addr} for model, (term, addr) in self.known.items()},
             "keeps": [keeper.status() for keeper in self.keepers.values() if keeper.duty.isHeld()],
-            "clockMs": self.clockMs(), "tasks": self.taskCount(), "open": self.open, "running": len(self.running), "neighbours": self.neighbours(),
+            "clockMs": self.clockMs(), "shared": self.settings.shared(), "tasks": self.taskCount(), "open": self.open, "running": len(self.running), "neighbours": self.neighbours(),
             "seeds": self.membership.seeds, "counters": self.counters(),
         }
