Freezes hit a router that holds a grant, and the platform is gone for up to 14 s

Change: a strike waits for a router with a grant that it has not acted on, and freezes it for longer than its hold.

--- a/swiftdeck/sim/storm.py
+++ b/swiftdeck/sim/storm.py
@@ -212,10 +212,23 @@
     def freezeKeeper(self):
         self._freeze(self.town.keeper())
 
+    def freezeBusy(self):
+        """A router is frozen with a grant in hand that it has not yet acted on, and wakes after its slot was given away."""
+        town, endS = self.town, self.town.world.now + 3.0
+
+        def look():
+            for name in town.routerNames():
+                legs = [running.call.ledger.legs[-1] for running in town.up[name].running.values() if running.call.ledger.legs]
+                if name != town.keeper() and any(leg.grant is not None and not leg.wasSent for leg in legs):
+                    return self._freeze(name, least=3.2)
+            if town.world.now < endS:
+                town.world.at(0.001, look)
+        look()
+
     def freezeWorker(self):
         self._freeze(self._pick(self._workers()), most=6)
 
-    def _freeze(self, name, most=15):
+    def _freeze(self, name, most=15, least=0.5):
         town = self.town
         if name and not town.world.loops[name].frozen:
             town.world.freeze(name)
@@ -226,7 +239,7 @@
                 if town.world.loops.get(name) is loop and loop.frozen:
                     town.world.thaw(name)
                 back()
-            self._later(thaw, 0.5, most)
+            self._later(thaw, least, most)
 
     def _ip(self, name):
         return self.town.addresses[name]["inner"].rpartition(":")[0]
@@ -507,7 +520,7 @@
             town.world.freeze("platform")
             back = self.fall("platform")
             self.log("freeze platform")
-            self._later(lambda: (town.world.thaw("platform"), back()), 1, 8)
+            self._later(lambda: (town.world.thaw("platform"), back()), 1, 14)
 
     def loseDatagrams(self):
         self.town.world.net.lossRate = self.random.choice([0.0, 0.1, 0.4])
@@ -583,7 +596,7 @@
     "rolling": ["rollNodes", "rollNodes", "patch", "rekey"],
     "routers": ["killRouter", "killKeeper", "killRouter", "killMany"],
     "cores": ["killCore", "killAllCores", "powerAfterAck", "killAfterFault", *CONTROL],
-    "freezes": ["freeze", "freeze", "freezeKeeper", "freezeWorker", "patch", "newWeights", "slowClock", "jumpWall"],
+    "freezes": ["freeze", "freezeBusy", "freezeBusy", "freezeKeeper", "freezeWorker", "patch", "newWeights", "slowClock", "jumpWall"],
     "disks": ["loseDisk", "fillDisk", "stallDisk", "slowDisk", "powerAfterAck", "killAfterFault", *CONTROL],
     "cuts": ["cutRouter", "cutCore", "oneWay", "writeBothSides", "loseDatagrams", *CONTROL],
     "addresses": ["newAddress", "patch", "killRouter"],
@@ -601,7 +614,7 @@
     "rolling": ["takeovers", "views", "copies"],
     "routers": ["takeovers", "legsReclaimed"],
     "cores": ["views", "copies", "acksHeld", "claimBatchesAgain", "slotsHandedBack"],
-    "freezes": ["takeovers", "legsReclaimed", "looks.114"],
+    "freezes": ["takeovers", "legsReclaimed", "grantsLapsed"],
     "disks": ["copies", "views", "slotsHandedBack"],
     "cuts": ["licencesRelayed", "listsFromNeighbours", "views", "acksHeld", "legsReclaimed"],
     "addresses": ["copies", "views"],
