Strikes that aim at a slow head's sync and at one side's list of workers

Cause: three removals broke no storm. Ruled out: the checks (the cases of these removals are judged by the same ones).

Change: the head's power goes between the tail's commit and its own slow sync, with an operator reading in between; and the keeper with half of the routers is cut from the platform while the others are shown a drain.

--- a/swiftdeck/sim/storm.py
+++ b/swiftdeck/sim/storm.py
@@ -399,6 +399,38 @@
         self._later(lambda: (town.world.net.heal(), [back() for back in backs]), 1, 10)
         self.drain()
 
+    def splitList(self):
+        """The keeper and half of the routers are cut from the platform and from the others, who are then shown a drain."""
+        town, keeper = self.town, self.town.keeper()
+        others = [name for name in town.routerNames() if name != keeper]
+        if keeper is None or len(others) < 2:
+            return
+        near = [keeper, *self.random.sample(others, len(others) // 2)]
+        far = [self._ip(name) for name in others if name not in near]
+        backs = [self.fall(name) for name in near]
+        town.world.net.cut([self._ip(name) for name in near], [town.site.platform.rpartition(":")[0], *far])
+        self.log(f"split list {near}")
+        self._later(self.drain, 2, 3)
+        self._later(lambda: (town.world.net.heal(), [back() for back in backs]), 8, 12)
+
+    def powerBeforeSync(self):
+        """The head's disk is slow, and its power goes after an operator may have read what it has not yet synced."""
+        town = self.town
+        name = next((each for each in town.coreNames() if town.up[each].chain.isFirst()), None)
+        if name is None or len(town.coreNames()) < 3 or not town.up[name].chain.isWhole():
+            return
+        folder = town.folders[name]
+        folder.stallS = 0.9
+        self.log(f"power before sync {name}")
+        self._patch({"models": {town.site.model: {"lineMax": self.random.randint(20, 90)}}}, name=self._pick(
+            [each for each in town.coreNames() if each != name]))
+
+        def lose():
+            folder.stallS = 0.0
+            self._kill(name, least=0.05, most=0.3)
+        self._later(self.read, 0.4, 0.5)
+        self._later(lose, 0.6, 0.8)
+
     def oneWay(self):
         name = self._pick(self.town.addresses)
         self._cut([self._ip(name)], False)
@@ -597,13 +629,13 @@
     "routers": ["killRouter", "killKeeper", "killRouter", "killMany"],
     "cores": ["killCore", "killAllCores", "powerAfterAck", "killAfterFault", *CONTROL],
     "freezes": ["freeze", "freezeBusy", "freezeBusy", "freezeKeeper", "freezeWorker", "patch", "newWeights", "slowClock", "jumpWall"],
-    "disks": ["loseDisk", "fillDisk", "stallDisk", "slowDisk", "powerAfterAck", "killAfterFault", *CONTROL],
+    "disks": ["loseDisk", "fillDisk", "stallDisk", "slowDisk", "powerAfterAck", "powerBeforeSync", "powerBeforeSync", "killAfterFault", *CONTROL],
     "cuts": ["cutRouter", "cutCore", "oneWay", "writeBothSides", "loseDatagrams", *CONTROL],
     "addresses": ["newAddress", "patch", "killRouter"],
     "operators": ["race", "invalid", "grow", "patch", "rekey", "route", "killCore", "freeze", "writeBothSides"],
     "weights": ["newWeights", "newWeights", "killKeeper", "cutRouter", "crashWorker", "freeze"],
     "store": ["loseStore", "slowLinks", "drain", "quirk"],
-    "platform": ["losePlatform", "cutPlatform", "drain", "cutRouter", "crashWorker"],
+    "platform": ["losePlatform", "cutPlatform", "splitList", "splitList", "drain", "cutRouter", "crashWorker"],
 }
 SCENARIOS["mix"] = sorted({name for names in SCENARIOS.values() for name in names} - {"newAddress", "rollNodes", "rollWorkers"})
 
