The end of one cut no longer ends the others

Cause: every strike that cuts healed all cuts when its own time was over, so that cuts lasted much less than drawn.

Before: a cut of 8 to 12 s was over after 3; after: each ends by itself.

--- a/swiftdeck/sim/net.py
+++ b/swiftdeck/sim/net.py
@@ -160,11 +160,13 @@
     def cut(self, sources, targets, both=True):
         """Lose all that goes from some addresses to others."""
         pairs = {(a, b) for a in sources for b in targets if a != b}
-        self.cuts |= pairs | ({(b, a) for a, b in pairs} if both else set())
+        pairs |= {(b, a) for a, b in pairs} if both else set()
+        self.cuts |= pairs
+        return pairs
 
-    def heal(self):
-        """Undo all cuts; streams go on where they stuck."""
-        self.cuts.clear()
+    def heal(self, pairs=None):
+        """Undo some cuts or all; streams go on where they stuck."""
+        self.cuts -= self.cuts if pairs is None else pairs
         stuck, self.stuck = self.stuck, []
         for transport, item in stuck:
             self.send(transport, item)
--- a/swiftdeck/sim/storm.py
+++ b/swiftdeck/sim/storm.py
@@ -250,11 +250,11 @@
         workers = [worker["addr"].rpartition(":")[0] for worker in town.site.workers]
         far = [ip for ip in everyone + (workers if self.random.random() < 0.3 else []) if ip not in near]
         backs = [self.fall(name) for name in town.routerNames() if self._ip(name) in near]
-        town.world.net.cut(near, far, both)
+        pairs = town.world.net.cut(near, far, both)
         self.log(f"cut {near} both={both}")
 
         def heal():
-            town.world.net.heal()
+            town.world.net.heal(pairs)
             for back in backs:
                 back()
         self._later(heal, 1, 15)
@@ -393,10 +393,10 @@
         """Some routers, or all, can't reach the platform, and one side may be shown a drain."""
         town = self.town
         some = self.random.sample(town.routerNames(), self.random.randint(1, len(town.routerNames())))
-        town.world.net.cut([self._ip(name) for name in some], [town.site.platform.rpartition(":")[0]], self.random.random() < 0.5)
+        pairs = town.world.net.cut([self._ip(name) for name in some], [town.site.platform.rpartition(":")[0]], self.random.random() < 0.5)
         backs = [self.fall(name) for name in some]
         self.log(f"cut platform from {len(some)}")
-        self._later(lambda: (town.world.net.heal(), [back() for back in backs]), 1, 10)
+        self._later(lambda: (town.world.net.heal(pairs), [back() for back in backs]), 1, 10)
         self.drain()
 
     def splitList(self):
@@ -408,10 +408,10 @@
         near = [keeper, *self.random.sample(others, len(others) // 2)]
         far = [self._ip(name) for name in others if name not in near]
         backs = [self.fall(name) for name in near]
-        town.world.net.cut([self._ip(name) for name in near], [town.site.platform.rpartition(":")[0], *far])
+        pairs = town.world.net.cut([self._ip(name) for name in near], [town.site.platform.rpartition(":")[0], *far])
         self.log(f"split list {near}")
         self._later(self.drain, 2, 3)
-        self._later(lambda: (town.world.net.heal(), [back() for back in backs]), 8, 12)
+        self._later(lambda: (town.world.net.heal(pairs), [back() for back in backs]), 8, 12)
 
     def powerBeforeSync(self):
         """The head's disk is slow, and its power goes after an operator may have read what it has not yet synced."""
