--- a/swiftdeck/bench/site.py
+++ b/swiftdeck/bench/site.py
@@ -3,7 +3,8 @@
 
 import attrs
 
-from swiftdeck.config.document import Document, keyDigest, readDocument
+from swiftdeck.config.configuration import Configuration
+from swiftdeck.config.document import Document, keyDigest
 from swiftdeck.fault import isFault
 
 TENANTS = {
@@ -74,6 +75,6 @@
         for name, workers in (("hinokuni", 6), ("serraria", 9)):
             site = planSite(name)
             self.assertEqual((len(site.workers), len(site.routers), len(site.keys)), (workers, 9, 8))
-            document = readDocument(msgspec.json.encode(site.document()))
+            document = Configuration.read(msgspec.json.encode(site.document()))
             self.assertFalse(isFault(document))
-            self.assertIsInstance(document, Document)
+            self.assertIsInstance(document.document, Document)
--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -372,8 +372,10 @@
         if changeId in stored.batches:
             return OutcomeReturn(results=stored.batches[changeId])
         change = stored.changes.get(changeId)
-        self.board.count["acksHeld"] += bool(change) and not self.isInForce(change[0])
-        return OutcomeReturn(version=change[0]) if change and self.isInForce(change[0]) else None
+        if change and self.isInForce(change[0]):
+            return OutcomeReturn(version=change[0])
+        self.board.count["acksHeld"] += bool(change)
+        return None
 
     async def _awaitCommit(self, endS):
         done = self.loop.create_future()
@@ -408,8 +410,8 @@
         self.holders = {name: each for name, each in self.holders.items() if each.untilS > nowS}
         if held >= stored.version:
             self._wakeCommitters()
-        told, digest = LicenceReturn(licenceMs=self.licenceMs, version=stored.version, view=self.agreement.decided.number), (
-            self.state.config.digest())
+        told = LicenceReturn(licenceMs=self.licenceMs, version=stored.version, view=self.agreement.decided.number)
+        digest = self.state.config.digest()
         if ask.held < stored.version or ask.digest != digest:
             told.deltas = (self.state.since(ask.held, ask.digest) if ask.digest else None) or []
             told.document = b"" if told.deltas else self.state.config.bytes()
--- a/swiftdeck/config/document.py
+++ b/swiftdeck/config/document.py
@@ -70,16 +70,6 @@
                     if model.adapts and model.capLeast > model.cap)
 
 
-def readDocument(data: bytes):
-    """A checked document, or a fault that names the path to the field."""
-    try:
-        document = msgspec.json.decode(data, type=Document)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return INVALID.because(next(_wrongEntries(data), None) or told(error, "$"))
-    first = next(document.dangling(), None)
-    return document if first is None else INVALID.because(first)
-
-
 def told(error, path):
     """A fault's text with the path to the field in front."""
     text = str(error)
@@ -87,21 +77,6 @@
     return f"{path}{found.group(1)}: {text[:found.start()]}" if found else f"{path}: {text}"
 
 
-def _wrongEntries(data):
-    """What is wrong with single entries, by their names, which the faults of a whole table do not tell."""
-    try:
-        tables = msgspec.json.decode(data, type=dict[str, dict[str, msgspec.Raw]])
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-        return
-    for table, kind in (("models", Model), ("tenants", Tenant), ("routes", Route)):
-        for name, raw in tables.get(table, {}).items():
-            try:
-                msgspec.convert(name, Name)
-                msgspec.json.decode(raw, type=kind)
-            except msgspec.ValidationError as error:
-                yield told(error, f"$.{table}.{name}")
-
-
 def merge(target, patch):
     """JSON merge patch, RFC 7396."""
     if not isinstance(patch, dict):
@@ -125,12 +100,13 @@
         self.assertEqual(list(merge({"a": 1, "b": 2}, {"a": 3, "c": 4})), ["a", "b", "c"])
 
     def testFaultsNameThePath(self):
+        from swiftdeck.config.configuration import Configuration
         model = '"models":{"m":{"weights":"w"}}'
         for text, path in [('{%s,"routes":{"r":{"model":"x"}}}' % model, "$.routes.r.model"),
                            ('{%s,"routes":{"r":{"model":"m","foo":1}}}' % model, "$.routes.r"),
                            ('{%s,"routes":{"r":{"model":"m","tenants":["t"]}}}' % model, "$.routes.r.tenants[0]"),
                            ('{"models":{"m":{"weights":"w","cap":0}}}', "$.models.m.cap"), ("[]", ""), ("{", "")]:
-            fault = readDocument(text.encode())
+            fault = Configuration.read(text.encode())
             self.assertTrue(isFault(fault))
             self.assertEqual((fault.code, fault.reason.startswith(path)), (INVALID.code, True), fault.reason)
-        self.assertEqual(readDocument(('{%s}' % model).encode()).models["m"].cap, 16)
+        self.assertEqual(Configuration.read(('{%s}' % model).encode()).document.models["m"].cap, 16)
