Tables of services, paths, limits and editions, and changes that build on an edition

Cause: an operator with numbers of its own, which go up in uneven steps, names services and routes by host and prefix and expects back exactly what it sent; the configuration had models, tenants and routes, and changes built on our version alone.

The new changes `replace`, `items` and `raise` are decided at the head like the others, and pass down as the entries that they touch. A table whose order changes carries its names in the new order. Weights that are already held are noted under the change's id, so that the change has an outcome without a new version.

Ruled out: keeping the operator's text whole beside the tables. Each change of one item would have carried all of it.

--- a/swiftdeck/chain/state.py
+++ b/swiftdeck/chain/state.py
@@ -4,7 +4,8 @@
 import msgspec
 
 from swiftdeck.config.configuration import Configuration
-from swiftdeck.fault import LOST_RACE, REUSED_CHANGE, isFault
+from swiftdeck.config.document import EDITION, merge
+from swiftdeck.fault import INVALID, LOST_RACE, REUSED_CHANGE, isFault
 
 CHANGES_KEPT, BATCHES_KEPT, DELTAS_KEPT = 5000, 4000, 64
 FREED_KEPT_MS = 600000
@@ -57,26 +58,75 @@
         """Turn an asked change into an entry, None when it was made already, or a fault; only the head does this."""
         if change["t"] != "config":
             return change | {"keepMs": self.keepMs, "most": self.claimsMost}
-        digest = hashlib.sha256(msgspec.json.encode([change[name] for name in ("base", "op", "document")])).hexdigest()
+        digest = self._digest(change)
         old = self.stored.changes.get(change["id"])
         if old:
             return None if old[1] == digest else REUSED_CHANGE.because(change["id"])
-        if change["base"] != self.stored.version:
-            return LOST_RACE.because(f"base {change['base']}, newest {self.stored.version}")
-        delta = self.config.patch(change["document"]) if change["op"] == "patch" else self.config.put(change["document"])
+        delta = self._delta(change)
         if isFault(delta):
             return delta
-        return {"t": "config", "id": change["id"], "digest": digest, "version": self.stored.version + 1,
-                "author": change.get("author", ""), "delta": delta, "mark": self.config.apply(delta).digest()}
+        made = {"id": change["id"], "digest": digest, "author": change.get("author", "")}
+        if delta is None:
+            return {"t": "noted", "version": self.stored.version} | made
+        return {"t": "config", "version": self.stored.version + 1, "delta": delta,
+                "mark": self.config.apply(delta).digest()} | made
+
+    @staticmethod
+    def _digest(change):
+        """What tells one change from another under the same id."""
+        told = [change[name] for name in ("base", "op", "document")] if change["op"] in ("put", "patch") else {
+            name: part for name, part in change.items() if name not in ("t", "id", "author")}
+        return hashlib.sha256(msgspec.json.encode(told, order="sorted" if isinstance(told, dict) else None)).hexdigest()
+
+    def _delta(self, change):
+        """The entries that a change touches, as they will be, None where there is nothing to do, or a fault."""
+        if change["op"] == "raise":
+            return self._raised(change["model"], change["weights"])
+        fault = self._outpaced(change)
+        if isFault(fault):
+            return fault
+        op, document = change["op"], change["document"]
+        if op in ("put", "patch"):
+            return self.config.put(document) if op == "put" else self.config.patch(document)
+        if op not in ("replace", "items"):
+            return INVALID.because(f"op `{op}` is not known")
+        tables = document | ({"edition": self._edition(change)} if "edition" in change else {})
+        return (self.config.replace if op == "replace" else self.config.items)(tables, change.get("ensure", {}))
+
+    def _outpaced(self, change):
+        """A fault where the change builds on another version or edition than the present one."""
+        if "edition" not in change:
+            base, newest = change["base"], self.stored.version
+            return None if base == newest else LOST_RACE.because(f"base {base}, newest {newest}")
+        held = self.config.document.edition.get(EDITION)
+        number = held.number if held else 0
+        if change["onEdition"] != number:
+            return LOST_RACE.because(f"on edition {change['onEdition']}, newest {number}")
+        return None if change["edition"] > number else INVALID.because(
+            f"$.edition: {change['edition']} is not above {number}")
+
+    def _edition(self, change):
+        """The table of the edition after a change: whole where it is replaced, else what is told of it merged in."""
+        told, held = change["document"].get("edition", {}).get(EDITION), self.config.raws.get("edition", {}).get(EDITION, {})
+        isWhole = told is not None and change["op"] == "replace"
+        return {EDITION: (told if isWhole else merge(held, told or {})) | {"number": change["edition"]}}
+
+    def _raised(self, model, weights):
+        held = self.config.raws.get("models", {}).get(model)
+        if held is None or not held["weights"].isdecimal():
+            return INVALID.because(f"$.models.{model}: no such model with numbered weights")
+        return None if int(held["weights"]) >= weights else self.config.items(
+            {"models": {model: held | {"weights": str(weights)}}}, {})
 
     def apply(self, entry: dict):
         """Take one entry in."""
         stored = self.stored
         if entry["t"] == "config":
             self._change(entry)
-            stored.changes[entry["id"]] = [entry["version"], entry["digest"], entry["author"]]
-            self._bound(stored.changes, CHANGES_KEPT)
+            self._note(entry)
             self.onConfig(entry | {"document": self.config})
+        elif entry["t"] == "noted":
+            self._note(entry)
         elif entry["t"] == "claims":
             stored.elapsedMs += entry["elapsedMs"]
             self._expire(stored.claims, entry.get("keepMs", self.keepMs))
@@ -86,6 +136,11 @@
                 stored.batches[entry["id"]] = [self._claim(most, *each) for each in entry["ops"]]
                 self._bound(stored.batches, BATCHES_KEPT)
 
+    def _note(self, entry):
+        """Keep what became of a change."""
+        self.stored.changes[entry["id"]] = [entry["version"], entry["digest"], entry["author"]]
+        self._bound(self.stored.changes, CHANGES_KEPT)
+
     def _change(self, entry):
         """The next configuration, from its change, or from its whole text as an earlier form of the log has it."""
         before = self.config.digest()
--- a/swiftdeck/config/configuration.py
+++ b/swiftdeck/config/configuration.py
@@ -3,10 +3,12 @@
 
 import msgspec
 
-from swiftdeck.config.document import Document, Model, Name, Route, Tenant, merge, told
+from swiftdeck.config.document import (Document, Edition, Limits, Model, Name, Path, Route, Service, Tenant, merge,
+                                       told)
 from swiftdeck.fault import INVALID, isFault
 
-KINDS = {"models": Model, "tenants": Tenant, "routes": Route}
+KINDS = {"models": Model, "tenants": Tenant, "routes": Route, "services": Service, "paths": Path, "limits": Limits,
+         "edition": Edition}
 BYTES_MOST = 16 << 20
 
 
@@ -16,6 +18,19 @@
     return int.from_bytes(hashlib.blake2b(f"{table}/{name}/".encode() + data, digest_size=16).digest(), "big"), len(data) + len(name) + 4
 
 
+def _changes(held, part):
+    """The entries that a table's part of a change touches: the part, none for a table that goes, or a pair with an order."""
+    return dict.fromkeys(held) if part is None else part if isinstance(part, dict) else part[0]
+
+
+def _difference(held, part):
+    """A table's part of a change that makes it another one: its changes, with the names in order where that differs too."""
+    changes = {name: None for name in held if name not in part} | {
+        name: entry for name, entry in part.items() if name not in held or held[name] != entry}
+    order = [*(name for name in held if name in part), *(name for name in part if name not in held)]
+    return changes if order == list(part) else (changes, list(part))
+
+
 class Configuration:
     """Never changed in place: a change gives the next one, and costs what it touches."""
 
@@ -73,13 +88,41 @@
                 return INVALID.because(f"$.{table}: an entry is null")
         return self._checked(delta)
 
+    def replace(self, tables: dict, ensure: dict):
+        """The entries in which whole tables differ, and those to be there that aren't, or a fault; other tables stay."""
+        wrong = next((table for table, part in tables.items() if not isinstance(part, dict) or None in part.values()), None)
+        if wrong is not None:
+            return INVALID.because(f"$.{wrong}: expected an object of entries")
+        wholes = {table: part | self._missing(ensure.get(table, {}), part) for table, part in tables.items()}
+        return self._checked(self._added(ensure, tables) | {
+            table: delta for table, part in wholes.items() if (delta := _difference(self.raws.get(table, {}), part))})
+
+    def items(self, tables: dict, ensure: dict):
+        """The entries that are put or removed whole, and those to be there that aren't, or a fault."""
+        wrong = next((table for table, part in tables.items() if not isinstance(part, dict)), None)
+        if wrong is not None:
+            return INVALID.because(f"$.{wrong}: expected an object")
+        delta = self._added(ensure, {})
+        for table, part in tables.items():
+            held = self.raws.get(table, {})
+            delta[table] = delta.get(table, {}) | {name: entry for name, entry in part.items() if entry != held.get(name)}
+        return self._checked({table: part for table, part in delta.items() if part})
+
+    def _added(self, ensure, but):
+        return {table: missing for table, part in ensure.items() if table not in but
+                and (missing := self._missing(part, self.raws.get(table, {})))}
+
+    @staticmethod
+    def _missing(part, held):
+        return {name: entry for name, entry in part.items() if name not in held}
+
     def _checked(self, delta):
         for table, part in delta.items():
             if table not in KINDS:
                 return INVALID.because(f"$: unknown table `{table}`")
-            if part is not None and not isinstance(part, dict):
+            if part is not None and not isinstance(part, (dict, tuple)):
                 return INVALID.because(f"$.{table}: expected an object")
-            for name, entry in (part or {}).items():
+            for name, entry in _changes({}, part).items():
                 try:
                     msgspec.convert(name, Name)
                     if entry is not None:
@@ -100,7 +143,7 @@
         raws, typed, mark, size = dict(self.raws), {}, self.mark, self.size
         for table, part in delta.items():
             held = raws.get(table, {})
-            changes = dict.fromkeys(held) if part is None else part
+            changes = _changes(held, part)
             kept, shown = dict(held), dict(getattr(self.document, table))
             for name, entry in changes.items():
                 if name in kept:
@@ -113,6 +156,8 @@
                     kept[name], shown[name] = entry, msgspec.convert(entry, KINDS[table])
                     newMark, newSize = _mark(table, name, entry)
                     mark, size = mark + newMark, size + newSize
+            if isinstance(part, (list, tuple)):
+                kept = {name: kept[name] for name in part[1]}
             raws[table], typed[table] = kept, shown
             if part is None:
                 del raws[table]
--- a/swiftdeck/config/document.py
+++ b/swiftdeck/config/document.py
@@ -5,9 +5,12 @@
 
 import msgspec
 
-Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:/-]{0,126}\Z")]
 Count = Annotated[int, msgspec.Meta(ge=1, le=100000)]
 Ms = Annotated[int, msgspec.Meta(ge=0, le=3600000)]
+Amount = Annotated[int, msgspec.Meta(ge=0, lt=1 << 53)]
+Part = Annotated[float, msgspec.Meta(ge=0)]
+EDITION, LIMITS = "operator", "callers"
 
 
 class Model(msgspec.Struct, forbid_unknown_fields=True, rename=None):
@@ -26,10 +29,12 @@
 
 
 class Tenant(msgspec.Struct, forbid_unknown_fields=True):
-    """Who may call, by digests of keys, and whether its prefixes are kept apart."""
+    """Who may call, by digests of keys, whether its prefixes are kept apart, and its rank, 0 the highest."""
 
     keys: list[Annotated[str, msgspec.Meta(pattern=r"^sha256:[0-9a-f]{64}$")]] = []
     apart: bool = False
+    urgency: int | None = None
+    told: dict = {}
 
 
 class Route(msgspec.Struct, forbid_unknown_fields=True):
@@ -45,12 +50,75 @@
     pieceMs: Annotated[int, msgspec.Meta(ge=100, le=3600000)] = 15000
 
 
+class Service(msgspec.Struct, forbid_unknown_fields=True, rename="camel"):
+    """Workers that are alike, or a store of prefixes at an address."""
+
+    models: list[Name] = []
+    health_path: str = ""
+    connections_most: Amount = 0
+    slots: Amount = 0
+    cache_tokens: Amount = 0
+    token_bytes: Amount = 0
+    network_mbps: Part = 0
+    followers_most: Amount = 0
+    store_addr: str = ""
+    zone: str = ""
+    told: dict = {}
+
+
+class Backing(msgspec.Struct, forbid_unknown_fields=True, rename="camel"):
+    """A service's part of a split."""
+
+    service: Name
+    share: Part
+
+
+class Path(msgspec.Struct, forbid_unknown_fields=True, rename="camel"):
+    """A route by host and path prefix."""
+
+    host: str
+    prefix: str
+    services: Annotated[list[Backing], msgspec.Meta(min_length=1)]
+    timeout_ms: Annotated[int, msgspec.Meta(ge=1, lt=1 << 53)]
+    target_ms: Amount = 0
+    urgency: int = 5
+    tries: Annotated[int, msgspec.Meta(ge=1, lt=1 << 53)] = 1
+    public: bool = False
+    streaming: bool = False
+    repeatable: bool = False
+    resumable: bool = False
+    gap_ms: Amount = 0
+    told: dict = {}
+
+
+class Limits(msgspec.Struct, forbid_unknown_fields=True, rename="camel"):
+    """What a caller may send, how long its head may take, and how long it may sit idle."""
+
+    head_bytes: Amount = 16384
+    body_bytes: Amount = 4 << 20
+    head_wait_ms: Amount = 3000
+    idle_ms: Amount = 15000
+    told: dict = {}
+
+
+class Edition(msgspec.Struct, forbid_unknown_fields=True, rename="camel"):
+    """The operator's own number of the configuration, and whether callers need a tenant's key."""
+
+    number: Amount
+    keyed: bool = True
+    told: dict = {}
+
+
 class Document(msgspec.Struct, forbid_unknown_fields=True):
-    """A whole configuration."""
+    """A whole configuration; `told` in an entry is what its operator sent for it, kept as it came."""
 
     models: dict[Name, Model] = {}
     tenants: dict[Name, Tenant] = {}
     routes: dict[Name, Route] = {}
+    services: dict[Name, Service] = {}
+    paths: dict[Name, Path] = {}
+    limits: dict[Name, Limits] = {}
+    edition: dict[Name, Edition] = {}
 
     def dangling(self):
         """Paths of names that point nowhere, and of keys that two tenants share."""
@@ -65,6 +133,16 @@
                     yield f"$.tenants.{name}.keys[{at}]: key is also of tenant `{seen[key]}`"
         yield from (f"$.models.{name}.capLeast: is above cap" for name, model in self.models.items()
                     if model.adapts and model.capLeast > model.cap)
+        yield from self._dangling_paths()
+
+    def _dangling_paths(self):
+        yield from (f"$.paths.{name}.services[{at}].service: no service `{backing.service}`" for name, path in self.paths.items()
+                    for at, backing in enumerate(path.services) if backing.service not in self.services)
+        yield from (f"$.paths.{name}.services: shares sum to 0" for name, path in self.paths.items()
+                    if not sum([backing.share for backing in path.services]))
+        seen = {}
+        yield from (f"$.paths.{name}.prefix: host and prefix are also of path `{seen[path.host, path.prefix]}`"
+                    for name, path in self.paths.items() if seen.setdefault((path.host, path.prefix), name) != name)
 
 
 def told(error, path):
