A version may be acknowledged once it has stood for a set time

Cause: an acknowledgement waits for each router that may hold a licence, so that one frozen router holds it up for a whole licence, 4 s, and a new tail waits as long. Where a router out of touch is bound by nothing, that wait buys nothing, and operators have to be answered sooner.

With `ackWaitMs` above 0 a version is in force at the latest that long after the tail had it; a new tail counts from when it became one. The default, 0, keeps the wait as it was. Routers in touch hear of a version from the tail's nudge at once.

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -13,7 +13,7 @@
                                      LicenceReturn, Nudge, OutcomeAsk, OutcomeReturn, Pass, PassReturn, Write,
                                      WriteReturn)
 
-PASS_ENTRIES, PASS_BYTES, KEPT_ENTRIES = 256, 4 << 20, 4096
+PASS_ENTRIES, PASS_BYTES, KEPT_ENTRIES, KNOWN_KEPT = 256, 4 << 20, 4096, 64
 
 
 @attrs.define
@@ -28,14 +28,15 @@
 class Chain:
     """One core's copy of the control state and its place in the chain."""
 
-    def __init__(self, folder, mesh, agreement, board, licenceMs=4000, rewriteBytes=1 << 20, **bounds):
+    def __init__(self, folder, mesh, agreement, board, licenceMs=4000, rewriteBytes=1 << 20, ackWaitMs=0, **bounds):
         self.journal = Journal(folder, "chain.log")
         self.mesh, self.agreement, self.board = mesh, agreement, board
-        self.licenceMs, self.rewriteBytes = licenceMs, rewriteBytes
+        self.licenceMs, self.rewriteBytes, self.ackWaitMs = licenceMs, rewriteBytes, ackWaitMs
         self.state, self.serial, self.entries, self.synced = ChainState(**bounds), 0, {}, 0
         self.fault, self.needsCopy, self.mustCompare = None, False, False
         self.wholeIn, self.lastIn, self.wholeSinceS = 0, 0, 0.0
         self.incoming, self.committers, self.holders = [], [], {}
+        self.known_s = {}
         self.nextLast, self.passFailedS = None, None
         self.lastWriteS = None
         agreement.watchers.append(self.onView)
@@ -96,8 +97,18 @@
             self.wholeIn = view
             if not staysLast:
                 self.wholeSinceS, self.holders = max(self.loop.time(), self.agreement.waitUntilS), {}
+                self.known_s = {}
+            self._know()
             self.lastIn = view if self.isLast() else 0
 
+    def _know(self):
+        """Remember when this tail first had the newest version."""
+        version = self.state.stored.version
+        if self.isLast() and version not in self.known_s:
+            self.known_s[version] = self.loop.time()
+            if len(self.known_s) > KNOWN_KEPT:
+                del self.known_s[next(iter(self.known_s))]
+
     def isFirst(self):
         return self.agreement.position() == 0
 
@@ -303,6 +314,8 @@
         if self.serial == ask.last or hasCopied and self.serial > ask.last:
             self.mustCompare = False
             self._becomeWhole()
+        if self.isWhole():
+            self._know()
         self.kick.set()
         self._wakeCommitters()
         return PassReturn(last=self.serial)
@@ -365,7 +378,7 @@
                 return found
             if self.loop.time() >= endS:
                 return UNKNOWN_CHANGE.because(ask.changeId)
-            await self._awaitCommit(endS)
+            await self._awaitCommit(min(endS, self._ackS(ask.changeId)))
 
     def _outcome(self, changeId):
         stored = self.state.stored
@@ -382,9 +395,24 @@
         self.committers.append(done)
         await asyncio.wait([done], timeout=min(0.1, max(0.001, endS - self.loop.time())))
 
+    def _ackS(self, changeId):
+        """When a change is acknowledged at the latest, as far as is known."""
+        change = self.state.stored.changes.get(changeId)
+        known_s = self._known_since(change[0]) if change else None
+        return self.loop.time() + 1 if known_s is None or not self.ackWaitMs else known_s + self.ackWaitMs / 1000
+
+    def _known_since(self, version):
+        return min((at_s for known, at_s in self.known_s.items() if known >= version), default=None)
+
     def isInForce(self, version):
-        """Whether every router that may hold a licence has confirmed a version; without knowledge, all may."""
+        """Whether every router that may hold a licence has confirmed a version; without knowledge, all may.
+
+        Where `ackWaitMs` is set, a version that this tail has had for so long counts as confirmed.
+        """
         nowS = self.loop.time()
+        known_s = self._known_since(version) if self.ackWaitMs else None
+        if known_s is not None and nowS >= known_s + self.ackWaitMs / 1000:
+            return True
         if nowS < self.wholeSinceS + self.licenceMs / 1000:
             return False
         return all(holder.held >= version or holder.untilS <= nowS for holder in self.holders.values())
--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -31,6 +31,7 @@
     suspectMs: Ms = 2000
     viewLicenceMs: Ms = 2000
     configLicenceMs: Ms = 4000
+    ackWaitMs: Annotated[int, msgspec.Meta(ge=0, le=600000)] = 0
     dutyLicenceMs: Ms = 3000
     listMs: Ms = 500
     listOldMs: Ms = 2500
--- a/swiftdeck/control/core.py
+++ b/swiftdeck/control/core.py
@@ -22,7 +22,7 @@
         self.folder = folder
         self.agreement = Agreement(folder, self.mesh, settings.inner, random, settings.viewLicenceMs, self.board)
         self.chain = Chain(folder, self.mesh, self.agreement, self.board, settings.configLicenceMs,
-                           keepMs=settings.claimKeepMs, claimsMost=settings.claimsMost)
+                           ackWaitMs=settings.ackWaitMs, keepMs=settings.claimKeepMs, claimsMost=settings.claimsMost)
         self.ballots = Ballots(self.mesh, self.agreement, settings.dutyLicenceMs)
         self.chart = Chart(self.mesh, self.membership, self.news)
         self.scribe = Scribe(self.mesh, self.chart)
