The platform's operator: its configurations, changes and weights in our tables and back

Cause: the operator speaks of whole configurations and of named items on top of its own numbers, and expects an answer within a second, 200 for what was taken, also when it is sent again, and 412 only where another one is current.

--- /dev/null
+++ b/tests/platform/test_operator_door.py
@@ -0,0 +1,193 @@
+"""Tests of the platform's operator at simulated cores."""
+import random
+import unittest
+
+from swiftdeck.control.core import Core
+from swiftdeck.http.client import fetchJson
+from swiftdeck.platform.operator_door import ANSWER_WITHIN_MS, CONFIG_PATH, WEIGHTS_PATH, OperatorDoor
+from swiftdeck.sim.folder import SimFolder
+from swiftdeck.sim.town import Town
+from tests.platform.test_configs import ROUTES, WHOLE, changed
+
+
+class DoorTown(Town):
+    """A site whose cores have the platform's door."""
+
+    def startCore(self, name):
+        node = self.addresses[name]
+        folder = self.folders.setdefault(name, SimFolder())
+
+        async def main():
+            core = self.up[name] = self.all[len(self.all)] = Core(
+                self._settings(node), folder, random.Random(self.world.random.random()))
+            core.http.handler = OperatorDoor(core).handle
+            await core.start()
+        self.world.start(name, node["inner"].rpartition(":")[0], main)
+
+    def send(self, method, body, base=None, name=None, path=CONFIG_PATH, timeoutMs=1000):
+        """One call of the operator: its status, 0 without an answer."""
+        got = self.ask(method, path, body, name, [("If-Match", str(base))] if base is not None else (), timeoutMs)
+        return got[0] if got else 0
+
+    def insist(self, method, body, base=None, path=CONFIG_PATH, limitS=20):
+        """Send one call unchanged to one core after the other until it has a clear answer."""
+        untilS, turn = self.world.now + limitS, 0
+        while self.world.now < untilS:
+            names = self.coreNames()
+            status, turn = self.send(method, body, base, names[turn % len(names)], path), turn + 1
+            if 200 <= status < 500:
+                return status
+            self.world.run(0.1 * min(turn, 8))
+        return 0
+
+    def together(self, *calls):
+        """Statuses of calls sent at once, each (method, body, base, name)."""
+        boxes = [self.beside(*call) for call in calls]
+        self.world.run(until=lambda: all(boxes), limitS=10)
+        return [box[0][0] if box[0] else 0 for box in boxes]
+
+    def beside(self, method, body, base, name):
+        box = []
+
+        async def main():
+            box.append(await fetchJson(self.addresses[name]["http"], method, CONFIG_PATH, body, [("If-Match", str(base))], 1000))
+        loop = self.world.loops["operator"]
+        self.world._within(loop, lambda: loop.create_task(main()))
+        return box
+
+    def shown(self, name=None):
+        got = self.ask("GET", CONFIG_PATH, None, name)
+        return got[1] if got and got[0] == 200 else got
+
+    def member(self, position):
+        """The name of the core at a place of the chain."""
+        return next(name for name in self.coreNames() if self.up[name].agreement.position() == position)
+
+
+class OperatorDoorCase(unittest.TestCase):
+    def town(self, seed=1, **more):
+        return DoorTown(seed, **({"routers": 2, "workers": 1, "ackWaitMs": 300} | more)).start()
+
+    def test_the_first_configuration_its_repeat_and_what_is_read_back(self):
+        town = self.town()
+        self.assertEqual(town.shown(), {"version": 0, "routes": [], "backends": []})
+        for name in town.coreNames():
+            self.assertEqual(town.send("PUT", WHOLE, 0, name), 200)
+            self.assertEqual(town.shown(name), WHOLE)
+        self.assertEqual(town.send("PUT", changed(["version"], 9), 7), 200)
+        self.assertEqual(town.send("PUT", WHOLE, 0), 200)
+        self.assertEqual(town.send("PUT", changed(["version"], 10), 7), 412)
+        self.assertEqual(town.send("PUT", changed(["version"], 9), 9), 400)
+        self.assertEqual(town.shown()["version"], 9)
+        self.assertEqual(town.ask("GET", "/v1/config")[1]["document"]["edition"]["operator"]["number"], 9)
+
+    def test_items_are_put_and_removed(self):
+        town = self.town()
+        town.send("PUT", WHOLE, 0)
+        change = {"version": 12, "put-items": {"routes": [ROUTES[1] | {"timeout-ms": 9}]}, "remove-names": {"routes": ["r-a9rgy35"]}}
+        self.assertEqual(town.send("PATCH", change, 6), 412)
+        for name in town.coreNames():
+            self.assertEqual(town.send("PATCH", change, 7, name), 200)
+        self.assertEqual(town.shown(), WHOLE | {"version": 12, "routes": [ROUTES[1] | {"timeout-ms": 9}, ROUTES[2]]})
+        self.assertTrue(all(len(town.up[name].licence.held.document.paths) == 2 for name in town.routerNames()))
+
+    def test_what_is_refused_changes_nothing(self):
+        town = self.town()
+        town.send("PUT", WHOLE, 0)
+        fresh = changed(["version"], 9)
+        for base in (None, "", "x", "-1", "7.0", "9" * 5000):
+            self.assertEqual(town.send("PUT", fresh, base), 400, base)
+        self.assertEqual([town.send("PUT", body, 7) for body in (
+            changed(["routes", 0, "backend"], "gone", fresh), changed(["routes", 0, "timeout-ms"], 0, fresh), [], "x")], [400] * 4)
+        self.assertEqual([town.send("PATCH", body, 7) for body in ({}, {"version": 7}, {"version": 9, "put-items": 3})], [400] * 3)
+        self.assertEqual((town.send("POST", fresh, 7), town.send("GET", None, path=WEIGHTS_PATH)), (405, 405))
+        self.assertEqual(town.ask("GET", "/v1/other")[0], 404)
+        self.assertEqual(town.shown(), WHOLE)
+
+    def test_of_two_operators_on_one_version_one_wins(self):
+        for seed in range(1, 5):
+            town = self.town(seed)
+            town.send("PUT", WHOLE, 0)
+            names = town.coreNames()
+            statuses = town.together(("PUT", changed(["version"], 9), 7, names[0]), ("PUT", changed(["version"], 11), 7, names[2]),
+                                     ("PATCH", {"version": 10}, 7, names[1]))
+            self.assertEqual(sorted(statuses), [200, 412, 412])
+            self.assertEqual(town.shown()["version"], (9, 11, 10)[statuses.index(200)])
+
+    def test_weights_are_raised_and_never_lowered(self):
+        town = self.town()
+        town.send("PUT", WHOLE, 0)
+        for number, status in ((2, 200), (2, 200), (1, 200), (5, 200), (0, 400)):
+            self.assertEqual(town.insist("POST", {"model": "daka510000", "version": number}, path=WEIGHTS_PATH), status)
+        self.assertEqual(town.insist("POST", {"model": "nobody", "version": 3}, path=WEIGHTS_PATH), 400)
+        self.assertEqual(town.up["core1"].chain.state.config.document.models["daka510000"].weights, "5")
+        self.assertEqual((town.shown(), town.send("PUT", changed(["version"], 9), 7)), (WHOLE, 200))
+
+    def test_a_router_out_of_touch_holds_an_acknowledgement_up_no_longer_than_set(self):
+        town = self.town()
+        town.world.freeze("router1")
+        startS = town.world.now
+        self.assertEqual(town.send("PUT", WHOLE, 0), 200)
+        self.assertLess(town.world.now - startS, 0.45)
+
+    def test_a_new_tail_holds_an_acknowledgement_up_no_longer_than_set(self):
+        town = self.town()
+        town.world.freeze("router1")
+        town.world.kill(town.member(2))
+        town.world.run(until=lambda: not town.coresServe(), limitS=20)
+        town.world.run(until=town.coresServe, limitS=20)
+        startS = town.world.now
+        self.assertEqual(town.send("PUT", WHOLE, 0), 200)
+        self.assertLess(town.world.now - startS, 0.45)
+
+    def test_an_answer_comes_in_time_and_the_repeat_picks_the_outcome_up(self):
+        town = self.town(ackWaitMs=0)
+        town.world.freeze("router1")
+        startS = town.world.now
+        got = town.ask("PUT", CONFIG_PATH, WHOLE, "core1", [("If-Match", "0")])
+        self.assertEqual(got[0], 503)
+        self.assertAlmostEqual(town.world.now - startS, ANSWER_WITHIN_MS / 1000, delta=0.05)
+        self.assertEqual((town.send("PUT", WHOLE, 0, "core1"), town.send("PUT", WHOLE, 0, "core2")), (503, 503))
+        self.assertEqual(town.insist("PUT", WHOLE, 0), 200)
+        self.assertEqual(town.shown(), WHOLE)
+
+    def test_any_core_may_be_killed_while_a_change_is_under_way(self):
+        for seed, position in ((1, 0), (2, 1), (3, 2), (4, 0)):
+            town = self.town(seed)
+            town.send("PUT", WHOLE, 0)
+            killed = town.member(position)
+            door = next(name for name in town.coreNames() if name != killed)
+            box = town.beside("PUT", changed(["version"], 9), 7, door)
+            town.world.run(0.004 * seed)
+            town.world.kill(killed)
+            town.folders[killed].losePower()
+            town.world.run(until=lambda: bool(box), limitS=3)
+            self.assertIn(box[0][0] if box[0] else 0, (0, 200, 503))
+            self.assertEqual(town.insist("PUT", changed(["version"], 9), 7), 200)
+            town.startCore(killed)
+            self.assertEqual(town.insist("POST", {"model": "daka510000", "version": 2}, path=WEIGHTS_PATH), 200)
+            self.assertEqual(town.shown(), changed(["version"], 9))
+
+    def test_all_that_was_acknowledged_is_there_after_all_cores_lost_power(self):
+        town = self.town()
+        town.send("PUT", WHOLE, 0)
+        town.send("PATCH", {"version": 8, "remove-names": {"routes": ["r-a9rgy35"]}}, 7)
+        self.assertEqual(town.insist("POST", {"model": "daka510000", "version": 4}, path=WEIGHTS_PATH), 200)
+        names = town.coreNames()
+        for name in names:
+            town.world.kill(name)
+        for name in names:
+            town.folders[name].losePower(torn=5)
+            town.startCore(name)
+        town.world.run(until=town.coresServe, limitS=20)
+        self.assertEqual(town.insist("PATCH", {"version": 8, "remove-names": {"routes": ["r-a9rgy35"]}}, 7), 200)
+        for name in names:
+            self.assertEqual(town.shown(name), WHOLE | {"version": 8, "routes": ROUTES[1:]})
+        self.assertEqual(town.up["core2"].chain.state.config.document.models["daka510000"].weights, "4")
+
+    def test_a_core_that_is_cut_off_says_that_it_is_not_able_now(self):
+        town = self.town()
+        for name in town.coreNames()[1:]:
+            town.world.kill(name)
+        town.world.run(6)
+        self.assertEqual((town.send("PUT", WHOLE, 0, "core1"), town.ask("GET", CONFIG_PATH, None, "core1")[0]), (503, 503))
