--- /dev/null
+++ b/swiftdeck/gateway/admission.py
@@ -0,0 +1,79 @@
+"""Asks the owner of a worker's book for a place; where the owner can't be heard, a share of K is used without it."""
+import asyncio
+
+from swiftdeck.fault import isFault
+from swiftdeck.gateway.places import FILL, Owners, PlaceBooks, Wish
+from swiftdeck.wire.messages import PlaceAsk, PlaceEnd, PlaceReturn
+
+PATIENCE_MS = 120
+
+
+class Admission:
+    """The routers' side of the books, and the books of the workers that this router owns."""
+
+    def __init__(self, me, mesh, membership, roster, board, memory_of, on_shared=lambda worker, salt, parts: None):
+        self.me, self.mesh, self.membership, self.roster, self.board = me, mesh, membership, roster, board
+        self.memory_of, self.on_shared = memory_of, on_shared
+        self.owners, self.asked = Owners(), {}
+        mesh.on(PlaceAsk, self.on_place_ask, True)
+        mesh.on(PlaceEnd, self.on_place_end)
+
+    def start(self):
+        """Keep books."""
+        self.loop = asyncio.get_running_loop()
+        self.books = PlaceBooks(self.board, None, self.memory_of)
+        self.task = asyncio.ensure_future(self._ticking())
+
+    def routers(self):
+        """Addresses of all routers that are not gone."""
+        return sorted([self.me.addr, *(each.addr for each in self.membership.alive("router"))])
+
+    def owner(self, worker: str) -> str:
+        """The address of the router that owns a worker's book."""
+        return self.owners.of(worker, self.routers())
+
+    async def ask(self, wish: Wish, wait_ms: int, request, salt: str) -> bool:
+        """Whether a call may go to a worker."""
+        owner = self.owner(wish.worker)
+        shared = [part.name for part in request.shared()]
+        if owner == self.me.addr:
+            self.on_shared(wish.worker, salt, shared)
+            granted = await self.books.ask(wish, wait_ms)
+        else:
+            ask = PlaceAsk(router=self.me.name, call=wish.call, episode=wish.episode, tenant=wish.tenant, worker=wish.worker,
+                           tokens=wish.tokens, wait_ms=wait_ms, left_ms=max(1, int((wish.deadline_s - self.loop.time()) * 1000)),
+                           salt=salt, shared=shared)
+            got = await self.mesh.ask(owner, ask, wait_ms + PATIENCE_MS)
+            granted = got.granted if isinstance(got, PlaceReturn) else self._unasked(wish, got)
+        if granted:
+            self.asked[wish.call] = owner
+        return granted
+
+    def _unasked(self, wish, fault):
+        """The owner is silent: this router's share of K stands until another one owns the book."""
+        self.board.count["placesUnasked"] += 1
+        worker = self.roster.workers.get(wish.worker)
+        share = max(1, int(self.memory_of(wish.worker) * FILL / max(1, wish.tokens)) // max(1, len(self.routers()) // 2))
+        return worker is not None and worker.running_long < share
+
+    def ended(self, wish: Wish):
+        """A call is over."""
+        owner = self.asked.pop(wish.call, None)
+        if owner == self.me.addr:
+            self.books.ended(wish.call)
+        elif owner:
+            self.mesh.tell(owner, PlaceEnd(call=wish.call))
+
+    async def on_place_ask(self, ask, sender):
+        self.on_shared(ask.worker, ask.salt, list(ask.shared))
+        wish = Wish(ask.call, ask.episode, ask.tenant, ask.worker, ask.tokens, self.loop.time() + ask.left_ms / 1000)
+        return PlaceReturn(granted=await self.books.ask(wish, ask.wait_ms))
+
+    def on_place_end(self, end, sender):
+        self.books.ended(end.call)
+
+    async def _ticking(self):
+        while True:
+            await asyncio.sleep(0.25)
+            routers = self.routers()
+            self.books.tick({name for name in self.roster.workers if self.owners.of(name, routers) == self.me.addr})
--- /dev/null
+++ b/swiftdeck/gateway/following.py
@@ -0,0 +1,88 @@
+"""Followers of caches' reports: the owner of a worker's book follows it, and tells the others what concerns shared parts."""
+import asyncio
+
+from swiftdeck.fault import isFault
+from swiftdeck.wire.messages import KeptNews
+
+WAIT_MS, REST_S, LEAST_TOKENS, KNOWN_MOST = 1000, 0.2, 1024, 20000
+
+
+class Following:
+    """One follower for each cache in the whole fleet; a gap or a new epoch means that what was known is forgotten."""
+
+    def __init__(self, admission, mesh, membership, kept, source, board):
+        self.admission, self.mesh, self.membership = admission, mesh, membership
+        self.kept, self.source, self.board = kept, source, board
+        self.tasks, self.shared, self.stores = {}, {}, []
+        mesh.on(KeptNews, self.on_news)
+
+    def start(self):
+        """Follow what is owned here."""
+        self.task = asyncio.ensure_future(self._minding())
+
+    def is_shared(self, worker, salt, parts):
+        """A long call names its shared parts: only reports of these are of interest to others."""
+        for part in parts:
+            self.shared[part] = None
+        while len(self.shared) > KNOWN_MOST:
+            del self.shared[next(iter(self.shared))]
+
+    async def _minding(self):
+        while True:
+            me = self.admission.me.addr
+            wanted = {worker.name: worker.listed.addr for worker in self.admission.roster.workers.values()
+                      if worker.listed.weights and self.admission.owner(worker.name) == me}
+            wanted |= {addr: addr for addr in self.stores if self.admission.owner(addr) == me}
+            for name in [name for name in self.tasks if name not in wanted]:
+                self.tasks.pop(name).cancel()
+            for name, addr in wanted.items():
+                if name not in self.tasks:
+                    self.tasks[name] = asyncio.ensure_future(self._follow(name, addr))
+            for holder in [each for each in self.kept.by_holder
+                           if each not in self.admission.roster.workers and each not in self.stores]:
+                self.kept.forget(holder)
+            await asyncio.sleep(0.5)
+
+    async def _follow(self, name, addr):
+        follower = self.source.follower(addr)
+        try:
+            await self._reports(name, follower)
+        finally:
+            follower.close()
+
+    async def _reports(self, name, follower):
+        since, epoch = 0, None
+        while True:
+            got = await follower.reports(since, WAIT_MS)
+            if isFault(got):
+                self.board.count["reportsFailed"] += 1
+                await asyncio.sleep(0.7)
+                continue
+            if got.lost or epoch not in (None, got.epoch):
+                self.board.count["reportGaps"] += 1
+            if epoch not in (None, got.epoch) and since:
+                since, epoch = 0, got.epoch
+                self._tell(name, [], True)
+                continue
+            epoch, since = got.epoch, got.next_number
+            told = [each for each in got.reports if each.part in self.shared or name in self.stores and each.tokens >= LEAST_TOKENS]
+            if told or got.lost:
+                self._tell(name, told, got.lost)
+            await asyncio.sleep(REST_S)
+
+    def _tell(self, name, reports, is_whole):
+        news = KeptNews(holder=name, forget=is_whole, salts=[each.salt for each in reports], parts=[each.part for each in reports],
+                        tokens=[each.tokens if each.is_kept else 0 for each in reports])
+        self.on_news(news, "")
+        for each in self.membership.alive("router"):
+            if not each.state:
+                self.mesh.tell(each.addr, news)
+
+    def on_news(self, news, sender):
+        if news.forget:
+            self.kept.forget(news.holder)
+        for salt, part, tokens in zip(news.salts, news.parts, news.tokens):
+            if tokens:
+                self.kept.keep(news.holder, salt, part, tokens)
+            else:
+                self.kept.drop(news.holder, salt, part)
--- /dev/null
+++ b/swiftdeck/gateway/gateway.py
@@ -0,0 +1,218 @@
+"""The process of an edge machine whose callers and workers speak a platform's way: what is decided is decided here."""
+import asyncio
+from collections import Counter
+
+from swiftdeck.chain.chart import Chart
+from swiftdeck.config.document import keyDigest
+from swiftdeck.control.node import Node
+from swiftdeck.fault import NO_LICENCE, NO_ROUTE, UNKNOWN_KEY, isFault
+from swiftdeck.gateway.admission import Admission
+from swiftdeck.gateway.following import Following
+from swiftdeck.gateway.health import Judge
+from swiftdeck.gateway.kept import KeptTable
+from swiftdeck.gateway.listing import Listing
+from swiftdeck.gateway.passage import Passage
+from swiftdeck.gateway.placing import Placing
+from swiftdeck.gateway.pool import Pool
+from swiftdeck.gateway.roster import Roster
+from swiftdeck.gateway.routes import RouteTable
+from swiftdeck.gateway.share import BudgetShare
+from swiftdeck.http.server import HttpServer
+from swiftdeck.traffic.licence import ConfigLicence
+from swiftdeck.wire.messages import SwapNews, WorkerNews
+
+OPERATOR = "operator"
+CALLERS = "callers"
+
+
+class Gateway(Node):
+    """Takes requests, places them, and passes answers on; it needs no disk."""
+
+    def __init__(self, settings, dialects, random, log=None):
+        super().__init__(settings, "router", random, log)
+        self.callers_speak, self.workers_speak, lists, caches = dialects
+        self.chart = Chart(self.mesh, self.membership, self.news)
+        self.licence = ConfigLicence(self.me, self.mesh, self.membership, self.chart, self.board, settings.renewMs)
+        self.roster, self.kept = Roster(), KeptTable()
+        self.judge = Judge(self.roster, self.board)
+        self.judge.on_trouble = self.tell_trouble
+        self.placing = Placing(settings.zone, self.judge, self.kept, random, settings.episodeTokens)
+        self.admission = Admission(self.me, self.mesh, self.membership, self.roster, self.board, self.memory_of)
+        self.following = Following(self.admission, self.mesh, self.membership, self.kept, caches, self.board)
+        self.admission.on_shared = self.following.is_shared
+        self.pool = Pool(self.board, settings.connectMs)
+        self.pool.most = self.connections_most
+        self.listing = Listing(self.me, self.mesh, self.membership, lists, self.roster, self.board, settings.listMs)
+        self.budget = BudgetShare(self.admission.routers, settings.budgetShare, settings.budgetExtra, settings.budgetWindowMs / 1000)
+        self.http = HttpServer(self.handle, settings.bodyBytes, note=self.board.note)
+        self.routes, self.named_s, self.tenants = None, {}, {}
+        self.stopping, self.open = False, 0
+        self.roster.watchers.append(lambda: self.pool.follow(self.roster.workers))
+        self.mesh.on(WorkerNews, self.on_worker_news)
+        self.mesh.on(SwapNews, self.on_swap_news)
+
+    async def start(self):
+        """Join the fleet and serve."""
+        self.loop = asyncio.get_running_loop()
+        self.licence.watchers.append(self.on_config)
+        await self.startNode()
+        for part in (self.chart, self.licence, self.admission, self.listing, self.following):
+            part.start()
+        ip, _, port = self.settings.http.rpartition(":")
+        await self.http.start(ip, int(port))
+        self.board.note("gateway started", addr=self.settings.inner, http=self.settings.http)
+
+    async def stop(self):
+        """Turn unready, end each connection with its next answer, finish what is open, leave."""
+        self.stopping = self.http.closing = True
+        self.board.note("gateway stops", open=self.open)
+        start_s = self.loop.time()
+        end_s = start_s + self.settings.stopMs / 1000
+        while self.loop.time() < end_s and (self.open or self.loop.time() < start_s + self.settings.leaveMs / 1000):
+            await asyncio.sleep(0.05)
+        self.http.stop()
+        while self.loop.time() < end_s and self.open:
+            await asyncio.sleep(0.02)
+        await self.licence.handBack()
+        self.membership.leave()
+        await asyncio.sleep(0.02)
+        self.board.note("gateway stopped", open=self.open, **self.counters())
+        self.mesh.close()
+
+    def is_ready(self) -> bool:
+        """Whether new connections should come here."""
+        return not self.stopping and self.routes is not None and bool(self.roster.workers)
+
+    def on_config(self, held):
+        """Compile what each request needs."""
+        document = held.document
+        self.routes, self.tenants = RouteTable(document), held.tenantByKey
+        now_s = self.loop.time()
+        self.named_s = {name: (model.weights, self.named_s[name][1] if self.named_s.get(name, ("",))[0] == model.weights else now_s)
+                        for name, model in document.models.items()}
+        limits = document.limits.get(CALLERS)
+        if limits:
+            self.http.headLimit, self.http.bodyLimit = limits.head_bytes, limits.body_bytes
+            self.http.slowMs, self.http.idleMs = limits.head_wait_ms, limits.idle_ms
+        self.following.stores = [each.store_addr for each in document.services.values() if each.store_addr]
+        self.board.put("edition", document.edition[OPERATOR].number if OPERATOR in document.edition else 0)
+
+    @property
+    def document(self):
+        """The configuration held."""
+        return self.licence.held.document
+
+    def service_of(self, worker: str):
+        """What the configuration says of a worker's service."""
+        known = self.roster.workers.get(worker)
+        return self.document.services.get(known.listed.service) if known and self.licence.held else None
+
+    def memory_of(self, worker: str) -> int:
+        """Tokens that a worker can keep."""
+        service = self.service_of(worker)
+        return service.cache_tokens if service and service.cache_tokens else 1 << 40
+
+    def connections_most(self, worker) -> int:
+        """How many connections to a worker this router may have, of those that it accepts from all."""
+        service = self.service_of(worker.name)
+        most = service.connections_most if service else 0
+        return max(2, int(most * 0.9) // max(1, len(self.admission.routers()))) if most else 64
+
+    def eligible(self, service: str, model: str):
+        """Workers that may take a request: ready, not about to be ordered, and on weights that may still be served."""
+        now_s = self.loop.time()
+        serving = self.roster.serving(service)
+        newest, since_s = self._newest(model)
+        may_be_old = now_s - since_s < self.settings.oldWeightsMs / 1000
+        fit = [each for each in serving if may_be_old or not each.knows(model) or each.knows(model) >= newest]
+        calm = [each for each in fit if each.swapping_until_s <= now_s]
+        return calm or fit
+
+    def _newest(self, model):
+        weights, since_s = self.named_s.get(model, ("0", -1e9))
+        return int(weights) if weights.isdecimal() else 0, since_s
+
+    def version(self, model: str, worker) -> int:
+        """The version of the weights on which a request should run there, 0 where none is known."""
+        return worker.knows(model) or self._newest(model)[0]
+
+    def salt(self, model: str, worker, tenant: str) -> str:
+        """What prefixes are kept under: the weights, and the tenant that is kept apart."""
+        entry = self.document.tenants.get(tenant)
+        return f"{self.version(model, worker)}{'/' + tenant if entry and entry.apart else ''}"
+
+    def store(self, service: str) -> str:
+        """The address of a store of prefixes, if there is one."""
+        return self.following.stores[0] if self.following.stores else ""
+
+    def urgency(self, route, tenant: str) -> int:
+        """The rank of a request: its tenant's where that says one, else its route's."""
+        entry = self.document.tenants.get(tenant)
+        rank = entry.urgency if entry and entry.urgency is not None else route.path.urgency
+        return max(0, min(9, rank))
+
+    def seen(self, request, worker, salt, is_kept):
+        """A request was answered whole."""
+        if is_kept:
+            for part in request.shared():
+                self.kept.keep(worker.name, salt, part.name, part.tokens)
+
+    def tell_trouble(self, worker, for_ms):
+        """Others should leave a worker alone as well."""
+        for each in self.membership.alive("router"):
+            if not each.state:
+                self.mesh.cast(each.addr, WorkerNews(worker=worker.name, for_ms=for_ms))
+
+    def on_worker_news(self, news, sender):
+        worker = self.roster.workers.get(news.worker)
+        if worker and self.loop.time() - worker.answered_s > 0.1:
+            self.judge.shun(worker, min(news.for_ms, 2000) / 1000)
+
+    def on_swap_news(self, news, sender):
+        now_s = self.loop.time()
+        for name in news.workers:
+            worker = self.roster.workers.get(name)
+            if worker:
+                worker.swapping_until_s = now_s + news.for_ms / 1000
+                if news.version:
+                    self.roster.learn(worker, {news.model: news.version})
+
+    async def handle(self, exchange):
+        """One request of a client."""
+        start_s, count = self.loop.time(), self.board.count
+        count["calls"] += 1
+        request = self.callers_speak.read(exchange)
+        if isFault(request):
+            return await self.refuse(exchange, request, None)
+        if self.routes is None:
+            return await self.refuse(exchange, NO_LICENCE, request)
+        route = self.routes.find(request.host, request.path)
+        if route is None:
+            return await self.refuse(exchange, NO_ROUTE, request)
+        tenant = self.tenants.get(keyDigest(request.key), "") if request.key else ""
+        edition = self.document.edition.get(OPERATOR)
+        if not tenant and not route.path.public and (edition is None or edition.keyed):
+            return await self.refuse(exchange, UNKNOWN_KEY, request)
+        passage = Passage(self, exchange, request, route, tenant, start_s)
+        self.budget.call(passage.service)
+        self.open += 1
+        try:
+            return await passage.serve()
+        finally:
+            self.open -= 1
+
+    async def refuse(self, exchange, fault, request):
+        """The final answer of a request that is given up."""
+        self.board.count[f"refused.{fault.code}"] += 1
+        status, headers, body = self.callers_speak.refusal(fault, request)
+        await exchange.whole(status, headers, body)
+
+    def counters(self):
+        """All counters of the process by name."""
+        return dict(Counter(super().counters()) + self.http.count)
+
+    def status(self):
+        """What doctor and operators want to know of this process."""
+        return {"name": self.me.name, "role": "router", "zone": self.me.zone, "stopping": self.stopping, "ready": self.is_ready(),
+                "version": self.licence.held.version if self.licence.held else 0, "books": self.admission.books.status(),
+                "listAgeMs": self.listing.age_ms(), "open": self.open, "counters": self.counters()}
--- /dev/null
+++ b/swiftdeck/gateway/kept.py
@@ -0,0 +1,44 @@
+"""Which worker, and whether the store, keeps which shared part under which salt."""
+
+
+class KeptTable:
+    """Fed by reports and by what this router saw of its own calls; advice only, as caches drop what they like."""
+
+    def __init__(self):
+        self.parts, self.by_holder = {}, {}
+
+    def keep(self, holder: str, salt: str, part: str, tokens: int):
+        """A holder keeps a part."""
+        self.parts.setdefault((salt, part), {})[holder] = tokens
+        self.by_holder.setdefault(holder, set()).add((salt, part))
+
+    def drop(self, holder: str, salt: str, part: str):
+        """A holder no longer keeps a part."""
+        held = self.parts.get((salt, part))
+        if held and held.pop(holder, None) is not None:
+            self.by_holder[holder].discard((salt, part))
+            if not held:
+                del self.parts[(salt, part)]
+
+    def forget(self, holder: str):
+        """A holder lost all, or is gone."""
+        for salt, part in list(self.by_holder.pop(holder, ())):
+            held = self.parts.get((salt, part), {})
+            held.pop(holder, None)
+            if not held:
+                self.parts.pop((salt, part), None)
+
+    def tokens(self, holder: str, salt: str, parts) -> int:
+        """Tokens of a prompt's first parts that a holder keeps, up to the first one that it lacks."""
+        total = 0
+        for part in parts:
+            held = self.parts.get((salt, part.name), {}).get(holder, 0)
+            if held < part.tokens * 0.9:
+                return total + held
+            total += part.tokens
+        return total
+
+    def holders(self, salt: str, parts):
+        """Holders of any of the first parts, those that keep most of them first."""
+        names = set().union(*(self.parts.get((salt, part.name), {}) for part in parts)) if parts else set()
+        return sorted(names, key=lambda name: (-self.tokens(name, salt, parts), name))
--- /dev/null
+++ b/swiftdeck/gateway/passage.py
@@ -0,0 +1,273 @@
+"""One request on its way through a gateway: a ledger of attempts from which the next move is derived."""
+import asyncio
+import re
+
+import h11
+
+from swiftdeck.fault import (BAD_RETURN, BUDGET_SPENT, DEADLINE_PASSED, NO_ROOM, NO_WORKER, OTHER_WEIGHTS, STREAM_BROKEN,
+                             UNREACHED, WORKER_BAD, WORKER_FULL, WORKER_HANGS, WORKER_LOST, isFault)
+from swiftdeck.gateway.ledger import Attempt, Ledger, Move, next_move
+from swiftdeck.gateway.places import Wish
+from swiftdeck.gateway.seams import Errand, Verdict
+
+EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)\r?\n")
+EVENT_END = re.compile(rb"\r?\n\r?\n")
+MARGIN_S = 0.015
+
+
+class Passage:
+    """Drives one request to its final answer."""
+
+    def __init__(self, gateway, exchange, request, route, tenant, start_s):
+        self.gateway, self.exchange, self.request, self.route, self.tenant = gateway, exchange, request, route, tenant
+        self.loop, self.start_s = asyncio.get_running_loop(), start_s
+        path = route.path
+        self.service = route.service(gateway.random.random())
+        left_s = min(request.time_left_ms, path.timeout_ms) / 1000
+        self.ledger = Ledger(path.repeatable, path.resumable, path.tries, start_s + left_s - MARGIN_S)
+        self.avoid, self.link, self.place, self.worker = set(), None, None, None
+        self.last_event, self.rest, self.is_long = request.last_event, b"", gateway.placing.is_long(request)
+        self.aim_s = (path.target_ms or 1000) / 1000
+        self.salt = self.version = ""
+
+    def _left_s(self):
+        return self.ledger.deadline_s - self.loop.time()
+
+    async def serve(self):
+        """Make moves until the request has its final answer."""
+        acts = {Move.PLACE: self._place, Move.SEND: self._send}
+        try:
+            while True:
+                move, fault = next_move(self.ledger, self.loop.time())
+                if move not in acts:
+                    return await self._end(move, fault)
+                await acts[move]()
+        finally:
+            self._leave()
+
+    def _leave(self):
+        if self.link is not None:
+            self.link.close()
+            self.link = None
+        if self.worker is not None:
+            self.worker.running -= 1
+            self.worker.running_long -= self.is_long
+            self.worker = None
+        if self.place is not None:
+            self.gateway.admission.ended(self.place)
+            self.place = None
+
+    async def _place(self):
+        """Choose a worker, and have it admitted where the prompt is long."""
+        self._leave()
+        gateway, ledger = self.gateway, self.ledger
+        attempt = Attempt(len(ledger.attempts) + 1)
+        sent = ledger.sent()
+        if sent and not gateway.budget.draw(self.service):
+            gateway.board.count["budgetRefusals"] += 1
+            attempt.fault = BUDGET_SPENT
+            ledger.attempts.append(attempt)
+            return
+        ledger.attempts.append(attempt)
+        attempt.worker = await self._admitted(attempt)
+
+    async def _admitted(self, attempt):
+        gateway, request = self.gateway, self.request
+        workers = gateway.eligible(self.service, request.model)
+        fresh = [each for each in workers if each.name not in self.avoid] or (workers if self.ledger.repeatable else [])
+        salts = {each.name: gateway.salt(request.model, each, self.tenant) for each in fresh}
+        order = gateway.placing.order(request, fresh, salts)
+        if not order:
+            attempt.fault = NO_WORKER
+            return None
+        if not self.is_long:
+            roomy = [each for each in order if each.running < each.listed.slots] or order[:1]
+            return roomy[0]
+        end_s = self.start_s + 0.2 * self.aim_s
+        for at, worker in enumerate(order[:3]):
+            wait_s = max(0.0, (end_s - self.loop.time()) / (min(3, len(order)) - at))
+            wish = Wish(request.name, f"{self.tenant}/{request.parts[-1].name if request.parts else request.name}",
+                        self.tenant, worker.name, request.prompt_tokens, self.ledger.deadline_s)
+            if await gateway.admission.ask(wish, int(wait_s * 1000), request, salts[worker.name]):
+                self.place = wish
+                return worker
+        gateway.board.count["refusedForRoom"] += 1
+        attempt.fault = NO_ROOM
+        return None
+
+    async def _send(self):
+        attempt = self.ledger.attempts[-1]
+        worker = self.worker = attempt.worker
+        worker.running += 1
+        worker.running_long += self.is_long
+        attempt.fault = await self._attempt(attempt, worker)
+        if attempt.fault is not None:
+            self.avoid.add(worker.name)
+            if self.link is not None:
+                self.link.close()
+                self.link = None
+
+    async def _attempt(self, attempt, worker):
+        gateway = self.gateway
+        got = await gateway.pool.take(worker)
+        if isFault(got):
+            if got.code == UNREACHED.code:
+                gateway.judge.failed(worker)
+            return got
+        self.link = got
+        if self.loop.time() >= self.ledger.deadline_s:
+            return DEADLINE_PASSED
+        errand = self._errand(worker)
+        fault = self.link.send_request(self.request.method, self.request.target,
+                                       gateway.workers_speak.head(self.request, errand), self.request.body)
+        if fault is not None:
+            return fault
+        attempt.was_sent, sent_s = True, self.loop.time()
+        gateway.board.count["attemptsSent"] += 1
+        try:
+            async with asyncio.timeout_at(self._patience(sent_s)):
+                head = await self._head()
+        except TimeoutError:
+            if worker.answered_s < sent_s:
+                gateway.judge.failed(worker, False)
+            return WORKER_HANGS
+        if isFault(head):
+            gateway.judge.failed(worker, not self.link.is_reused)
+            return head if head.code != BAD_RETURN.code else WORKER_BAD.because(head.reason)
+        return await self._take(attempt, worker, head, sent_s)
+
+    def _patience(self, sent_s):
+        """Until when a worker may be silent before another one is tried; silence ends nothing that can't be repeated."""
+        may_move = self.ledger.repeatable and len(self.ledger.sent()) < self.ledger.tries and self.gateway.budget.has(self.service)
+        patient_s = sent_s + max(0.15, 0.75 * self.aim_s)
+        return min(self.ledger.deadline_s, patient_s) if may_move else self.ledger.deadline_s
+
+    def _errand(self, worker):
+        gateway, request = self.gateway, self.request
+        version = gateway.version(request.model, worker)
+        self.version, self.salt = version, gateway.salt(request.model, worker, self.tenant)
+        store = gateway.store(self.service)
+        source = gateway.placing.source(request, worker, self.salt, gateway.roster, store)
+        target = gateway.placing.target(request, self.salt, store)
+        gateway.board.count["fetches"] += bool(source)
+        return Errand(worker.name, self.tenant, max(1, int(self._left_s() * 1000)), gateway.urgency(self.route, self.tenant),
+                      str(version) if version else "", self.salt, source, target, self.last_event)
+
+    async def _head(self):
+        """The head of the answer that is due; what belongs to an earlier request is passed over."""
+        while True:
+            event = await self.link.event()
+            if isFault(event):
+                return event
+            if not isinstance(event, h11.Response):
+                return WORKER_BAD.because("no head where one was due")
+            headers = list(event.headers.raw_items())
+            self.verdict = self.gateway.workers_speak.verdict(self.request, event.status_code, headers)
+            if self.verdict is not Verdict.FOREIGN:
+                return event.status_code, headers
+            self.gateway.board.count["surplusAnswers"] += 1
+            self.link.must_close = True
+            fault = await self.link.skip()
+            if fault is not None:
+                return fault
+
+    async def _take(self, attempt, worker, head, sent_s):
+        gateway, (status, headers) = self.gateway, head
+        speak = gateway.workers_speak
+        version = speak.version(headers)
+        if version:
+            gateway.roster.learn(worker, {self.request.model: version})
+        if self.verdict in (Verdict.NOT_RUN, Verdict.ELSEWHERE):
+            attempt.has_not_run = True
+            gateway.board.count[f"turnedAway.{status}"] += 1
+            if self.verdict is Verdict.ELSEWHERE and speak.worker(headers) not in ("", worker.name):
+                gateway.roster.drop(worker.name)
+            await self._drain()
+            return (OTHER_WEIGHTS if self.verdict is Verdict.ELSEWHERE else WORKER_FULL).because(f"status {status}")
+        if self.verdict is Verdict.BAD:
+            gateway.judge.failed(worker)
+            return WORKER_BAD.because(f"status {status} without a seal")
+        if self.verdict is Verdict.FAILURE:
+            gateway.judge.failed(worker, False)
+            if self.ledger.repeatable and len(self.ledger.sent()) < self.ledger.tries or self.ledger.has_begun:
+                return WORKER_LOST.because(f"status {status}")
+        return await self._relay(attempt, worker, status, headers, sent_s)
+
+    async def _drain(self):
+        """Read a refusal to its end, so that its connection can be kept."""
+        try:
+            async with asyncio.timeout(0.05):
+                while not isFault(event := await self.link.event()):
+                    if isinstance(event, h11.EndOfMessage):
+                        self.gateway.pool.give(self.link)
+                        self.link = None
+                        return
+        except TimeoutError:
+            pass
+
+    async def _relay(self, attempt, worker, status, headers, sent_s):
+        """Pass an answer on as it comes; complete events only where the stream could be taken up elsewhere."""
+        self.rest, is_first, is_stream = b"", True, self.ledger.resumable and 200 <= status < 300
+        framed = any(name.lower() in (b"content-length", b"transfer-encoding") for name, _ in headers)
+        if not self.ledger.has_begun:
+            self.exchange.begin(status, self.gateway.workers_speak.passed_on(headers))
+            self.ledger.has_begun = True
+        while True:
+            try:
+                async with asyncio.timeout_at(self.ledger.deadline_s if is_first else self._silence()):
+                    event = await self.link.event()
+            except TimeoutError:
+                self.gateway.judge.failed(worker, False)
+                return DEADLINE_PASSED if self.loop.time() >= self.ledger.deadline_s else WORKER_HANGS
+            if isFault(event):
+                self.gateway.judge.failed(worker, not self.link.is_reused)
+                return event if event.code != BAD_RETURN.code else WORKER_BAD.because(event.reason)
+            if isinstance(event, h11.EndOfMessage):
+                if not framed:
+                    return STREAM_BROKEN.because("answer has no length")
+                if self.rest:
+                    await self.exchange.piece(self.rest)
+                break
+            if is_first:
+                is_first = False
+                if 200 <= status < 300:
+                    self.gateway.judge.answered(worker, (self.loop.time() - sent_s) * 1000)
+            await self._piece(bytes(event.data), is_stream, worker)
+        attempt.is_whole = True
+        self.gateway.seen(self.request, worker, self.salt, self.is_long and 200 <= status < 300)
+        self.gateway.pool.give(self.link)
+        self.link = None
+        return None
+
+    def _silence(self):
+        may_move = self.ledger.resumable and len(self.ledger.sent()) < self.ledger.tries and self.gateway.budget.has(self.service)
+        gap_s = max(0.2, self.route.path.gap_ms / 1000 * 0.8)
+        return min(self.ledger.deadline_s, self.loop.time() + gap_s) if may_move and self.route.path.gap_ms else self.ledger.deadline_s
+
+    async def _piece(self, data, is_stream, worker):
+        if not is_stream:
+            return await self.exchange.piece(data)
+        self.rest += data
+        end = max((found.end() for found in EVENT_END.finditer(self.rest)), default=0)
+        if not end:
+            return None
+        whole, self.rest = self.rest[:end], self.rest[end:]
+        version = self.gateway.workers_speak.versions_in(whole)
+        if version:
+            self.gateway.roster.learn(worker, {self.request.model: version})
+        ids = EVENT_ID.findall(whole)
+        if ids:
+            self.last_event = ids[-1].decode("latin-1")
+        return await self.exchange.piece(whole)
+
+    async def _end(self, move, fault):
+        count = self.gateway.board.count
+        if move is Move.FINISH:
+            count["callsServed"] += 1
+            return self.exchange.finish()
+        count[f"faults.{fault.code}"] += 1
+        if move is Move.BREAK:
+            count["streamsBroken"] += 1
+            return self.exchange.abort()
+        self._leave()
+        return await self.gateway.refuse(self.exchange, fault, self.request)
--- /dev/null
+++ b/swiftdeck/gateway/places.py
@@ -0,0 +1,153 @@
+"""The admission books of the workers that this router owns: who is open where, who waits."""
+import asyncio
+
+import attrs
+
+from swiftdeck.traffic.book import Book, Conversation
+from swiftdeck.traffic.line import Waiting
+from swiftdeck.traffic.ring import Ring
+
+FILL = 0.85
+GRACE_S = 0.5
+
+
+@attrs.frozen
+class Wish:
+    """What is asked of a book: a place for one call of an episode."""
+
+    call: str
+    episode: str
+    tenant: str
+    worker: str
+    tokens: int
+    deadline_s: float
+
+
+class PlaceBooks:
+    """Owner of the books; a later call of an open episode looks at no cap, and nothing admitted is taken back.
+
+    K is what the worker's memory holds of episodes as large as those that are open. A place of a router that is gone comes
+    back at its call's deadline, for nobody can run it longer.
+    """
+
+    def __init__(self, board, decisions, memory_of, pause_ms=400, line_most=64):
+        self.board, self.decisions, self.memory_of = board, decisions, memory_of
+        self.pause_ms, self.line_most = pause_ms, line_most
+        self.books, self.tokens, self.calls = {}, {}, {}
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+    def of(self, worker) -> Book:
+        """The book of a worker."""
+        if worker not in self.books:
+            self.books[worker], self.tokens[worker] = Book(worker, 1), 0.0
+        return self.books[worker]
+
+    def _cap(self, book, tokens):
+        mean = self.tokens[book.worker]
+        self.tokens[book.worker] = mean = mean + 0.1 * (tokens - mean) if mean else float(tokens)
+        book.cap = max(1, int(self.memory_of(book.worker) * FILL / max(1.0, mean, tokens / 2)))
+        return book.cap
+
+    async def ask(self, wish: Wish, wait_ms: int):
+        """Whether the call may go to the worker: at once, after a wait in line, or not within it."""
+        book = self.of(wish.worker)
+        self._reclaim(book)
+        held = book.open.get(wish.episode)
+        if held is not None:
+            self._run(book, held, wish)
+            return True
+        if len(book.open) < self._cap(book, wish.tokens) and not len(book.line):
+            self._begin(book, wish)
+            return True
+        if len(book.line) >= self.line_most or wait_ms <= 0:
+            self.board.count["linesFull"] += 1
+            return False
+        return await self._wait(book, wish, wait_ms)
+
+    async def _wait(self, book, wish, wait_ms):
+        waiting = Waiting(wish.tenant, wish, asyncio.get_running_loop().create_future(), self._now())
+        book.line.add(waiting)
+        self.board.count["waits"] += 1
+        try:
+            await asyncio.wait([waiting.done], timeout=wait_ms / 1000)
+        finally:
+            if not waiting.done.done():
+                book.line.remove(waiting)
+                waiting.done.cancel()
+        self.board.count["waitedOut"] += waiting.done.cancelled()
+        return not waiting.done.cancelled()
+
+    def _begin(self, book, wish):
+        episode = Conversation(wish.episode, wish.tenant, "", book.worker, "")
+        book.entry(episode)
+        self.board.count["starts"] += 1
+        self._run(book, episode, wish)
+
+    def _run(self, book, episode, wish):
+        episode.running[wish.call] = wish.deadline_s
+        episode.turns += 1
+        self.calls[wish.call] = (book.worker, episode.name)
+
+    def ended(self, call: str, is_kept: bool = True):
+        """A call is over; its episode stays open for a short pause, as its next call may come."""
+        worker, name = self.calls.pop(call, ("", ""))
+        book = self.books.get(worker)
+        episode = book.open.get(name) if book else None
+        if episode is None:
+            return
+        episode.running.pop(call, None)
+        if not episode.running:
+            episode.idleSinceS = self._now()
+            if not is_kept:
+                book.leave(episode)
+        self.pump(book)
+
+    def _reclaim(self, book):
+        now_s = self._now()
+        for episode in list(book.open.values()):
+            for call in [call for call, until_s in episode.running.items() if until_s + GRACE_S < now_s]:
+                del episode.running[call]
+                self.calls.pop(call, None)
+                self.board.count["placesReclaimed"] += 1
+                episode.idleSinceS = now_s
+        pause_ms = 0 if len(book.line) or not book.hasRoom() else self.pause_ms
+        for episode in book.ended(now_s, pause_ms):
+            book.leave(episode)
+            self.board.count["episodesEnded"] += 1
+
+    def pump(self, book):
+        """Let the next ones begin while there is room."""
+        self._reclaim(book)
+        while len(book.line) and book.hasRoom():
+            waiting = book.line.take()
+            if waiting.isAsking():
+                self._begin(book, waiting.ask)
+                waiting.done.set_result(True)
+
+    def tick(self, names):
+        """Give back what lapsed, and forget workers that are gone or owned elsewhere and have nothing open."""
+        for worker, book in list(self.books.items()):
+            self.pump(book)
+            if worker not in names and not book.open and not len(book.line):
+                del self.books[worker], self.tokens[worker]
+
+    def status(self):
+        """The books in their outward form."""
+        return {name: {"open": len(book.open), "cap": book.cap, "line": len(book.line)} for name, book in sorted(self.books.items())}
+
+
+class Owners:
+    """Which router owns which worker's book, remembered while the routers stay the same."""
+
+    def __init__(self):
+        self.routers, self.ring, self.known = [], Ring([]), {}
+
+    def of(self, worker: str, routers: list) -> str:
+        """The owner's address."""
+        if routers != self.routers:
+            self.routers, self.ring, self.known = routers, Ring(routers, 16), {}
+        if worker not in self.known:
+            self.known[worker] = next(self.ring.walk(worker.encode()), "")
+        return self.known[worker]
--- /dev/null
+++ b/swiftdeck/gateway/placing.py
@@ -0,0 +1,91 @@
+"""Which worker takes a call: by what it keeps for a long prompt, by load for a short one; and where a prefix comes from."""
+import hashlib
+
+from swiftdeck.traffic.ring import Ring
+
+SLACK = 3
+LANE_SHARE = 4
+OTHER_LANE = 3.0
+
+
+class Placing:
+    """Reads the roster, the judge and the table of what is kept, and changes none of them."""
+
+    def __init__(self, zone, judge, kept, random, long_tokens=2048, virtual_places=64):
+        self.zone, self.judge, self.kept, self.random = zone, judge, kept, random
+        self.long_tokens, self.virtual_places = long_tokens, virtual_places
+        self.rings, self.lanes = {}, ((), frozenset())
+
+    def short_lane(self, workers):
+        """Names of the workers that short calls go to first, so that none waits behind the reading of a long prompt.
+
+        A part of the workers, the same at each router, chosen by their names alone.
+        """
+        names = tuple(sorted(each.name for each in workers))
+        if names != self.lanes[0]:
+            ranked = sorted(names, key=lambda name: hashlib.blake2b(name.encode(), digest_size=8).digest())
+            self.lanes = (names, frozenset(ranked[:-(-len(names) // LANE_SHARE)] if len(names) > 2 else names))
+        return self.lanes[1]
+
+    def is_long(self, request) -> bool:
+        """Whether a call keeps so much that it needs a place in a worker's book."""
+        return request.prompt_tokens >= self.long_tokens
+
+    def _ring(self, names):
+        key = tuple(names)
+        if key not in self.rings:
+            self.rings = {key: Ring(names, self.virtual_places)}
+        return self.rings[key]
+
+    def load(self, worker):
+        """How busy a worker looks from here, in calls."""
+        return (worker.running + 2 * worker.running_long + worker.first_event_ms / 40
+                + (0 if worker.listed.zone == self.zone else 0.6) + (2 if worker.listed.warmup_ms else 0))
+
+    def order(self, request, workers, salts):
+        """Workers in the order in which a call would take them."""
+        good = self.judge.good(workers)
+        if not self.is_long(request):
+            lane = self.short_lane(workers)
+            return sorted(good, key=lambda each: self.load(each) + self.random.random() * 0.3 + OTHER_LANE * (each.name not in lane))
+        return self._by_prefix(request, good, salts)
+
+    def _by_prefix(self, request, workers, salts):
+        shared = request.shared() or request.parts
+        lane = self.short_lane(workers) if len(workers) > 2 else ()
+        ring = self._ring(sorted(each.name for each in workers if each.name not in lane) or sorted(each.name for each in workers))
+        key = hashlib.blake2b("/".join(part.name for part in shared[:1]).encode(), digest_size=16).digest()
+        places = {name: at for at, name in enumerate(ring.walk(key))}
+        size = sum(part.tokens for part in shared) or 1
+
+        def cost(worker):
+            missing = 1 - self.kept.tokens(worker.name, salts[worker.name], shared) / size
+            return missing * SLACK + min(places.get(worker.name, 4), 4) * 0.5 + worker.running_long * 1.5 + worker.running * 0.1
+        return sorted(workers, key=cost)
+
+    def source(self, request, worker, salt, roster, store):
+        """The address to fetch a long prompt's shared parts from, empty where the worker keeps them or nobody does."""
+        shared = request.shared()
+        if not shared or not self.is_long(request):
+            return ""
+        here = self.kept.tokens(worker.name, salt, shared)
+        size = sum(part.tokens for part in shared)
+        if here >= 0.9 * size:
+            return ""
+        best, most = "", here
+        for name in self.kept.holders(salt, shared):
+            held = self.kept.tokens(name, salt, shared)
+            peer = roster.workers.get(name)
+            addr = peer.listed.addr if peer and name != worker.name else store if name == store else ""
+            is_near = peer is not None and peer.listed.zone == worker.listed.zone
+            if addr and (held > most or held == most and is_near):
+                best, most = addr, held
+        return best
+
+    def target(self, request, salt, store):
+        """The store, where it isn't known to keep the shared parts yet."""
+        shared = request.shared()
+        if not store or not shared or not self.is_long(request):
+            return ""
+        is_there = self.kept.tokens(store, salt, shared) >= 0.9 * sum(part.tokens for part in shared)
+        return "" if is_there else store
--- /dev/null
+++ b/swiftdeck/gateway/roster.py
@@ -0,0 +1,67 @@
+"""The workers that a process knows: what the list says, and what was heard of each since."""
+import attrs
+
+from swiftdeck.gateway.seams import Listed
+
+
+@attrs.define(eq=False)
+class Worker:
+    """One life of a worker."""
+
+    listed: Listed
+    weights: dict[str, int]
+    running: int = 0
+    running_long: int = 0
+    failures: int = 0
+    shunned_until_s: float = -1.0
+    swapping_until_s: float = -1.0
+    first_event_ms: float = 0.0
+    answered_s: float = -1.0
+
+    @property
+    def name(self):
+        """The id of this life."""
+        return self.listed.name
+
+    def knows(self, model: str) -> int:
+        """The version of a model's weights that it is known to have, 0 where nothing is known."""
+        return self.weights.get(model, 0)
+
+
+class Roster:
+    """Owner of the table of workers; a newer list replaces what the list says, and keeps what was heard."""
+
+    def __init__(self):
+        self.workers, self.by_service, self.watchers = {}, {}, []
+
+    def take(self, listing):
+        """Follow a whole reading of the list."""
+        old, self.workers = self.workers, {}
+        for listed in listing:
+            worker = old.get(listed.name) or Worker(listed, dict(listed.weights))
+            worker.listed = listed
+            self.learn(worker, listed.weights)
+            self.workers[listed.name] = worker
+        self.by_service = {}
+        for worker in self.workers.values():
+            self.by_service.setdefault(worker.listed.service, []).append(worker)
+        if [(each.name, each.listed.draining) for each in old.values()] != \
+                [(each.name, each.listed.draining) for each in self.workers.values()]:
+            for watch in self.watchers:
+                watch()
+
+    @staticmethod
+    def learn(worker: Worker, weights: dict[str, int]):
+        """Versions of a life's weights only go up."""
+        for model, version in weights.items():
+            worker.weights[model] = max(worker.weights.get(model, 0), version)
+
+    def serving(self, service: str):
+        """Workers of a service that the list shows as ready."""
+        return [each for each in self.by_service.get(service, ()) if not each.listed.draining]
+
+    def drop(self, name: str):
+        """A life that is known to have ended."""
+        worker = self.workers.pop(name, None)
+        if worker:
+            self.by_service[worker.listed.service].remove(worker)
--- /dev/null
+++ b/swiftdeck/gateway/swap.py
@@ -0,0 +1,128 @@
+"""New weights cross the fleet: the chain's head orders workers onto them, a few at a time."""
+import asyncio
+
+from swiftdeck.control.core import Core
+from swiftdeck.fault import isFault
+from swiftdeck.gateway.listing import Listing
+from swiftdeck.gateway.roster import Roster
+from swiftdeck.wire.messages import SwapNews
+
+TAKEN, HOLDS, NOT_NOW, OLD_FENCE = 202, 200, 409, 412
+STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 200, 4.0, 0.15
+
+
+class SwapCore(Core):
+    """A core that also gives workers their orders while it is the head of the view."""
+
+    def __init__(self, settings, folder, random, log, lists, orders):
+        super().__init__(settings, folder, random, log)
+        self.roster = Roster()
+        self.listing = Listing(self.me, self.mesh, self.membership, lists, self.roster, self.board, 2000)
+        self.swaps = Swaps(self, orders)
+
+    async def start(self):
+        """Come up as a core, then follow the list and the weights that are named."""
+        fault = await super().start()
+        if fault is None:
+            self.listing.start()
+            self.swaps.start()
+        return fault
+
+    def is_ready(self) -> bool:
+        """Whether this core may answer."""
+        return True
+
+
+class Swaps:
+    """One holder: the head of the agreed view, whose number is the fence of its orders and never belongs to another head.
+
+    A view's number is on the disks of a majority before it is in force, so no fence is used twice; a new head first waits
+    until no order of the one before can be on its way, and for as long as two holders must lie apart.
+    """
+
+    def __init__(self, core, orders):
+        self.core, self.orders = core, orders
+        self.busy, self.held_in, self.since_s = {}, 0, None
+
+    def start(self):
+        """Go on comparing what workers have with what is named."""
+        self.loop = asyncio.get_running_loop()
+        self.task = asyncio.ensure_future(self._minding())
+
+    def fence(self) -> int:
+        """The number under which this core may order now, 0 while it may not."""
+        agreement = self.core.agreement
+        if agreement.position() != 0 or not agreement.mayServe() or not self.core.chain.isWhole():
+            return 0
+        number, now_s = agreement.decided.number, self.loop.time()
+        if self.since_s is None or self.held_in not in (number, number - 1):
+            self.since_s = now_s
+        self.held_in = number
+        return number if now_s - self.since_s >= self.core.settings.orderLeaseMs / 1000 else 0
+
+    def _at_once(self, model):
+        able = [each for each in self.core.roster.workers.values() if model in each.weights]
+        return max(1, len(able) // 3)
+
+    async def _minding(self):
+        while True:
+            await asyncio.sleep(LOOK_S)
+            agreement = self.core.agreement
+            if agreement.position() != 0 and self.since_s is not None:
+                self.since_s = None
+            if not self.fence():
+                continue
+            for model, entry in self.core.chain.state.config.document.models.items():
+                if entry.weights.isdecimal():
+                    self._order_some(model, int(entry.weights))
+
+    def _order_some(self, model, version):
+        behind = [each for each in self.core.roster.workers.values()
+                  if not each.listed.draining and 0 < each.knows(model) < version and each.name not in self.busy]
+        free = self._at_once(model) - sum(1 for each in self.busy.values() if each[0] == model)
+        for worker in behind[:max(0, free)]:
+            self.busy[worker.name] = (model, asyncio.ensure_future(self._swap(worker, model, version)))
+
+    def _tell(self, worker, model, version, for_ms):
+        news = SwapNews(workers=[worker.name], model=model, version=version, for_ms=for_ms)
+        for each in self.core.membership.alive("router"):
+            self.core.mesh.tell(each.addr, news)
+
+    async def _swap(self, worker, model, version):
+        count = self.core.board.count
+        try:
+            self._tell(worker, model, 0, 1500)
+            await asyncio.sleep(STEER_MS / 1000)
+            fence = self.fence()
+            if not fence:
+                return
+            got = await self.orders.order(worker.listed.addr, model, version, self.core.me.name, fence)
+            count["ordersSent"] += 1
+            if isFault(got):
+                count["ordersUnanswered"] += 1
+            elif got == OLD_FENCE:
+                count["ordersFenced"] += 1
+                return await asyncio.sleep(1.0)
+            elif got not in (TAKEN, HOLDS, NOT_NOW):
+                count[f"ordersRefused.{got}"] += 1
+                return await asyncio.sleep(0.5)
+            await self._await_version(worker, model, version, got == HOLDS)
+        finally:
+            self.busy.pop(worker.name, None)
+
+    async def _await_version(self, worker, model, version, holds):
+        end_s = self.loop.time() + GIVE_UP_S
+        await asyncio.sleep(0 if holds else 0.42)
+        while not holds and self.loop.time() < end_s:
+            got = await self.orders.versions(worker.listed.addr)
+            if not isFault(got):
+                holds = got[0].get(model, 0) >= version and not got[1]
+                if not holds and not got[1]:
+                    return
+            if not holds:
+                self._tell(worker, model, 0, 600)
+                await asyncio.sleep(ASK_MS / 1000)
+        if holds:
+            self.core.roster.learn(worker, {model: version})
+            self.core.board.count["swapsDone"] += 1
+            self._tell(worker, model, version, 0)
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -16,6 +16,7 @@
 
     def __init__(self, conversation, request, body):
         self.conversation = conversation
+        self.target, self.raw_method, self.raw_headers = request.target, request.method, request.headers.raw_items()
         self.method = request.method.decode("ascii")
         target = urlsplit(request.target.decode("ascii"))
         self.path = unquote(target.path)
@@ -54,6 +55,18 @@
         await self.piece(data)
         self.finish()
 
+    async def whole(self, status, headers, body: bytes):
+        """A whole return of bytes."""
+        if not self.begun:
+            self.begin(status, [*headers, ("content-length", str(len(body)))])
+            if body and status != 204 and self.method != "HEAD":
+                await self.piece(body)
+            self.finish()
+
+    def abort(self):
+        """Cut the return off, so that it can't look complete."""
+        self.conversation.abort()
+
     async def giveFault(self, fault: Fault, headers=(), **more):
         """A fault as the return, with Retry-After where it says when to come back."""
         wait = [("retry-after", str(max(1, -(-fault.retryMs // 1000))))] if fault.retryMs else []
@@ -62,7 +75,8 @@
     def begin(self, status, headers):
         """Start a return; its pieces follow."""
         self.begun = True
-        self.conversation.send(h11.Response(status_code=status, headers=[(n, v) for n, v in headers]))
+        close = [("Connection", "close")] if self.conversation.server.closing else []
+        self.conversation.send(h11.Response(status_code=status, headers=[*headers, *close]))
 
     async def piece(self, data: bytes):
         """One piece of the body; waits while the other side is slow."""
@@ -81,7 +95,7 @@
 
     def __init__(self, server):
         self.server = server
-        self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
+        self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=server.headLimit)
         self.loop = asyncio.get_running_loop()
         self.request, self.body, self.bodySize = None, [], 0
         self.task = self.wakeup = self.transport = None
@@ -264,7 +278,8 @@
                  note=lambda *_, **__: None, streams=()):
         self.handler, self.bodyLimit, self.note, self.streams = handler, bodyLimit, note, streams
         self.idleMs, self.slowMs, self.slowWriteMs = idleMs, slowMs, slowWriteMs
-        self.open, self.stopping, self.server = {}, False, None
+        self.open, self.stopping, self.closing, self.server = {}, False, False, None
+        self.headLimit = HEAD_LIMIT
         self.count = Counter()
 
     async def start(self, ip, port):
--- a/swiftdeck/member/membership.py
+++ b/swiftdeck/member/membership.py
@@ -184,6 +184,13 @@
             for each in got.members:
                 self.learn(each)
 
+    def leave(self):
+        """Say that this process ends, so that nobody has to find out."""
+        gone = Member().parse(bytes(self.me))
+        gone.state = GONE
+        for each in self.alive():
+            self.mesh.cast(each.addr, Roster(members=[gone]))
+
     def setSeeds(self, seeds):
         """Exchange the seeds at run time."""
         self.seeds = list(seeds)
--- /dev/null
+++ b/swiftdeck/platform/program.py
@@ -0,0 +1,101 @@
+"""The programs that the platform starts: one for edge machines, one for cores."""
+import asyncio
+import os
+import random
+import sys
+
+from swiftdeck.fault import NOT_FOUND, isFault
+from swiftdeck.http.server import HttpServer
+from swiftdeck.platform.settings import read_place
+from swiftdeck.programs.loop import makeLog, runUntilSignal
+
+READY = "/swiftdeck/ready"
+LOOK_S, COUNTERS_S = 1.0, 10.0
+
+
+async def _ready_door(addr, is_ready):
+    """Answers the platform's question whether new connections should come here."""
+    async def handle(exchange):
+        if exchange.path != READY:
+            return NOT_FOUND
+        return await exchange.whole(200 if is_ready() else 503, [], b"")
+    ip, _, port = addr.rpartition(":")
+    server = HttpServer(handle)
+    await server.start(ip, int(port))
+    return server
+
+
+async def _look_for_seeds(role, node, log):
+    """The settings file may change without a signal."""
+    while True:
+        await asyncio.sleep(LOOK_S)
+        _seeds_again(role, node, log)
+
+
+def _seeds_again(role, node, log):
+    place = read_place(role)
+    if isFault(place):
+        node.board.put("settings", place.reason)
+    elif place.settings.seeds != node.membership.seeds:
+        node.membership.setSeeds(place.settings.seeds)
+        log.info("seeds exchanged", seeds=place.settings.seeds)
+
+
+async def _count_aloud(node, log):
+    """A line of counters now and then."""
+    while True:
+        await asyncio.sleep(COUNTERS_S)
+        log.info("counters", **node.counters())
+
+
+def _run(role, place, make):
+    log, box = makeLog(place.settings.name, os.environ.get("SWIFTDECK_LOG", "info")), []
+
+    async def start():
+        box.append(make(place, log))
+        fault = await box[0].start()
+        box.append(asyncio.ensure_future(_look_for_seeds(role, box[0], log)))
+        box.append(asyncio.ensure_future(_count_aloud(box[0], log)))
+        if place.readiness:
+            box.append(await _ready_door(place.readiness, box[0].is_ready))
+        return fault
+    return runUntilSignal(start, lambda: box[0].stop(), lambda: _seeds_again(role, box[0], log))
+
+
+def router(place, log):
+    """The process of an edge machine."""
+    from swiftdeck.gateway.gateway import Gateway
+    from swiftdeck.platform.caches import PlatformCaches
+    from swiftdeck.platform.lists import PlatformList
+    from swiftdeck.platform.speech import Callers, Workers
+    return Gateway(place.settings, (Callers(), Workers(), PlatformList(place.list_addr), PlatformCaches()), random.SystemRandom(), log)
+
+
+def core(place, log):
+    """The process of a core machine."""
+    from swiftdeck.disk.folder import DataFolder
+    from swiftdeck.gateway.swap import SwapCore
+    from swiftdeck.platform.lists import PlatformList
+    from swiftdeck.platform.operator_door import OperatorDoor
+    from swiftdeck.platform.orders import PlatformOrders
+    node = SwapCore(place.settings, DataFolder(place.settings.dataFolder), random.SystemRandom(), log,
+                    PlatformList(place.list_addr), PlatformOrders())
+    node.http.handler = OperatorDoor(node).handle
+    return node
+
+
+def main() -> int:
+    """Entry: the role is the first word."""
+    role = sys.argv[1] if len(sys.argv) > 1 else ""
+    if role not in ("router", "core"):
+        print("fault 600 setting is invalid: say router or core", file=sys.stderr)
+        return 2
+    place = read_place(role)
+    if isFault(place):
+        print(f"fault {place.code} {place.name}: {place.reason}", file=sys.stderr)
+        return 2
+    return _run(role, place, {"router": router, "core": core}[role])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/swiftdeck/platform/speech.py
@@ -0,0 +1,113 @@
+"""Requests of the platform's clients and answers of its workers, in the product's words and back."""
+import msgspec
+
+from swiftdeck.fault import BAD_REQUEST
+from swiftdeck.gateway.seams import Errand, Part, Request, Verdict
+
+ID, SEAL, TIME_LEFT = b"swiftdeck-request-id", b"swiftdeck-server-seal", b"swiftdeck-time-left-ms"
+MODEL, TOKENS, PREFIX = b"swiftdeck-model", b"swiftdeck-token-count", b"swiftdeck-prompt-prefix"
+EXPECTED_WORKER, EXPECTED_VERSION = b"Swiftdeck-Expected-Worker", b"Swiftdeck-Expected-Version"
+TENANT, URGENCY, SALT = b"Swiftdeck-Tenant", b"Swiftdeck-Urgency", b"Swiftdeck-Cache-Salt"
+SOURCE, TARGET, LAST_EVENT = b"Swiftdeck-Cache-Source", b"Swiftdeck-Cache-Target", b"Last-Event-Id"
+NOT_RUN, WORKER, VERSIONS = b"swiftdeck-not-run", b"swiftdeck-worker-id", b"swiftdeck-weight-versions"
+AUTHORIZATION, HOST, RETRY_AFTER = b"authorization", b"host", "Retry-After"
+ELSEWHERE = 421
+PER_CONNECTION = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+                  b"proxy-authenticate", b"proxy-authorization"}
+SET_HERE = {each.lower() for each in (EXPECTED_WORKER, EXPECTED_VERSION, TENANT, URGENCY, SALT, SOURCE, TARGET, TIME_LEFT, LAST_EVENT)}
+KEPT_BACK = PER_CONNECTION | SET_HERE | {AUTHORIZATION, b"content-length", b"expect"}
+FOREVER_MS = 3600000.0
+
+
+def _text(found, name):
+    return found.get(name, b"").decode("latin-1").strip()
+
+
+def _number(text, otherwise):
+    try:
+        value = float(text)
+    except ValueError:
+        return otherwise
+    return value if 0 <= value < FOREVER_MS else otherwise
+
+
+def parts_of(text: str) -> list[Part]:
+    """ID:TOKENS split by commas; what can't be read is left out."""
+    pairs = (each.strip().rpartition(":") for each in text.split(",") if each.strip())
+    return [Part(name, int(tokens)) for name, _, tokens in pairs if name and tokens.isdecimal()]
+
+
+class Callers:
+    """How the platform's clients speak."""
+
+    def read(self, exchange):
+        """A request, or a fault where it can't be one."""
+        found = {name.lower(): value for name, value in exchange.raw_headers}
+        name = _text(found, ID)
+        if not name:
+            return BAD_REQUEST.because("request without an id")
+        scheme, _, key = _text(found, AUTHORIZATION).partition(" ")
+        parts, tokens = parts_of(_text(found, PREFIX)), _text(found, TOKENS).partition(",")[0]
+        host, target = _text(found, HOST), exchange.target
+        return Request(
+            name, exchange.raw_method, target, host, target.partition(b"?")[0].decode("latin-1"), exchange.raw_headers,
+            exchange.body, key.strip() if scheme.lower() == "bearer" else "", _text(found, MODEL), parts,
+            int(_number(tokens, sum(part.tokens for part in parts))), _number(_text(found, TIME_LEFT), FOREVER_MS),
+            _text(found, LAST_EVENT.lower()))
+
+    def refusal(self, fault, request):
+        """Status, headers and body of a final answer of our own."""
+        status = fault.status if fault.status not in (409, 422) else 502
+        headers = [("Content-Type", "application/json")]
+        headers += [("Swiftdeck-Request-Id", request.name)] if request is not None else []
+        headers += [(RETRY_AFTER, f"{fault.retryMs / 1000:.3f}")] if fault.retryMs and status in (429, 503) else []
+        return status, headers, msgspec.json.encode(fault.asBody())
+
+
+class Workers:
+    """How the platform's workers are spoken to, and how their answers read."""
+
+    def head(self, request: Request, errand: Errand) -> list:
+        """Headers of an attempt: the client's own, less what concerns its connection, and the errand."""
+        headers = [(name, value) for name, value in request.headers if name.lower() not in KEPT_BACK]
+        headers += [(TIME_LEFT, b"%d" % errand.time_left_ms), (EXPECTED_WORKER, errand.worker.encode()),
+                    (URGENCY, b"%d" % errand.urgency)]
+        more = ((TENANT, errand.tenant), (EXPECTED_VERSION, errand.version), (SALT, errand.salt), (SOURCE, errand.source),
+                (TARGET, errand.target), (LAST_EVENT, errand.last_event))
+        headers += [(name, value.encode("latin-1")) for name, value in more if value]
+        if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        return headers
+
+    def verdict(self, request: Request, status: int, headers: list) -> Verdict:
+        """What the head of an answer says."""
+        found = {name.lower(): value for name, value in headers}
+        if ID in found and _text(found, ID) != request.name:
+            return Verdict.FOREIGN
+        if status == ELSEWHERE:
+            return Verdict.ELSEWHERE
+        if NOT_RUN in found:
+            return Verdict.NOT_RUN
+        if 200 <= status < 300:
+            return Verdict.ANSWER if SEAL in found and ID in found else Verdict.BAD
+        return Verdict.FAILURE if status >= 500 else Verdict.ANSWER if ID in found else Verdict.BAD
+
+    def passed_on(self, headers: list) -> list:
+        """Headers of an answer for the client."""
+        kept = [(name, value) for name, value in headers if name.lower() not in PER_CONNECTION]
+        has_length = any(name.lower() == b"content-length" for name, _ in kept)
+        return kept if has_length else [*kept, (b"Transfer-Encoding", b"chunked")]
+
+    def version(self, headers: list) -> int | None:
+        """The version of the weights that an answer was made on."""
+        value = next((value for name, value in headers if name.lower() == VERSIONS), b"").strip()
+        return int(value) if value.isdigit() else None
+
+    def worker(self, headers: list) -> str:
+        """The id of the worker that answered, where it says so."""
+        return next((value.decode("latin-1").strip() for name, value in headers if name.lower() == WORKER), "")
+
+    def versions_in(self, data: bytes) -> int | None:
+        """The newest version that events name in a first line of theirs."""
+        found = [line.partition(b":")[2].strip() for line in data.split(b"\n") if line.startswith(VERSIONS + b":")]
+        return int(found[-1]) if found and found[-1].isdigit() else None
--- a/swiftdeck/traffic/budget.py
+++ b/swiftdeck/traffic/budget.py
@@ -23,9 +23,13 @@
 
     def draw(self, nowS: float, extra: int) -> bool:
         """Take one extra leg, if the budget has one beside the allowance of `extra`."""
-        self._forget(nowS)
-        allowance = extra if nowS - self.startS >= self.windowS + self.lateS else 0
-        if len(self.legs) + 1 > self.share * len(self.calls) + allowance:
+        if not self.has(nowS, extra):
             return False
         self.legs.append(nowS)
         return True
+
+    def has(self, nowS: float, extra: int) -> bool:
+        """Whether one could be taken."""
+        self._forget(nowS)
+        allowance = extra if nowS - self.startS >= self.windowS + self.lateS else 0
+        return len(self.legs) + 1 <= self.share * len(self.calls) + allowance
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -393,6 +393,65 @@
     lost: list[str] = bp.string_field(1)
 
 
+@message
+class PlaceAsk(Wire):
+    router: str = bp.string_field(1)
+    call: str = bp.string_field(2)
+    episode: str = bp.string_field(3)
+    tenant: str = bp.string_field(4)
+    worker: str = bp.string_field(5)
+    tokens: int = bp.uint32_field(6)
+    wait_ms: int = bp.uint32_field(7)
+    left_ms: int = bp.uint32_field(8)
+    salt: str = bp.string_field(9)
+    shared: list[str] = bp.string_field(10)
+
+
+@message
+class PlaceReturn(Wire):
+    granted: bool = bp.bool_field(1)
+
+
+@message
+class PlaceEnd(Wire):
+    call: str = bp.string_field(1)
+
+
+@message
+class ListNews(Wire):
+    age_ms: int = bp.uint64_field(1)
+    digest: bytes = bp.bytes_field(2)
+    body: bytes = bp.bytes_field(3)
+
+
+@message
+class ListWish(Wire):
+    digest: bytes = bp.bytes_field(1)
+
+
+@message
+class WorkerNews(Wire):
+    worker: str = bp.string_field(1)
+    for_ms: int = bp.uint32_field(2)
+
+
+@message
+class SwapNews(Wire):
+    workers: list[str] = bp.string_field(1)
+    model: str = bp.string_field(2)
+    version: int = bp.uint64_field(3)
+    for_ms: int = bp.uint32_field(4)
+
+
+@message
+class KeptNews(Wire):
+    holder: str = bp.string_field(1)
+    forget: bool = bp.bool_field(2)
+    salts: list[str] = bp.string_field(3)
+    parts: list[str] = bp.string_field(4)
+    tokens: list[int] = bp.uint32_field(5)
+
+
 KINDS = {
     1: FaultReturn, 2: Done, 3: Member, 4: Probe, 5: ProbeReturn, 6: Roster, 7: NewsItem, 8: News, 9: NewsDigest,
     10: View, 11: Prepare, 12: Promise, 13: Accept, 14: Decided, 15: ViewAsk, 16: ViewReturn, 17: ViewLicenceAsk,
@@ -400,6 +459,7 @@
     26: WriteReturn, 27: OutcomeAsk, 28: OutcomeReturn, 29: ConfigAsk, 30: ConfigReturn, 31: LicenceAsk,
     32: LicenceReturn, 33: Relay, 34: Nudge, 40: Nominate, 41: Vote, 50: ListAsk,
     51: ListReturn, 60: GrantAsk, 61: GrantReturn, 62: LegEnd, 63: GrantDrop, 64: OpenAsk, 65: OpenReturn, 66: Hold,
-    67: HoldReturn,
+    67: HoldReturn, 70: PlaceAsk, 71: PlaceReturn, 72: PlaceEnd, 73: ListNews, 74: ListWish, 75: WorkerNews, 76: SwapNews,
+    77: KeptNews,
 }
 NUMBERS = {cls: number for number, cls in KINDS.items()}
