Slowness shuns no worker, and a router starts by what a tail has synced

Now only what a connection says shuns a worker; a silent one is left only where it answers nobody and another one answers; lanes go by all that serve; old weights count from the cores' last trouble, and end six seconds later at most; a router without any configuration takes what a tail has synced, which was committed; a head that only started again counts from its start; the archive of versions is off on the platform, whose disks have no links (KeyError at each second version).

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -10,7 +10,7 @@
 from swiftdeck.fault import (BAD_FRAME, DAMAGED, DISK_FAILED, DISK_FULL, DISK_SLOW, GAP, NO_VIEW, NOT_HEAD, NOT_TAIL,
                              OLD_VIEW, UNKNOWN_CHANGE, isFault)
 from swiftdeck.wire.messages import (ChainEntry, ConfigAsk, ConfigReturn, CopyAsk, CopyReturn, LicenceAsk,
-                                     LicenceReturn, Nudge, OutcomeAsk, OutcomeReturn, Pass, PassReturn, Write,
+                                     LicenceReturn, Nudge, OutcomeAsk, OutcomeReturn, Pass, PassReturn, PeekAsk, PeekReturn, Write,
                                      WriteReturn)
 
 PASS_ENTRIES, PASS_BYTES, KEPT_ENTRIES, KNOWN_KEPT = 256, 4 << 20, 4096, 64
@@ -42,7 +42,7 @@
         agreement.watchers.append(self.onView)
         agreement.troubles.append(self.trouble)
         for kind, handler in ((Write, self.onWrite), (Pass, self.onPass), (CopyAsk, self.onCopyAsk),
-                              (OutcomeAsk, self.onOutcomeAsk), (ConfigAsk, self.onConfigAsk),
+                              (OutcomeAsk, self.onOutcomeAsk), (ConfigAsk, self.onConfigAsk), (PeekAsk, self.on_peek_ask),
                               (LicenceAsk, self.onLicenceAsk)):
             mesh.on(kind, handler)
 
@@ -417,6 +417,13 @@
             return False
         return all(holder.held >= version or holder.untilS <= nowS for holder in self.holders.values())
 
+    def on_peek_ask(self, ask, sender):
+        """What this tail has synced, without a word on whether it is the newest: whatever a tail has was committed."""
+        if not self.isLast() or self.needsCopy or self.fault is not None or self.serial > self.synced:
+            return NOT_TAIL
+        return PeekReturn(version=self.state.stored.version, document=self.state.config.bytes(), digest=self.state.config.digest(),
+                          view=self.agreement.decided.number)
+
     def onConfigAsk(self, ask, sender):
         if not self.mayTell():
             return NOT_TAIL
--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -47,6 +47,7 @@
     claimsMost: Annotated[int, msgspec.Meta(ge=1000, le=10000000)] = 200000
     callsOpen: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 2000
     bodyBytes: Annotated[int, msgspec.Meta(ge=1024, le=64 << 20)] = 4 << 20
+    archive: bool = True
     renewMs: Ms = 500
     episodeTokens: Annotated[int, msgspec.Meta(ge=1, le=10000000)] = 2048
     connectMs: Ms = 300
--- a/swiftdeck/control/core.py
+++ b/swiftdeck/control/core.py
@@ -29,7 +29,7 @@
         self.mender = Mender(self.me, self.mesh, self.membership, self.agreement, self.chain, self.board, random,
                              settings.cores)
         path = getattr(folder, "path", None)
-        self.archive = Archive(str(path / "history"), self.chain, self.scribe, self.board) if path else None
+        self.archive = Archive(str(path / "history"), self.chain, self.scribe, self.board) if path and settings.archive else None
         self.operators = Operators(self)
         self.http = HttpServer(self.operators.handle, settings.bodyBytes * 4, note=self.board.note,
                                streams=(b"/v1/changes",))
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -21,6 +21,7 @@
 from swiftdeck.traffic.licence import ConfigLicence
 from swiftdeck.wire.messages import SwapNews, WorkerNews
 
+OLD_MOST_S = 6.0
 OPERATOR = "operator"
 CALLERS = "callers"
 
@@ -33,6 +34,7 @@
         self.callers_speak, self.workers_speak, lists, caches = dialects
         self.chart = Chart(self.mesh, self.membership, self.news)
         self.licence = ConfigLicence(self.me, self.mesh, self.membership, self.chart, self.board, settings.renewMs)
+        self.licence.peeks = True
         self.roster, self.kept = Roster(), KeptTable()
         self.judge = Judge(self.roster, self.board)
         self.judge.on_trouble = self.tell_trouble
@@ -46,7 +48,7 @@
         self.budget = BudgetShare(self.admission.routers, settings.budgetShare, settings.budgetExtra, settings.budgetWindowMs / 1000)
         self.http = HttpServer(self.handle, settings.bodyBytes, note=self.board.note)
         self.routes, self.named_s, self.tenants = None, {}, {}
-        self.stopping, self.open = False, 0
+        self.stopping, self.open, self.unsettled_s = False, 0, -1e9
         self.roster.watchers.append(lambda: self.pool.follow(self.roster.workers))
         self.mesh.on(WorkerNews, self.on_worker_news)
         self.mesh.on(SwapNews, self.on_swap_news)
@@ -58,6 +60,7 @@
         await self.startNode()
         for part in (self.chart, self.licence, self.admission, self.listing, self.following):
             part.start()
+        self.task = asyncio.ensure_future(self._watching())
         ip, _, port = self.settings.http.rpartition(":")
         await self.http.start(ip, int(port))
         self.board.note("gateway started", addr=self.settings.inner, http=self.settings.http)
@@ -123,11 +126,20 @@
         now_s = self.loop.time()
         serving = self.roster.serving(service)
         newest, since_s = self._newest(model)
-        may_be_old = now_s - since_s < self.settings.oldWeightsMs / 1000
+        since_s = max(since_s, min(self.unsettled_s, since_s + OLD_MOST_S))
+        may_be_old = now_s - since_s < self.settings.oldWeightsMs / 1000 or not self.licence.isHeld()
         fit = [each for each in serving if may_be_old or not each.knows(model) or each.knows(model) >= newest]
         calm = [each for each in fit if each.swapping_until_s <= now_s]
         return calm or fit
 
+    async def _watching(self):
+        """Remember when the cores were last in trouble, as far as this router can tell."""
+        view = None
+        while True:
+            if self.chart.view.number != view or not self.licence.isHeld() or self.licence.failures:
+                view, self.unsettled_s = self.chart.view.number, self.loop.time()
+            await asyncio.sleep(0.25)
+
     def _newest(self, model):
         weights, since_s = self.named_s.get(model, ("0", -1e9))
         return int(weights) if weights.isdecimal() else 0, since_s
--- a/swiftdeck/gateway/health.py
+++ b/swiftdeck/gateway/health.py
@@ -23,9 +23,12 @@
             worker.first_event_ms += 0.2 * (first_event_ms - worker.first_event_ms)
 
     def failed(self, worker, is_sure=True):
-        """A call failed there: at once where the connection says so, else from the second time on."""
+        """A call failed there; only a connection that says so counts at once, else three in a row do.
+
+        Slowness alone never does: what a slow worker is spared, the others have to bear, until all are slow.
+        """
         worker.failures += 1
-        if is_sure or worker.failures > 1:
+        if is_sure or worker.failures > 2:
             for_s = min(SHUN_MOST_S, SHUN_S * 2 ** max(0, worker.failures - 1))
             self.shun(worker, for_s)
             self.on_trouble(worker, int(for_s * 1000))
--- a/swiftdeck/gateway/passage.py
+++ b/swiftdeck/gateway/passage.py
@@ -76,7 +76,7 @@
         workers = gateway.eligible(self.service, request.model)
         fresh = [each for each in workers if each.name not in self.avoid] or (workers if self.ledger.repeatable else [])
         salts = {each.name: gateway.salt(request.model, each, self.tenant) for each in fresh}
-        order = gateway.placing.order(request, fresh, salts)
+        order = gateway.placing.order(request, fresh, salts, gateway.roster.serving(self.service))
         if not order:
             attempt.fault = NO_WORKER
             return None
@@ -124,23 +124,42 @@
             return fault
         attempt.was_sent, sent_s = True, self.loop.time()
         gateway.board.count["attemptsSent"] += 1
-        try:
-            async with asyncio.timeout_at(self._patience(sent_s)):
-                head = await self._head()
-        except TimeoutError:
-            if worker.answered_s < sent_s:
-                gateway.judge.failed(worker, False)
+        head = await self._head_in_time(worker, sent_s)
+        if head is None:
             return WORKER_HANGS
         if isFault(head):
-            gateway.judge.failed(worker, not self.link.is_reused)
+            if head.code != DEADLINE_PASSED.code:
+                gateway.judge.failed(worker, not self.link.is_reused)
             return head if head.code != BAD_RETURN.code else WORKER_BAD.because(head.reason)
         return await self._take(attempt, worker, head, sent_s)
 
-    def _patience(self, sent_s):
-        """Until when a worker may be silent before another one is tried; silence ends nothing that can't be repeated."""
-        may_move = self.ledger.repeatable and len(self.ledger.sent()) < self.ledger.tries and self.gateway.budget.has(self.service)
-        patient_s = sent_s + max(0.15, 0.75 * self.aim_s)
-        return min(self.ledger.deadline_s, patient_s) if may_move else self.ledger.deadline_s
+    async def _head_in_time(self, worker, sent_s):
+        """The head of the answer, or None when another worker is to be tried.
+
+        Silence ends nothing that can't be repeated, and nothing at a worker that answers others meanwhile.
+        """
+        reading = asyncio.ensure_future(self._head())
+        try:
+            until_s = sent_s + max(0.15, 0.7 * self.aim_s)
+            while True:
+                await asyncio.wait([reading], timeout=max(0.001, min(until_s, self.ledger.deadline_s) - self.loop.time()))
+                if reading.done():
+                    return reading.result()
+                if self.loop.time() >= self.ledger.deadline_s:
+                    return DEADLINE_PASSED
+                if worker.answered_s < sent_s and self._may_move(worker):
+                    self.gateway.judge.failed(worker, False)
+                    return None
+                until_s = self.loop.time() + 0.1
+        finally:
+            reading.cancel()
+
+    def _may_move(self, worker):
+        """Whether a further attempt could be made at another worker."""
+        ledger, gateway = self.ledger, self.gateway
+        return (ledger.repeatable and len(ledger.sent()) < ledger.tries and gateway.budget.has(self.service)
+                and any(each is not worker and each.name not in self.avoid and each.answered_s > self.loop.time() - 1.0
+                        for each in gateway.eligible(self.service, self.request.model)))
 
     def _errand(self, worker):
         gateway, request = self.gateway, self.request
@@ -214,11 +233,11 @@
             self.ledger.has_begun = True
         while True:
             try:
-                async with asyncio.timeout_at(self.ledger.deadline_s if is_first else self._silence()):
+                async with asyncio.timeout_at(self.ledger.deadline_s):
                     event = await self.link.event()
             except TimeoutError:
                 self.gateway.judge.failed(worker, False)
-                return DEADLINE_PASSED if self.loop.time() >= self.ledger.deadline_s else WORKER_HANGS
+                return DEADLINE_PASSED
             if isFault(event):
                 self.gateway.judge.failed(worker, not self.link.is_reused)
                 return event if event.code != BAD_RETURN.code else WORKER_BAD.because(event.reason)
@@ -239,11 +258,6 @@
         self.link = None
         return None
 
-    def _silence(self):
-        may_move = self.ledger.resumable and len(self.ledger.sent()) < self.ledger.tries and self.gateway.budget.has(self.service)
-        gap_s = max(0.2, self.route.path.gap_ms / 1000 * 0.8)
-        return min(self.ledger.deadline_s, self.loop.time() + gap_s) if may_move and self.route.path.gap_ms else self.ledger.deadline_s
-
     async def _piece(self, data, is_stream, worker):
         if not is_stream:
             return await self.exchange.piece(data)
--- a/swiftdeck/gateway/placing.py
+++ b/swiftdeck/gateway/placing.py
@@ -42,17 +42,16 @@
         return (worker.running + 2 * worker.running_long + worker.first_event_ms / 40
                 + (0 if worker.listed.zone == self.zone else 0.6) + (2 if worker.listed.warmup_ms else 0))
 
-    def order(self, request, workers, salts):
-        """Workers in the order in which a call would take them."""
+    def order(self, request, workers, salts, serving):
+        """Workers in the order in which a call would take them; lanes go by all that serve, whoever is fit now."""
         good = self.judge.good(workers)
         if not self.is_long(request):
-            lane = self.short_lane(workers)
+            lane = self.short_lane(serving)
             return sorted(good, key=lambda each: self.load(each) + self.random.random() * 0.3 + OTHER_LANE * (each.name not in lane))
-        return self._by_prefix(request, good, salts)
+        return self._by_prefix(request, good, salts, self.short_lane(serving) if len(serving) > 2 else ())
 
-    def _by_prefix(self, request, workers, salts):
+    def _by_prefix(self, request, workers, salts, lane):
         shared = request.shared() or request.parts
-        lane = self.short_lane(workers) if len(workers) > 2 else ()
         ring = self._ring(sorted(each.name for each in workers if each.name not in lane) or sorted(each.name for each in workers))
         key = hashlib.blake2b("/".join(part.name for part in shared[:1]).encode(), digest_size=16).digest()
         places = {name: at for at, name in enumerate(ring.walk(key))}
--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -8,6 +8,7 @@
 from swiftdeck.wire.messages import SwapNews
 
 TAKEN, HOLDS, NOT_NOW, OLD_FENCE = 202, 200, 409, 412
+RESTART_S = 1.4
 STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 200, 4.0, 0.15
 
 
@@ -37,7 +38,8 @@
     """One holder: the head of the agreed view, whose number is the fence of its orders and never belongs to another head.
 
     A view's number is on the disks of a majority before it is in force, so no fence is used twice; a new head first waits
-    until no order of the one before can be on its way, and for as long as two holders must lie apart.
+    until no order of the one before can be on its way, and for as long as two holders must lie apart. A head that only started
+    again counts this from its start: nobody else ordered under its view, and the head before it had lost its lease by then.
     """
 
     def __init__(self, core, orders):
@@ -47,6 +49,7 @@
     def start(self):
         """Go on comparing what workers have with what is named."""
         self.loop = asyncio.get_running_loop()
+        self.started_s, self.started_in = self.loop.time(), self.core.agreement.decided.number
         self.task = asyncio.ensure_future(self._minding())
 
     def fence(self) -> int:
@@ -56,7 +59,7 @@
             return 0
         number, now_s = agreement.decided.number, self.loop.time()
         if self.since_s is None or self.held_in not in (number, number - 1):
-            self.since_s = now_s
+            self.since_s = self.started_s + RESTART_S if number == self.started_in else now_s
         self.held_in = number
         return number if now_s - self.since_s >= self.core.settings.orderLeaseMs / 1000 else 0
 
--- a/swiftdeck/traffic/licence.py
+++ b/swiftdeck/traffic/licence.py
@@ -6,7 +6,7 @@
 
 from swiftdeck.config.configuration import Configuration
 from swiftdeck.fault import INVALID, NO_LICENCE, isFault
-from swiftdeck.wire.messages import LicenceAsk, LicenceReturn, Nudge, Relay
+from swiftdeck.wire.messages import LicenceAsk, LicenceReturn, Nudge, PeekAsk, PeekReturn, Relay
 
 
 @attrs.frozen
@@ -32,6 +32,7 @@
         self.router = f"{me.name}/{me.incarnation:x}"
         self.held, self.untilS, self.watchers = None, -1.0, []
         self.waiting, self.stopping, self.mustHaveWhole = [], False, False
+        self.failures, self.peeks = 0, False
         mesh.on(Nudge, self.onNudge)
         mesh.on(Relay, self.onRelay)
 
@@ -71,9 +72,23 @@
             sentS = self.loop.time()
             got = await self._throughOthers(ask)
         if isFault(got) or not isinstance(got, LicenceReturn):
+            self.failures += 1
+            if self.peeks and self.held is None:
+                await self._peek()
             return False
+        self.failures = 0
         return self._take(got, sentS)
 
+    async def _peek(self):
+        """Take what a tail has on its disk, to serve by without a lease: it was committed once, if perhaps not last."""
+        addrs = {each.addr for each in self.membership.alive("core")} | {ref.addr for ref in self.chart.view.members}
+        got = await asyncio.gather(*(self.mesh.ask(addr, PeekAsk(), 500) for addr in sorted(addrs)))
+        told = [each for each in got if isinstance(each, PeekReturn) and each.version]
+        best = max(told, key=lambda each: each.view, default=None)
+        if best is not None and self.held is None:
+            self.board.count["configsPeeked"] += 1
+            self._install(LicenceReturn(version=best.version, document=best.document, digest=best.digest))
+
     async def _throughOthers(self, ask):
         some = self.membership.some(2, "router")
         asked = [asyncio.ensure_future(self.mesh.ask(each.addr, Relay(ask=ask), 900)) for each in some]
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -452,6 +452,19 @@
     tokens: list[int] = bp.uint32_field(5)
 
 
+@message
+class PeekAsk(Wire):
+    pass
+
+
+@message
+class PeekReturn(Wire):
+    version: int = bp.uint64_field(1)
+    document: bytes = bp.bytes_field(2)
+    digest: bytes = bp.bytes_field(3)
+    view: int = bp.uint64_field(4)
+
+
 KINDS = {
     1: FaultReturn, 2: Done, 3: Member, 4: Probe, 5: ProbeReturn, 6: Roster, 7: NewsItem, 8: News, 9: NewsDigest,
     10: View, 11: Prepare, 12: Promise, 13: Accept, 14: Decided, 15: ViewAsk, 16: ViewReturn, 17: ViewLicenceAsk,
@@ -460,6 +473,6 @@
     32: LicenceReturn, 33: Relay, 34: Nudge, 40: Nominate, 41: Vote, 50: ListAsk,
     51: ListReturn, 60: GrantAsk, 61: GrantReturn, 62: LegEnd, 63: GrantDrop, 64: OpenAsk, 65: OpenReturn, 66: Hold,
     67: HoldReturn, 70: PlaceAsk, 71: PlaceReturn, 72: PlaceEnd, 73: ListNews, 74: ListWish, 75: WorkerNews, 76: SwapNews,
-    77: KeptNews,
+    77: KeptNews, 78: PeekAsk, 79: PeekReturn,
 }
 NUMBERS = {cls: number for number, cls in KINDS.items()}
