Any odd number of cores, founded from the settings; a lost core is paid for once

Cause: three cores were built in. A view was founded by any three fresh ones, an emptied core could be among them, and a core whose place nobody had lost could not join. Mending took long: suspicion by probes, a ballot that waited a second for the silent voter in each of its rounds, a whole licence counted from the decision, and a new tail at each join.

Now `founders` fixes the voters of the first ballots by address, so a majority founds; an emptied core (`mayFound` false) neither promises nor accepts for the first view, and the record of the identity keeps both. All cores join; voters grow to 2 x `lossesBorne` + 1, one at a time; an emptied core takes the place of its address; a change needs `lossesBorne` + 1 members. Silence counts from direct asks, with what the other cores hear as second opinion; voters tell with their acceptance how long a dropped member's licence lasts; joins go before the tail; an outcome is told once the tail's own disk has it too (it told before its sync). A view that keeps only a member that was never whole is not proposed.

Ruled out: joining behind the tail (holds acknowledgements up by the routers' licence, 4 s); suspecting by one core's silence alone (a cut between two cores would drop members that all others hear).

--- a/swiftdeck/bench/site.py
+++ b/swiftdeck/bench/site.py
@@ -35,11 +35,11 @@
         }
 
     def seeds(self):
-        """Three addresses by which processes find the others."""
-        return [core["inner"] for core in self.cores]
+        """Three addresses by which processes find the others, fewer if fewer cores serve."""
+        return [core["inner"] for core in self.cores[:3]]
 
 
-def planSite(name="hinokuni", ip=lambda machine: "127.0.0.1", basePort=21000, routers=9, workers=None, models=1):
+def planSite(name="hinokuni", ip=lambda machine: "127.0.0.1", basePort=21000, routers=9, workers=None, models=1, cores=3):
     """Plan a site; with one IP for all machines each process gets ports of its own."""
     isHinokuni = name == "hinokuni"
     ports = iter(range(basePort, basePort + 1000))
@@ -56,7 +56,7 @@
     served = [model, "tagger"] if models > 1 else [model]
     tenants = TENANTS[name]
     return Site(
-        name=name, model=model, cores=[node("core", number) for number in (1, 2, 3)],
+        name=name, model=model, cores=[node("core", number) for number in range(1, cores + 1)],
         routers=[node("router", number) for number in range(1, routers + 1)],
         workers=[{"name": f"worker{number}", "addr": addr(f"worker{number}", 9000), "model": served[-1 if number > count - count // 3 else 0],
                   "zone": f"z{(number - 1) % 3 + 1}", "draining": False} for number in range(1, count + 1)],
--- a/swiftdeck/chain/agreement.py
+++ b/swiftdeck/chain/agreement.py
@@ -1,12 +1,13 @@
 """The agreed view: single-decree ballots among the voters, one change at a time."""
 import asyncio
+import math
 
 import attrs
 
 from swiftdeck.disk.journal import Journal
 from swiftdeck.fault import DISK_FAILED, DISK_FULL, DISK_SLOW, NOT_VOTER, NO_VIEW, OLD_VIEW, isFault
-from swiftdeck.wire.messages import (Accept, Decided, Prepare, Promise, View, ViewAsk, ViewLicenceAsk, ViewLicenceReturn,
-                                     ViewReturn)
+from swiftdeck.wire.messages import (Accept, CoreRef, Decided, Prepare, Promise, View, ViewAsk, ViewLicenceAsk,
+                                     ViewLicenceReturn, ViewReturn)
 
 REWRITE_BYTES = 65536
 
@@ -28,12 +29,15 @@
 class Agreement:
     """One core's part in agreeing on views; what it promised is on disk before it says so."""
 
-    def __init__(self, folder, mesh, addr, random, licenceMs=2000, board=None):
+    def __init__(self, folder, mesh, addr, random, licenceMs=2000, board=None, founders=(), may_found=True):
         self.journal = Journal(folder, "agreement.log")
         self.mesh, self.addr, self.random, self.licenceMs, self.board = mesh, addr, random, licenceMs, board
         self.coreId, self.decided, self.slot = "", View(), Slot()
+        self.founders, self.may_found = list(founders), may_found
         self.waitUntilS = 0.0
         self.licenceUntilS = -1.0
+        self.granted_s, self.started_s, self.learned_s = {}, 0.0, 0.0
+        self.hears, self.is_partial = [], lambda: False
         self.watchers, self.fault, self.troubles = [], None, []
         self.busy = asyncio.Lock()
         for kind, handler in ((Prepare, self.onPrepare), (Accept, self.onAccept), (Decided, self.onDecided),
@@ -43,6 +47,7 @@
     async def start(self):
         """Read what was kept; gives a fault when the disk cannot be trusted."""
         self.loop = asyncio.get_running_loop()
+        self.started_s = self.learned_s = self.loop.time()
         try:
             records = self.journal.load()
             if isFault(records):
@@ -51,19 +56,22 @@
                 self._restore(record)
             if not self.coreId:
                 self.coreId = "%016x" % self.random.getrandbits(64)
-                await self._keep({"k": "me", "id": self.coreId})
+                await self._keep(self._me())
         except OSError as error:
             return DISK_FAILED.because(error)
         self._waitOut()
         return None
 
-    def _waitOut(self):
-        """Let the licences of a view before this one run out first."""
-        self.waitUntilS = self.loop.time() + self.licenceMs / 1000 * 1.05
+    def _waitOut(self, wait_ms=None):
+        """Let the licences of the views before this one run out first: those of the last by `wait_ms`, if it is known."""
+        licence_s, now_s = self.licenceMs / 1000 * 1.05, self.loop.time()
+        until_s = now_s + licence_s if wait_ms is None else max(now_s + wait_ms / 1000, self.learned_s + licence_s)
+        self.waitUntilS = max(self.waitUntilS, min(until_s, now_s + licence_s))
 
     def _restore(self, record):
         if record["k"] == "me":
-            self.coreId = record["id"]
+            self.coreId, self.may_found = record["id"], record.get("mayFound", True)
+            self.founders = record.get("founders", self.founders)
         elif record["k"] == "promise":
             self.slot.promised = record["ballot"]
         elif record["k"] == "accept":
@@ -71,8 +79,11 @@
         elif record["k"] == "decided":
             self.decided, self.slot = View().parse(record["view"]), Slot()
 
+    def _me(self):
+        return {"k": "me", "id": self.coreId, "mayFound": self.may_found, "founders": self.founders}
+
     def _whole(self):
-        yield {"k": "me", "id": self.coreId}
+        yield self._me()
         if self.decided.number:
             yield {"k": "decided", "view": bytes(self.decided)}
         if self.slot.accepted:
@@ -133,7 +144,7 @@
             return Promise(granted=False, decided=self.decided, coreId=self.coreId)
         if ask.slot != self.decided.number + 1:
             return OLD_VIEW.because(f"slot {ask.slot}, view {self.decided.number}")
-        if self.decided.number and not self.isVoter():
+        if not (self.isVoter() if self.decided.number else self.may_found):
             return NOT_VOTER
         if ask.ballot < leastBallot:
             return Promise(granted=False, ballot=self.slot.promised, coreId=self.coreId)
@@ -162,13 +173,23 @@
             except OSError:
                 return self.fault
             self.slot = Slot(ask.ballot, ask.ballot, ask.view)
-            return Promise(granted=True, ballot=ask.ballot, coreId=self.coreId)
+            return Promise(granted=True, ballot=ask.ballot, coreId=self.coreId, left_ms=self._left_ms(ask.view))
+
+    def _left_ms(self, view):
+        """How long a licence that this voter gave to a member left out of a view may still last."""
+        dropped = set(ids(self.decided.members)) - set(ids(view.members))
+        last_s = max((self.granted_s.get(coreId, self.started_s) for coreId in dropped), default=None)
+        left_s = 0 if last_s is None else last_s + self.licenceMs / 1000 * 1.05 - self.loop.time()
+        return max(0, math.ceil(left_s * 1000))
 
     async def onDecided(self, news, sender):
-        await self.learn(news.view)
+        await self.learn(news.view, news.wait_ms if news.is_timed else None)
 
-    async def learn(self, view):
-        """Take a decided view in, if it is newer; a disk that fails may forget it, for it can be heard again."""
+    async def learn(self, view, wait_ms=None):
+        """Take a decided view in, if it is newer; a disk that fails may forget it, for it can be heard again.
+
+        `wait_ms` is how long a dropped member may go on under the view before; a whole licence if it is not known.
+        """
         async with self.busy:
             if view.number <= self.decided.number:
                 return
@@ -176,11 +197,11 @@
                 await self._keep({"k": "decided", "view": bytes(view)})
             except OSError:
                 self.board and self.board.put("disk", self.fault.name)
-            known = view.number == self.decided.number + 1
-            if not known or set(ids(self.decided.members)) - set(ids(view.members)):
-                self._waitOut()
+            is_next = view.number == self.decided.number + 1
+            if not is_next or set(ids(self.decided.members)) - set(ids(view.members)):
+                self._waitOut(wait_ms if is_next else None)
             self.decided, self.slot = view, Slot()
-            self.licenceUntilS = -1.0
+            self.licenceUntilS, self.learned_s = -1.0, self.loop.time()
         if self.board:
             self.board.count["views"] += 1
             self.board.put("view", {"number": view.number, "members": [ref.addr for ref in view.members]})
@@ -188,7 +209,8 @@
             watch(view)
 
     def onViewAsk(self, ask, sender):
-        return ViewReturn(view=self.decided, coreId=self.coreId, fresh=self.isFresh(), fault=self.trouble())
+        return ViewReturn(view=self.decided, coreId=self.coreId, fresh=self.isFresh(), fault=self.trouble(),
+                          may_found=self.may_found, is_partial=self.is_partial(), hears=self.hears)
 
     def trouble(self) -> str:
         """What keeps this core from its part in the chain, empty when nothing does."""
@@ -205,6 +227,8 @@
             return ViewLicenceReturn(granted=False, decided=self.decided)
         granted = (ask.number == self.decided.number and self.isVoter() and self.slot.accepted is None
                    and ask.coreId in ids(self.decided.members))
+        if granted:
+            self.granted_s[ask.coreId] = self.loop.time()
         return ViewLicenceReturn(granted=granted)
 
     async def renew(self):
@@ -213,15 +237,25 @@
         if not view.number:
             return
         ask = ViewLicenceAsk(number=view.number, coreId=self.coreId)
-        got = await asyncio.gather(*(self._askOrSelf(ref, ask, self.licenceMs // 4) for ref in view.voters))
+        least = len(view.voters) // 2 + 1
+        got = (await self._ask_all(view.voters, ask, self.licenceMs // 4, least)).values()
         newer = [each.decided for each in got if each and each.decided.number > self.decided.number]
         for each in newer:
             await self.learn(each)
-        if sum(bool(each and each.granted) for each in got) * 2 > len(view.voters) and view is self.decided:
+        if sum(bool(each and each.granted) for each in got) >= least and view is self.decided:
             self.licenceUntilS = max(self.licenceUntilS, sentS + self.licenceMs / 1000 * 0.95)
 
+    async def _ask_all(self, refs, ask, timeout_ms, least):
+        """What each gives back by its place, without waiting for the rest once so many have granted."""
+        tasks = {asyncio.ensure_future(self._askOrSelf(ref, ask, timeout_ms)): at for at, ref in enumerate(refs)}
+        got, open_tasks = {}, set(tasks)
+        while open_tasks and sum(bool(each and each.granted) for each in got.values()) < least:
+            done, open_tasks = await asyncio.wait(open_tasks, return_when=asyncio.FIRST_COMPLETED)
+            got |= {tasks[each]: each.result() for each in done}
+        return got
+
     async def _askOrSelf(self, ref, ask, timeoutMs):
-        if ref.coreId == self.coreId:
+        if self.coreId == ref.coreId or not ref.coreId and self.addr == ref.addr:
             handler = {Prepare: self.onPrepare, Accept: self.onAccept, ViewLicenceAsk: self.onLicenceAsk}[type(ask)]
             got = handler(ask, self.addr)
             return await self._bounded(got, timeoutMs) if asyncio.iscoroutine(got) else got
@@ -235,36 +269,38 @@
     async def propose(self, view: View):
         """One round for the next view; gives the decided view or a fault."""
         slot = self.decided.number + 1
-        voters = list(self.decided.voters) or list(view.voters)
-        founding = slot == 1
-        if view.number != slot or self.coreId not in ids(voters):
+        founding, isFixed = slot == 1, slot == 1 and bool(self.founders)
+        voters = [CoreRef(addr=addr) for addr in self.founders] if isFixed else list(self.decided.voters or view.voters)
+        isMine = self.may_found and self.addr in self.founders if isFixed else self.coreId in ids(voters)
+        if view.number != slot or not isMine:
             return NOT_VOTER
         low = int(self.coreId, 16) & 0xFFFFFFFF
         ballot = (((self.slot.promised >> 32) + 1) << 32) | low
-        got = await self._round(voters, Prepare(slot=slot, ballot=ballot, coreId=self.coreId))
+        least = len(voters) if founding and not isFixed else len(voters) // 2 + 1
+        got = await self._round(voters, Prepare(slot=slot, ballot=ballot, coreId=self.coreId), least)
         if isFault(got):
             return got
-        if founding and set(each.coreId for each in got) != set(ids(voters)):
-            return NO_VIEW.because("not all founders are there")
         best = max(got, key=lambda each: each.acceptedBallot)
         chosen = best.accepted if best.acceptedBallot else view
-        got = await self._round(voters, Accept(slot=slot, ballot=ballot, view=chosen))
+        got = await self._round(voters, Accept(slot=slot, ballot=ballot, view=chosen), len(voters) // 2 + 1)
         if isFault(got):
             return got
-        await self.learn(chosen)
+        wait_ms = max(each.left_ms for each in got)
+        await self.learn(chosen, wait_ms)
         for ref in {ref.addr: ref for ref in [*voters, *chosen.members, *chosen.voters]}.values():
             if ref.addr != self.addr:
-                self.mesh.tell(ref.addr, Decided(view=chosen))
+                self.mesh.tell(ref.addr, Decided(view=chosen, is_timed=True, wait_ms=wait_ms))
         return chosen
 
-    async def _round(self, voters, ask):
-        got = await asyncio.gather(*(self._askOrSelf(ref, ask, 1000) for ref in voters))
+    async def _round(self, voters, ask, least):
+        told = await self._ask_all(voters, ask, 1000, least)
+        got = told.values()
         for each in got:
             if each and each.decided.number > self.decided.number:
                 await self.learn(each.decided)
         highest = max((each.ballot for each in got if each and not each.granted), default=0)
-        granted = [each for each in got if each and each.granted]
-        if len(granted) * 2 <= len(voters):
+        granted = [each for at, each in told.items() if each and each.granted and voters[at].coreId in ("", each.coreId)]
+        if len(granted) < least:
             self.slot.promised = max(self.slot.promised, highest)
             return NO_VIEW.because(f"{len(granted)} of {len(voters)} voters granted")
         return granted
--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -28,12 +28,14 @@
 class Chain:
     """One core's copy of the control state and its place in the chain."""
 
-    def __init__(self, folder, mesh, agreement, board, licenceMs=4000, rewriteBytes=1 << 20, ackWaitMs=0, **bounds):
+    def __init__(self, folder, mesh, agreement, board, licenceMs=4000, rewriteBytes=1 << 20, ackWaitMs=0, losses_borne=1,
+                 **bounds):
         self.journal = Journal(folder, "chain.log")
         self.mesh, self.agreement, self.board = mesh, agreement, board
         self.licenceMs, self.rewriteBytes, self.ackWaitMs = licenceMs, rewriteBytes, ackWaitMs
+        self.losses_borne = losses_borne
         self.state, self.serial, self.entries, self.synced = ChainState(**bounds), 0, {}, 0
-        self.fault, self.needsCopy, self.mustCompare = None, False, False
+        self.fault, self.needsCopy, self.mustCompare, self.is_partial = None, False, False, False
         self.wholeIn, self.lastIn, self.wholeSinceS = 0, 0, 0.0
         self.incoming, self.committers, self.holders = [], [], {}
         self.known_s = {}
@@ -94,7 +96,7 @@
         view = self.agreement.decided.number
         if self.wholeIn != view:
             staysLast = self.isLast() and self.lastIn == self.wholeIn == view - 1 > 0
-            self.wholeIn = view
+            self.wholeIn, self.is_partial = view, False
             if not staysLast:
                 self.wholeSinceS, self.holders = max(self.loop.time(), self.agreement.waitUntilS), {}
                 self.known_s = {}
@@ -133,11 +135,14 @@
         while len(self.entries) > KEPT_ENTRIES:
             del self.entries[next(iter(self.entries))]
 
+    def _hasCopies(self):
+        return len(self.agreement.decided.members) > self.losses_borne
+
     async def onWrite(self, ask, sender):
         if not self.isFirst() or not self.agreement.mayServe() or not self.isWhole():
             return NOT_HEAD
-        if len(self.agreement.decided.members) < 2:
-            return NO_VIEW.because("one member alone acknowledges nothing")
+        if not self._hasCopies():
+            return NO_VIEW.because(f"fewer than {self.losses_borne + 1} members acknowledge nothing")
         if self.fault is not None:
             return self.fault
         try:
@@ -165,6 +170,8 @@
             for done, got in waiting:
                 self._finish(done, got)
             self.kick.set()
+            if self.isLast():
+                self._wakeCommitters()
         else:
             for done, _ in waiting:
                 self._finish(done, OLD_VIEW.because("synced nowhere"))
@@ -369,13 +376,14 @@
         return await self.owner.send(self._copyFrom, addr)
 
     async def onOutcomeAsk(self, ask, sender):
-        endS = self.loop.time() + min(ask.waitMs, 30000) / 1000
+        endS, known, serial = self.loop.time() + min(ask.waitMs, 30000) / 1000, None, self.serial
         while True:
-            if not self.mayTell() or len(self.agreement.decided.members) < 2:
+            if not self.mayTell() or not self._hasCopies():
                 return NOT_TAIL
-            found = self._outcome(ask.changeId)
-            if found is not None:
+            found = self._outcome(ask.changeId) if known is None else known
+            if found is not None and self.synced >= serial:
                 return found
+            known, serial = found, self.serial if known is None else serial
             if self.loop.time() >= endS:
                 return UNKNOWN_CHANGE.because(ask.changeId)
             await self._awaitCommit(min(endS, self._ackS(ask.changeId)))
--- a/swiftdeck/chain/mender.py
+++ b/swiftdeck/chain/mender.py
@@ -2,20 +2,26 @@
 import asyncio
 
 from swiftdeck.chain.agreement import ids
-from swiftdeck.fault import NO_VIEW, OLD_VIEW, isFault
+from swiftdeck.fault import OLD_VIEW, isFault
 from swiftdeck.wire.messages import CoreRef, Done, JoinAsk, View, ViewAsk
 
 
 SWEEP_S = 30.0
+ASK_MS, SILENT_S, FAULTY_S, RANK_S = 500, 0.9, 0.5, 0.5
+FOUNDERS_WAIT_S = 5.0
 
 
 class Mender:
     """The controller of the view: compares what neighbours say with the view and proposes the next."""
 
-    def __init__(self, me, mesh, membership, agreement, chain, board, random, cores=3, roundMs=300):
+    def __init__(self, me, mesh, membership, agreement, chain, board, random, cores=3, roundMs=300,
+                 losses_borne=1):
         self.me, self.mesh, self.membership, self.agreement, self.chain = me, mesh, membership, agreement, chain
         self.board, self.random, self.cores, self.roundMs = board, random, cores, roundMs
-        self.said, self.badSinceS, self.acceptedSinceS = {}, {}, None
+        self.losses_borne = losses_borne
+        self.said, self.bad_since_s, self.silent_since_s, self.acceptedSinceS = {}, {}, {}, None
+        self.founders_since_s = None
+        agreement.is_partial = lambda: chain.is_partial
         mesh.on(JoinAsk, self.onJoin)
 
     def start(self):
@@ -33,12 +39,14 @@
     async def _renewing(self):
         while True:
             await self.agreement.renew()
-            await asyncio.sleep(self.agreement.licenceMs / 4000)
+            isHeld = self.loop.time() < self.agreement.licenceUntilS
+            await asyncio.sleep(self.agreement.licenceMs / 4000 if isHeld else 0.1)
 
     async def _mending(self):
         while True:
             await asyncio.sleep(self.roundMs / 1000 * self.random.uniform(0.8, 1.2))
-            await self._ask()
+            if not await self._ask():
+                continue
             await self.agreement.heal()
             await self.chain.heal()
             if not self.agreement.decided.number:
@@ -51,22 +59,50 @@
     async def _ask(self):
         addrs = {each.addr for each in self.membership.alive("core")}
         view = self.agreement.decided
-        addrs |= {ref.addr for ref in [*view.members, *view.voters]} - {self.me.addr}
+        addrs |= {ref.addr for ref in [*view.members, *view.voters]}
+        addrs |= set() if view.number else set(self.agreement.founders)
+        addrs, start_s = sorted(addrs - {self.me.addr}), self.loop.time()
         ask = ViewAsk(coreId=self.agreement.coreId, addr=self.me.addr)
-        got = await asyncio.gather(*(self.mesh.ask(addr, ask, 500) for addr in sorted(addrs)))
-        self.said = {each.coreId: (addr, each) for addr, each in zip(sorted(addrs), got) if not isFault(each)}
+        got = await asyncio.gather(*(self.mesh.ask(addr, ask, ASK_MS) for addr in addrs))
+        if self.loop.time() - start_s > 2 * ASK_MS / 1000:
+            self.silent_since_s = {}
+            return False
+        self.said = {each.coreId: (addr, each) for addr, each in zip(addrs, got) if not isFault(each)}
+        self.agreement.hears = list(self.said)
+        self.silent_since_s = {ref.coreId: self.silent_since_s.get(ref.coreId, start_s) for ref in view.members
+                               if ref.coreId not in self._heard()}
         newest = max((each.view for _, each in self.said.values()), key=lambda view: view.number, default=None)
         if newest and newest.number > view.number:
             await self.agreement.learn(newest)
+        return True
 
     async def _found(self):
-        if self.agreement.fault is not None or len(self.said) != self.cores - 1:
+        if self.agreement.fault is not None or not self.agreement.may_found:
+            return
+        if self.agreement.founders:
+            return await self._found_named()
+        if len(self.said) != self.cores - 1:
             return
         refs = sorted([CoreRef(coreId=self.agreement.coreId, addr=self.me.addr),
                        *(CoreRef(coreId=coreId, addr=addr) for coreId, (addr, _) in self.said.items())],
                       key=lambda ref: ref.addr)
         isMyTurn = refs[0].coreId == self.agreement.coreId or self.random.random() < 0.05
-        if isMyTurn and (self.agreement.slot.accepted or all(each.fresh for _, each in self.said.values())):
+        if isMyTurn and (self.agreement.slot.accepted or all(each.fresh and each.may_found for _, each in self.said.values())):
+            await self.agreement.propose(View(number=1, members=refs, voters=refs))
+
+    async def _found_named(self):
+        """Found with the cores at the named addresses; with a majority of them if the rest stay away."""
+        founders, now_s = self.agreement.founders, self.loop.time()
+        own = {self.me.addr: (self.agreement.coreId, True)}
+        there = {addr: (coreId, each.may_found) for coreId, (addr, each) in self.said.items() if addr in founders} | own
+        if self.me.addr not in founders or len(there) * 2 <= len(founders):
+            self.founders_since_s = None
+            return
+        self.founders_since_s = self.founders_since_s or now_s
+        isComplete = len(there) == len(founders) or now_s - self.founders_since_s > FOUNDERS_WAIT_S
+        first = min(addr for addr, (_, may_found) in there.items() if may_found)
+        if isComplete and (first == self.me.addr or self.random.random() < 0.05):
+            refs = [CoreRef(coreId=coreId, addr=addr) for addr, (coreId, _) in sorted(there.items())]
             await self.agreement.propose(View(number=1, members=refs, voters=refs))
 
     async def _mend(self):
@@ -79,37 +115,71 @@
             self.acceptedSinceS = None
             await self.agreement.propose(self.agreement.slot.accepted)
             return
-        bad = {ref.coreId for ref in view.members if self._isBad(ref)}
-        self.badSinceS = {coreId: self.badSinceS.get(coreId, nowS) for coreId in bad}
-        patienceS = 0.5 + 0.6 * max(0, self.agreement.position())
-        lost = {coreId for coreId, sinceS in self.badSinceS.items() if nowS - sinceS > patienceS}
+        lost = self._lost(view, nowS)
         failedS, at = self.chain.passFailedS, self.agreement.position()
         if failedS is not None and nowS - failedS > 2.0 and at + 1 < len(view.members):
             lost.add(view.members[at + 1].coreId)
         kept = [ref for ref in view.members if ref.coreId not in lost]
-        if lost and kept and len(kept) < len(view.members):
-            self.board.note("drops members", lost=sorted(lost))
-            await self.agreement.propose(View(number=view.number + 1, members=kept, voters=view.voters))
+        if lost and len(kept) < len(view.members):
+            if any(self._is_complete(ref) for ref in kept):
+                self.board.note("drops members", lost=sorted(lost))
+                await self.agreement.propose(View(number=view.number + 1, members=kept, voters=view.voters))
+            return
+        voters = next(filter(None, (self._voters_with(view, ref) for ref in view.members
+                                    if ref.coreId in self._heard() and ref.coreId not in ids(view.voters))), None)
+        if voters:
+            await self.agreement.propose(View(number=view.number + 1, members=view.members, voters=voters))
 
-    def _isBad(self, ref):
+    def _heard(self):
+        return {self.agreement.coreId, *self.said}
+
+    def _is_complete(self, ref):
+        """Whether a member may have all that was committed: one that joined has it once it was whole."""
+        if ref.coreId == self.agreement.coreId:
+            return not self.chain.is_partial
+        return ref.coreId not in self.said or not self.said[ref.coreId][1].is_partial
+
+    def _lost(self, view, now_s):
+        """Members to leave out: replaced ones at once, faulty ones and those that nobody hears after a while."""
+        rank = [ref.coreId for ref in view.members if ref.coreId in self._heard()].index(self.agreement.coreId) \
+            if self.agreement.position() >= 0 else 0
+        faulty = {ref.coreId for ref in view.members if self._is_faulty(ref)}
+        self.bad_since_s = {coreId: self.bad_since_s.get(coreId, now_s) for coreId in faulty}
+        silent = {coreId: since_s for coreId, since_s in self.silent_since_s.items()
+                  if coreId in ids(view.members) and self._is_unheard(coreId)}
+        return {ref.coreId for ref in view.members if self._is_replaced(ref)} \
+            | {coreId for coreId, since_s in self.bad_since_s.items() if now_s - since_s > FAULTY_S + RANK_S * rank} \
+            | {coreId for coreId, since_s in silent.items() if now_s - since_s > SILENT_S + RANK_S * rank}
+
+    def _is_faulty(self, ref):
         if ref.coreId == self.agreement.coreId:
             return bool(self.agreement.trouble()) or ref.addr != self.me.addr
-        if ref.coreId in self.said:
-            addr, said = self.said[ref.coreId]
-            return bool(said.fault) or addr != ref.addr
-        return not any(each.coreId == ref.coreId and each.state == 0 for each in self.membership.alive("core"))
+        addr, said = self.said.get(ref.coreId, (ref.addr, None))
+        return addr != ref.addr or bool(said and said.fault)
+
+    def _is_unheard(self, coreId):
+        """Whether no core that is heard here hears a silent one, or the probes suspect it too."""
+        isSuspected = not any(each.coreId == coreId and each.state == 0 for each in self.membership.alive("core"))
+        return isSuspected or not any(coreId in said.hears for _, said in self.said.values())
+
+    def _is_replaced(self, ref):
+        """Whether another core says that it is at a member's address, so that the member is gone for good."""
+        return ref.coreId not in self._heard() and any(addr == ref.addr for addr, _ in self.said.values())
 
     async def _join(self):
         view = self.agreement.decided
         if not view.members or self.agreement.fault is not None:
             return
         tail = view.members[-1]
+        if tail.coreId not in self.said:
+            return
         got = await self.chain.copyFrom(tail.addr)
         if isFault(got) or got.view != self.agreement.decided.number:
             return
         ask = JoinAsk(coreId=self.agreement.coreId, addr=self.me.addr, view=got.view)
+        self.chain.is_partial = self.chain.mustCompare = True
         for ref in view.members:
-            if not isFault(await self.mesh.ask(ref.addr, ask, 3000)):
+            if ref.coreId in self.said and not isFault(await self.mesh.ask(ref.addr, ask, 3000)):
                 return
 
     async def onJoin(self, ask, sender):
@@ -117,16 +187,18 @@
         if ask.view != view.number or self.agreement.position() < 0 or ask.coreId in ids(view.members):
             return OLD_VIEW
         ref = CoreRef(coreId=ask.coreId, addr=ask.addr)
-        voters = self._votersWith(view, ref)
-        if voters is None:
-            return NO_VIEW.because("no voter is lost whose place could be taken")
-        got = await self.agreement.propose(View(number=view.number + 1, members=[*view.members, ref], voters=voters))
+        others = [each for each in view.members if each.addr != ref.addr]
+        members = [*others[:-1], ref, others[-1]] if len(others) > 1 else [*others, ref]
+        voters = self._voters_with(view, ref) or view.voters
+        got = await self.agreement.propose(View(number=view.number + 1, members=members, voters=voters))
         return got if isFault(got) else Done(count=got.number)
 
-    def _votersWith(self, view, ref):
-        if ref.coreId in ids(view.voters):
-            return [ref if each.coreId == ref.coreId else each for each in view.voters]
-        present = {self.agreement.coreId, *self.said, *ids(view.members),
-                   *(each.coreId for each in self.membership.alive("core"))}
-        lost = [each for each in view.voters if each.coreId not in present]
+    def _voters_with(self, view, ref):
+        """The voters with a core among them: in its own place, its address's, a new one or a lost one's; None if no such."""
+        same = [each for each in view.voters if each.coreId == ref.coreId] \
+            or [each for each in view.voters if each.addr == ref.addr]
+        if not same and len(view.voters) < 2 * self.losses_borne + 1:
+            return [*view.voters, ref]
+        present = {*self._heard(), *ids(view.members), *(each.coreId for each in self.membership.alive("core"))}
+        lost = same or [each for each in view.voters if each.coreId not in present]
         return [ref if each is lost[0] else each for each in view.voters] if lost else None
--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -11,7 +11,7 @@
 Ms = Annotated[int, msgspec.Meta(ge=10, le=600000)]
 
 
-OWN = {"name", "inner", "http", "seeds", "zone", "dataFolder", "platform", "store", "operatorKey"}
+OWN = {"name", "inner", "http", "seeds", "zone", "dataFolder", "platform", "store", "operatorKey", "founders", "mayFound"}
 
 
 class Settings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -25,7 +25,10 @@
     dataFolder: str = ""
     platform: str = ""
     store: str = ""
-    cores: Annotated[int, msgspec.Meta(ge=3, le=3)] = 3
+    cores: Annotated[int, msgspec.Meta(ge=1, le=15)] = 3
+    founders: list[str] = []
+    mayFound: bool = True
+    lossesBorne: Annotated[int, msgspec.Meta(ge=0, le=7)] = 1
     operatorKey: str = ""
     probeMs: Ms = 500
     suspectMs: Ms = 2000
@@ -67,6 +70,8 @@
             yield from self._addrFaults(name, getattr(self, name))
         for at, seed in enumerate(self.seeds):
             yield from self._addrFaults(f"seeds[{at}]", seed)
+        for at, founder in enumerate(self.founders):
+            yield from self._addrFaults(f"founders[{at}]", founder)
         for name in ("platform", "store"):
             if getattr(self, name):
                 yield from self._addrFaults(name, getattr(self, name))
--- a/swiftdeck/control/core.py
+++ b/swiftdeck/control/core.py
@@ -15,19 +15,21 @@
 
 
 class Core(Node):
-    """One of three machines with a disk that keep the control state."""
+    """One of the machines with a disk that keep the control state."""
 
     def __init__(self, settings, folder, random, log=None):
         super().__init__(settings, "core", random, log)
         self.folder = folder
-        self.agreement = Agreement(folder, self.mesh, settings.inner, random, settings.viewLicenceMs, self.board)
+        self.agreement = Agreement(folder, self.mesh, settings.inner, random, settings.viewLicenceMs, self.board,
+                                   settings.founders, settings.mayFound)
         self.chain = Chain(folder, self.mesh, self.agreement, self.board, settings.configLicenceMs,
-                           ackWaitMs=settings.ackWaitMs, keepMs=settings.claimKeepMs, claimsMost=settings.claimsMost)
+                           ackWaitMs=settings.ackWaitMs, losses_borne=settings.lossesBorne, keepMs=settings.claimKeepMs,
+                           claimsMost=settings.claimsMost)
         self.ballots = Ballots(self.mesh, self.agreement, settings.dutyLicenceMs)
         self.chart = Chart(self.mesh, self.membership, self.news)
         self.scribe = Scribe(self.mesh, self.chart)
         self.mender = Mender(self.me, self.mesh, self.membership, self.agreement, self.chain, self.board, random,
-                             settings.cores)
+                             settings.cores, losses_borne=settings.lossesBorne)
         path = getattr(folder, "path", None)
         self.archive = Archive(str(path / "history"), self.chain, self.scribe, self.board) if path and settings.archive else None
         self.operators = Operators(self)
@@ -41,6 +43,7 @@
         if isFault(fault) and fault.code == DAMAGED.code:
             self.board.note("agreement damaged, begins as a new core", reason=fault.reason)
             await self.agreement.journal.rewrite([])
+            self.agreement.may_found = False
             fault = await self.agreement.start()
         if isFault(fault):
             return fault
--- a/swiftdeck/sim/town.py
+++ b/swiftdeck/sim/town.py
@@ -20,14 +20,16 @@
 class Town:
     """Starts, breaks and mends the processes of a site in virtual time, and collects the records."""
 
-    def __init__(self, seed=1, site="hinokuni", routers=3, workers=2, speed=0.2, models=1, **settings):
+    def __init__(self, seed=1, site="hinokuni", routers=3, workers=2, speed=0.2, models=1, cores=3, names_founders=False,
+                 **settings):
         self.world = World(seed)
         self.ips = {}
-        self.site = planSite(site, self.ip, routers=routers, workers=workers, models=models)
+        self.site = planSite(site, self.ip, routers=routers, workers=workers, models=models, cores=cores)
         self.settings, self.speed = settings, speed
         self.records, self.folders, self.up = [], {}, {}
         self.addresses = {node["name"]: node for node in [*self.site.cores, *self.site.routers]}
         self.seeds = self.site.seeds()
+        self.names_founders, self.is_first_start = names_founders, True
         self.version, self.all = 0, {}
 
     def ip(self, machine):
@@ -38,8 +40,9 @@
         return ListRecord(self.records, who, lambda: self.world.now)
 
     def _settings(self, node):
+        founding = {"founders": self.seeds, "mayFound": self.is_first_start} if self.names_founders else {}
         return Settings(name=node["name"], inner=node["inner"], http=node["http"], zone=node["zone"], seeds=self.seeds,
-                        platform=self.site.platform, store=self.site.store, **self.settings)
+                        platform=self.site.platform, store=self.site.store, **founding, **self.settings)
 
     def startCore(self, name):
         """Start a core on what its disk has."""
@@ -99,6 +102,7 @@
         self.world.run(until=self.coresServe, limitS=30)
         got = self.change("PUT", self.site.document(**model))
         assert got[0] == 200, got
+        self.is_first_start = False
         self.world.run(until=lambda: self.keeper() is not None, limitS=30)
         self.world.run(0.5)
         return self
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -122,6 +122,7 @@
     accepted: View = bp.message_field(4)
     decided: View = bp.message_field(5)
     coreId: str = bp.string_field(6)
+    left_ms: int = bp.uint32_field(7)
 
 
 @message
@@ -134,6 +135,8 @@
 @message
 class Decided(Wire):
     view: View = bp.message_field(1)
+    is_timed: bool = bp.bool_field(2)
+    wait_ms: int = bp.uint32_field(3)
 
 
 @message
@@ -148,6 +151,9 @@
     coreId: str = bp.string_field(2)
     fresh: bool = bp.bool_field(3)
     fault: str = bp.string_field(4)
+    may_found: bool = bp.bool_field(5)
+    is_partial: bool = bp.bool_field(6)
+    hears: list[str] = bp.string_field(7)
 
 
 @message
