Long prompts go where least is to be read, and where their parts are being read

The owner of a worker's book now tells all routers by datagram how many tokens were sent there to be read; they let that run down by what a worker reads. A long prompt goes where the fewest tokens stand before its first one, shared parts that nobody keeps counted one and a half times, a short one where least is to be read. Parts that an admitted call is reading are expected there: they draw other calls, but are no source for a move yet.

Founders, the first start and the losses borne are now read from the platform's settings.

--- a/swiftdeck/gateway/admission.py
+++ b/swiftdeck/gateway/admission.py
@@ -3,7 +3,7 @@
 
 from swiftdeck.fault import isFault
 from swiftdeck.gateway.places import FILL, Owners, PlaceBooks, Wish
-from swiftdeck.wire.messages import PlaceAsk, PlaceEnd, PlaceReturn
+from swiftdeck.wire.messages import LoadNews, PlaceAsk, PlaceEnd, PlaceReturn
 
 PATIENCE_MS = 120
 
@@ -11,17 +11,19 @@
 class Admission:
     """The routers' side of the books, and the books of the workers that this router owns."""
 
-    def __init__(self, me, mesh, membership, roster, board, memory_of, on_shared=lambda worker, salt, parts: None):
+    def __init__(self, me, mesh, membership, roster, board, memory_of, on_read=lambda worker, salt, parts, sizes, is_cold: None):
         self.me, self.mesh, self.membership, self.roster, self.board = me, mesh, membership, roster, board
-        self.memory_of, self.on_shared = memory_of, on_shared
+        self.memory_of, self.on_read = memory_of, on_read
         self.owners, self.asked = Owners(), {}
         mesh.on(PlaceAsk, self.on_place_ask, True)
         mesh.on(PlaceEnd, self.on_place_end)
+        mesh.on(LoadNews, self.on_load_news)
 
     def start(self):
         """Keep books."""
         self.loop = asyncio.get_running_loop()
         self.books = PlaceBooks(self.board, None, self.memory_of)
+        self.books.on_load = self.tell_load
         self.task = asyncio.ensure_future(self._ticking())
 
     def routers(self):
@@ -35,14 +37,13 @@
     async def ask(self, wish: Wish, wait_ms: int, request, salt: str) -> bool:
         """Whether a call may go to a worker."""
         owner = self.owner(wish.worker)
-        shared = [part.name for part in request.shared()]
+        shared, sizes = [part.name for part in request.shared()], [part.tokens for part in request.shared()]
         if owner == self.me.addr:
-            self.on_shared(wish.worker, salt, shared)
-            granted = await self.books.ask(wish, wait_ms)
+            granted = await self._take(wish, wait_ms, salt, shared, sizes)
         else:
             ask = PlaceAsk(router=self.me.name, call=wish.call, episode=wish.episode, tenant=wish.tenant, worker=wish.worker,
                            tokens=wish.tokens, wait_ms=wait_ms, left_ms=max(1, int((wish.deadline_s - self.loop.time()) * 1000)),
-                           salt=salt, shared=shared)
+                           salt=salt, shared=shared, sizes=sizes, missing=wish.missing)
             got = await self.mesh.ask(owner, ask, wait_ms + PATIENCE_MS)
             granted = got.granted if isinstance(got, PlaceReturn) else self._unasked(wish, got)
         if granted:
@@ -65,9 +66,27 @@
             self.mesh.tell(owner, PlaceEnd(call=wish.call))
 
     async def on_place_ask(self, ask, sender):
-        self.on_shared(ask.worker, ask.salt, list(ask.shared))
-        wish = Wish(ask.call, ask.episode, ask.tenant, ask.worker, ask.tokens, self.loop.time() + ask.left_ms / 1000)
-        return PlaceReturn(granted=await self.books.ask(wish, ask.wait_ms))
+        wish = Wish(ask.call, ask.episode, ask.tenant, ask.worker, ask.tokens, self.loop.time() + ask.left_ms / 1000, ask.missing)
+        return PlaceReturn(granted=await self._take(wish, ask.wait_ms, ask.salt, ask.shared, ask.sizes))
+
+    async def _take(self, wish, wait_ms, salt, shared, sizes):
+        granted = await self.books.ask(wish, wait_ms)
+        if granted and salt:
+            self.on_read(wish.worker, salt, shared, sizes, wish.missing > 0)
+        return granted
+
+    def tell_load(self, worker, backlog, running):
+        """All routers should know how much is to be read at a worker."""
+        news = LoadNews(worker=worker, backlog=min(int(backlog), 1 << 31), running=running)
+        self.on_load_news(news, "")
+        for each in self.membership.alive("router"):
+            if not each.state:
+                self.mesh.cast(each.addr, news)
+
+    def on_load_news(self, news, sender):
+        worker = self.roster.workers.get(news.worker)
+        if worker:
+            worker.backlog, worker.backlog_s = news.backlog, self.loop.time()
 
     def on_place_end(self, end, sender):
         self.books.ended(end.call)
--- a/swiftdeck/gateway/following.py
+++ b/swiftdeck/gateway/following.py
@@ -4,7 +4,7 @@
 from swiftdeck.fault import isFault
 from swiftdeck.wire.messages import KeptNews
 
-WAIT_MS, REST_S, LEAST_TOKENS, KNOWN_MOST = 1000, 0.2, 1024, 20000
+WAIT_MS, EXPECTED_S, REST_S, LEAST_TOKENS, KNOWN_MOST = 1000, 2.0, 0.2, 1024, 20000
 
 
 class Following:
@@ -20,12 +20,14 @@
         """Follow what is owned here."""
         self.task = asyncio.ensure_future(self._minding())
 
-    def is_shared(self, worker, salt, parts):
-        """A long call names its shared parts: only reports of these are of interest to others."""
+    def will_keep(self, worker, salt, parts, sizes, is_cold):
+        """A call that was admitted will have its shared parts read: others may count on them, and reports of them matter."""
         for part in parts:
             self.shared[part] = None
         while len(self.shared) > KNOWN_MOST:
             del self.shared[next(iter(self.shared))]
+        if is_cold and any(self.kept.parts.get((salt, part), {}).get(worker, 0) < size for part, size in zip(parts, sizes)):
+            self._tell_all(KeptNews(holder=worker, salts=[salt] * len(parts), parts=list(parts), tokens=list(sizes), is_expected=True))
 
     async def _minding(self):
         while True:
@@ -41,6 +43,7 @@
             for holder in [each for each in self.kept.by_holder
                            if each not in self.admission.roster.workers and each not in self.stores]:
                 self.kept.forget(holder)
+            self.kept.lapse(asyncio.get_running_loop().time())
             await asyncio.sleep(0.5)
 
     async def _follow(self, name, addr):
@@ -73,12 +76,20 @@
     def _tell(self, name, reports, is_whole):
         news = KeptNews(holder=name, forget=is_whole, salts=[each.salt for each in reports], parts=[each.part for each in reports],
                         tokens=[each.tokens if each.is_kept else 0 for each in reports])
+        self._tell_all(news)
+
+    def _tell_all(self, news):
         self.on_news(news, "")
         for each in self.membership.alive("router"):
             if not each.state:
                 self.mesh.tell(each.addr, news)
 
     def on_news(self, news, sender):
+        if news.is_expected:
+            until_s = asyncio.get_running_loop().time() + EXPECTED_S
+            for salt, part in zip(news.salts, news.parts):
+                self.kept.expect(news.holder, salt, part, until_s)
+            return
         if news.forget:
             self.kept.forget(news.holder)
         for salt, part, tokens in zip(news.salts, news.parts, news.tokens):
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -41,7 +41,7 @@
         self.placing = Placing(settings.zone, self.judge, self.kept, random, settings.episodeTokens)
         self.admission = Admission(self.me, self.mesh, self.membership, self.roster, self.board, self.memory_of)
         self.following = Following(self.admission, self.mesh, self.membership, self.kept, caches, self.board)
-        self.admission.on_shared = self.following.is_shared
+        self.admission.on_read = self.following.will_keep
         self.pool = Pool(self.board, settings.connectMs)
         self.pool.most = self.connections_most
         self.listing = Listing(self.me, self.mesh, self.membership, lists, self.roster, self.board, settings.listMs)
--- a/swiftdeck/gateway/kept.py
+++ b/swiftdeck/gateway/kept.py
@@ -2,10 +2,24 @@
 
 
 class KeptTable:
-    """Fed by reports and by what this router saw of its own calls; advice only, as caches drop what they like."""
+    """Fed by reports and by what this router saw of its own calls; advice only, as caches drop what they like.
+
+    What a worker is expected to keep, as a call that was admitted there reads it, draws other calls there, but is no source yet.
+    """
 
     def __init__(self):
-        self.parts, self.by_holder = {}, {}
+        self.parts, self.by_holder, self.expected = {}, {}, {}
+
+    def expect(self, holder: str, salt: str, part: str, until_s: float):
+        """A holder will keep a part soon."""
+        self.expected.setdefault((salt, part), {})[holder] = until_s
+
+    def lapse(self, now_s: float):
+        """Forget expectations that were not met in time."""
+        for key, held in list(self.expected.items()):
+            self.expected[key] = {holder: until_s for holder, until_s in held.items() if until_s > now_s}
+            if not self.expected[key]:
+                del self.expected[key]
 
     def keep(self, holder: str, salt: str, part: str, tokens: int):
         """A holder keeps a part."""
@@ -28,11 +42,13 @@
             if not held:
                 self.parts.pop((salt, part), None)
 
-    def tokens(self, holder: str, salt: str, parts) -> int:
-        """Tokens of a prompt's first parts that a holder keeps, up to the first one that it lacks."""
+    def tokens(self, holder: str, salt: str, parts, is_expected: bool = False) -> int:
+        """Tokens of a prompt's first parts that a holder keeps, or is expected to, up to the first one that it lacks."""
         total = 0
         for part in parts:
             held = self.parts.get((salt, part.name), {}).get(holder, 0)
+            if is_expected and holder in self.expected.get((salt, part.name), ()):
+                held = part.tokens
             if held < part.tokens * 0.9:
                 return total + held
             total += part.tokens
--- a/swiftdeck/gateway/passage.py
+++ b/swiftdeck/gateway/passage.py
@@ -87,7 +87,8 @@
         for at, worker in enumerate(order[:3]):
             wait_s = max(0.0, (end_s - self.loop.time()) / (min(3, len(order)) - at))
             wish = Wish(request.name, f"{self.tenant}/{request.parts[-1].name if request.parts else request.name}",
-                        self.tenant, worker.name, request.prompt_tokens, self.ledger.deadline_s)
+                        self.tenant, worker.name, request.prompt_tokens, self.ledger.deadline_s,
+                        sum(gateway.placing.missing(request, worker, salts[worker.name])))
             if await gateway.admission.ask(wish, int(wait_s * 1000), request, salts[worker.name]):
                 self.place = wish
                 return worker
@@ -250,7 +251,7 @@
             if is_first:
                 is_first = False
                 if 200 <= status < 300:
-                    self.gateway.judge.answered(worker, (self.loop.time() - sent_s) * 1000)
+                    self.gateway.judge.answered(worker, None if self.is_long else (self.loop.time() - sent_s) * 1000)
             await self._piece(bytes(event.data), is_stream, worker)
         attempt.is_whole = True
         self.gateway.seen(self.request, worker, self.salt, self.is_long and 200 <= status < 300)
--- a/swiftdeck/gateway/places.py
+++ b/swiftdeck/gateway/places.py
@@ -21,6 +21,7 @@
     worker: str
     tokens: int
     deadline_s: float
+    missing: int = 0
 
 
 class PlaceBooks:
@@ -34,6 +35,7 @@
         self.board, self.decisions, self.memory_of = board, decisions, memory_of
         self.pause_ms, self.line_most = pause_ms, line_most
         self.books, self.tokens, self.calls = {}, {}, {}
+        self.on_load = lambda worker, backlog, running: None
 
     def _now(self):
         return asyncio.get_running_loop().time()
@@ -88,11 +90,16 @@
     def _run(self, book, episode, wish):
         episode.running[wish.call] = wish.deadline_s
         episode.turns += 1
-        self.calls[wish.call] = (book.worker, episode.name)
+        self.calls[wish.call] = (book.worker, episode.name, wish.missing, self._now())
+        self._tell_load(book)
+
+    def _tell_load(self, book):
+        mine = [(missing, since_s) for worker, _, missing, since_s in self.calls.values() if worker == book.worker]
+        self.on_load(book.worker, sum(missing for missing, _ in mine), len(mine))
 
     def ended(self, call: str, is_kept: bool = True):
         """A call is over; its episode stays open for a short pause, as its next call may come."""
-        worker, name = self.calls.pop(call, ("", ""))
+        worker, name, _, _ = self.calls.pop(call, ("", "", 0, 0.0))
         book = self.books.get(worker)
         episode = book.open.get(name) if book else None
         if episode is None:
@@ -102,6 +109,7 @@
             episode.idleSinceS = self._now()
             if not is_kept:
                 book.leave(episode)
+        self._tell_load(book)
         self.pump(book)
 
     def _reclaim(self, book):
--- a/swiftdeck/gateway/placing.py
+++ b/swiftdeck/gateway/placing.py
@@ -1,11 +1,12 @@
 """Which worker takes a call: by what it keeps for a long prompt, by load for a short one; and where a prefix comes from."""
+import asyncio
 import hashlib
 
 from swiftdeck.traffic.ring import Ring
 
-SLACK = 3
 LANE_SHARE = 4
-OTHER_LANE = 3.0
+OTHER_LANE, OTHER_LANE_TOKENS = 1.5, 6000
+AGAIN, MOVED, PLACE_TOKENS = 1.5, 1.0, 1500
 
 
 class Placing:
@@ -14,7 +15,7 @@
     def __init__(self, zone, judge, kept, random, long_tokens=2048, virtual_places=64):
         self.zone, self.judge, self.kept, self.random = zone, judge, kept, random
         self.long_tokens, self.virtual_places = long_tokens, virtual_places
-        self.rings, self.lanes = {}, ((), frozenset())
+        self.rings, self.lanes, self.tokens_per_ms = {}, ((), frozenset()), 40.0
 
     def short_lane(self, workers):
         """Names of the workers that short calls go to first, so that none waits behind the reading of a long prompt.
@@ -39,7 +40,8 @@
 
     def load(self, worker):
         """How busy a worker looks from here, in calls."""
-        return (worker.running + 2 * worker.running_long + worker.first_event_ms / 40
+        unread = worker.unread(asyncio.get_running_loop().time(), self.tokens_per_ms)
+        return (worker.running + unread / 3000 + min(10.0, worker.first_event_ms / 100)
                 + (0 if worker.listed.zone == self.zone else 0.6) + (2 if worker.listed.warmup_ms else 0))
 
     def order(self, request, workers, salts, serving):
@@ -55,13 +57,24 @@
         ring = self._ring(sorted(each.name for each in workers if each.name not in lane) or sorted(each.name for each in workers))
         key = hashlib.blake2b("/".join(part.name for part in shared[:1]).encode(), digest_size=16).digest()
         places = {name: at for at, name in enumerate(ring.walk(key))}
-        size = sum(part.tokens for part in shared) or 1
+        now_s = asyncio.get_running_loop().time()
 
         def cost(worker):
-            missing = 1 - self.kept.tokens(worker.name, salts[worker.name], shared) / size
-            return missing * SLACK + min(places.get(worker.name, 4), 4) * 0.5 + worker.running_long * 1.5 + worker.running * 0.1
+            """Tokens to be read there before this prompt's first token, as far as is known here."""
+            own, again, moved = self.missing(request, worker, salts[worker.name])
+            return (worker.unread(now_s, self.tokens_per_ms) + own + again * AGAIN + moved * MOVED
+                    + min(places.get(worker.name, 2), 3) * PLACE_TOKENS + (OTHER_LANE_TOKENS if worker.name in lane else 0))
         return sorted(workers, key=cost)
 
+    def missing(self, request, worker, salt):
+        """(Tokens of its own, shared ones that nobody else keeps, shared ones that could be moved) that a worker lacks."""
+        shared = request.shared()
+        size = sum(part.tokens for part in shared)
+        lacks = size - self.kept.tokens(worker.name, salt, shared, True)
+        elsewhere = max((self.kept.tokens(name, salt, shared) for name in self.kept.holders(salt, shared)), default=0)
+        moved = min(lacks, max(0, elsewhere - (size - lacks)))
+        return max(0, request.prompt_tokens - size), lacks - moved, moved
+
     def source(self, request, worker, salt, roster, store):
         """The address to fetch a long prompt's shared parts from, empty where the worker keeps them or nobody does."""
         shared = request.shared()
--- a/swiftdeck/gateway/roster.py
+++ b/swiftdeck/gateway/roster.py
@@ -12,6 +12,8 @@
     weights: dict[str, int]
     running: int = 0
     running_long: int = 0
+    backlog: float = 0.0
+    backlog_s: float = 0.0
     failures: int = 0
     shunned_until_s: float = -1.0
     swapping_until_s: float = -1.0
@@ -23,6 +25,10 @@
         """The id of this life."""
         return self.listed.name
 
+    def unread(self, now_s: float, tokens_per_ms: float) -> float:
+        """Tokens that all routers together have sent there to be read, less what it will have read since that was heard."""
+        return max(0.0, self.backlog - (now_s - self.backlog_s) * 1000 * tokens_per_ms)
+
     def knows(self, model: str) -> int:
         """The version of a model's weights that it is known to have, 0 where nothing is known."""
         return self.weights.get(model, 0)
--- a/swiftdeck/platform/settings.py
+++ b/swiftdeck/platform/settings.py
@@ -92,7 +92,8 @@
     http = file.listen_addresses.control if is_core else file.listen_addresses.front
     settings = msgspec.convert(dict(
         name=file.node_name, inner=f"{file.ip}:{port}", http=http or f"{file.ip}:{port + 1}", seeds=seeds, zone=file.zone,
-        dataFolder=file.data_dir if is_core else "", stopMs=int(max(1000, file.bounds.grace_s * 1000 - 1200)),
+        dataFolder=file.data_dir if is_core else "", founders=seeds, mayFound=file.first_start,
+        lossesBorne=file.tolerate.machines, stopMs=int(max(1000, file.bounds.grace_s * 1000 - 1200)),
         budgetShare=bounds.retry_ratio, budgetExtra=int(bounds.extra_retries), budgetWindowMs=int(bounds.retry_window_s * 1000),
         oldWeightsMs=int(max(500, bounds.version_ms - 2500)), orderLeaseMs=int(bounds.lease_ms + bounds.thaw_slack_ms),
         archive=False, ackWaitMs=400, listMs=600, bodyBytes=4 << 20), Settings)
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -411,6 +411,8 @@
     left_ms: int = bp.uint32_field(8)
     salt: str = bp.string_field(9)
     shared: list[str] = bp.string_field(10)
+    sizes: list[int] = bp.uint32_field(11)
+    missing: int = bp.uint32_field(12)
 
 
 @message
@@ -456,6 +458,7 @@
     salts: list[str] = bp.string_field(3)
     parts: list[str] = bp.string_field(4)
     tokens: list[int] = bp.uint32_field(5)
+    is_expected: bool = bp.bool_field(6)
 
 
 @message
@@ -471,6 +474,13 @@
     view: int = bp.uint64_field(4)
 
 
+@message
+class LoadNews(Wire):
+    worker: str = bp.string_field(1)
+    backlog: int = bp.uint32_field(2)
+    running: int = bp.uint32_field(3)
+
+
 KINDS = {
     1: FaultReturn, 2: Done, 3: Member, 4: Probe, 5: ProbeReturn, 6: Roster, 7: NewsItem, 8: News, 9: NewsDigest,
     10: View, 11: Prepare, 12: Promise, 13: Accept, 14: Decided, 15: ViewAsk, 16: ViewReturn, 17: ViewLicenceAsk,
@@ -479,6 +489,6 @@
     32: LicenceReturn, 33: Relay, 34: Nudge, 40: Nominate, 41: Vote, 50: ListAsk,
     51: ListReturn, 60: GrantAsk, 61: GrantReturn, 62: LegEnd, 63: GrantDrop, 64: OpenAsk, 65: OpenReturn, 66: Hold,
     67: HoldReturn, 70: PlaceAsk, 71: PlaceReturn, 72: PlaceEnd, 73: ListNews, 74: ListWish, 75: WorkerNews, 76: SwapNews,
-    77: KeptNews, 78: PeekAsk, 79: PeekReturn,
+    77: KeptNews, 78: PeekAsk, 79: PeekReturn, 80: LoadNews,
 }
 NUMBERS = {cls: number for number, cls in KINDS.items()}
