--- /dev/null
+++ b/tests/gateway/cases/__init__.py
@@ -0,0 +1,1 @@
+"""Cases on a simulated site of the platform, by subject."""
--- /dev/null
+++ b/tests/gateway/cases/calm.py
@@ -0,0 +1,52 @@
+"""Cases of calm days, and of the salts that keep weights and tenants apart."""
+from unittest import mock
+
+from swiftdeck.gateway.gateway import Gateway
+from tests.gateway.case import SiteCase
+from tests.gateway.town import HOST, MODEL, PlatformTown
+
+
+def salt_by(weights, tenant):
+    """A salt that leaves something out."""
+    def salt(self, model, worker, name):
+        entry = self.document.tenants.get(name)
+        return f"{self.version(model, worker) if weights else ''}{'/' + name if tenant and entry and entry.apart else ''}"
+    return mock.patch.object(Gateway, "salt", salt)
+
+
+class CalmCase(SiteCase):
+    def test_a_calm_day_serves_all(self):
+        town = self.town(1)
+        town.world.run(10)
+        self.assertKept(town)
+        self.assertEqual((town.count("reportsFailed"), town.count("connectionsCapped"), town.up["list"].over), (0, 0, 0))
+        self.assertGreater(town.count("fetches"), 0)
+
+    def test_short_calls_keep_their_aim_beside_long_ones(self):
+        town = self.town(2, rate=16.0)
+        town.world.run(10)
+        sent = {item["id"]: item["atMs"] for item in town.records if item["kind"] == "try"}
+        took = sorted(item["atMs"] - sent[item["id"]] for item in town.records if item["kind"] == "result")
+        self.assertLess(took[len(took) * 95 // 100], 700)
+        self.assertKept(town)
+
+    def test_no_memory_crosses_the_wall_of_a_tenant_or_new_weights(self):
+        def day():
+            town = self.town(3)
+            town.world.run(3)
+            town.operate(lambda: town.operator.name(MODEL, 2))
+            town.world.run(4)
+            return town
+        self.assertKept(day())
+        self.assertFallsWithout(salt_by(True, False), day, "WALL")
+        self.assertFallsWithout(salt_by(False, True), day, "STALE")
+
+    def test_requests_that_no_route_or_key_allows_never_reach_a_worker(self):
+        town = PlatformTown(4).start()
+        got = [town.ask("none", start=start, key=key, headers=more)["status"] for start, key, more in (
+            ("/nowhere/", "key-n1", ()), ("/safe/", "wrong", ()), ("/safe/", "", ()), ("/open/", "wrong", ()),
+            ("/safe/", "key-n1", [("Swiftdeck-Tenant", "apart"), ("Swiftdeck-Expected-Worker", "other"), ("Swiftdeck-Urgency", "0")]))]
+        self.assertEqual(got, [404, 401, 401, 200, 200])
+        self.assertEqual(town.breaches(), {})
+        self.assertEqual(sum(item["kind"] == "arrive" for item in town.records), 2)
+        self.assertTrue(all(item["host"] == HOST for item in town.records if item["kind"] == "try"))
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 PACKAGE = Path(__file__).resolve().parent.parent.parent / "swiftdeck"
-FREE = ("platform/", "bench/", "sim/")
+FREE = ("platform/", "bench/")
 NAMES = re.compile("|".join((
     r"(?i:swiftdeck-(?:request|server|expected|model|token|prompt|time|tenant|urgency|cache|not-run|worker|weight))", r"/swiftdeck/",
     "app-servers", "api-keys", "\"customers\"", "'customers'", "kv-events", "kv-list", "version-put", "server-state", "warmup-left-ms",
