--- /dev/null
+++ b/tests/gateway/cases/storms.py
@@ -0,0 +1,14 @@
+"""Cases of random troubles; `python -m tests.gateway.storm` runs more of them."""
+import unittest
+
+from tests.gateway.storm import Storm
+
+
+class StormsCase(unittest.TestCase):
+    def test_after_a_storm_no_rule_was_broken_and_all_is_well(self):
+        for seed in (1, 104):
+            with self.subTest(seed):
+                storm = Storm(seed, 12.0)
+                self.assertEqual(storm.calm_down(), [], storm.log)
+                served, count = storm.town.served()
+                self.assertGreater(served, 0.85 * count)
--- /dev/null
+++ b/tests/gateway/storm.py
@@ -0,0 +1,161 @@
+"""Random troubles on a platform's site, and what must be true after them: `python -m tests.gateway.storm FIRST LAST`."""
+import random
+import sys
+
+from tests.gateway.town import MODEL, PlatformTown, route
+
+QUIRKS = ("cut", "garble", "surplus", "reset", "silence", "slow", "full", "unsealed", "failing")
+
+
+class Storm:
+    """A site under load on which things happen at random, one seed a storm."""
+
+    def __init__(self, seed, seconds=30.0, mean_s=1.6):
+        self.rng = random.Random(seed)
+        self.town = PlatformTown(seed, routers=self.rng.choice((3, 4, 5)), models=self.rng.choice((3, 4, 6))).start()
+        self.mean_s, self.version, self.weights, self.tasks, self.log, self.has_end = mean_s, 5, 2, [], [], False
+        self.town.drive(self.rng.choice((6, 10)))
+        self.town.world.run(2)
+        self._later()
+        self.town.world.run(seconds)
+        self.has_end = True
+
+    def calm_down(self):
+        """Let all come back, and give what is wrong after it."""
+        town = self.town
+        town.world.run(until=lambda: all(task.done() for task in self.tasks), limitS=45)
+        town.world.run(9)
+        found = [f"{rule}: {breaches}" for rule, breaches in town.breaches().items()]
+        town.world.run(1)
+        found += [f"operator got {task.result() if task.done() else 'nothing'}" for task in self.tasks
+                  if not task.done() or task.result() != 200]
+        found += [f"{name}: {what}" for name in town.routers() for what in self._wrong(town.up[name])]
+        found += [f"{name} is not back" for name in town.machines if name not in town.world.loops]
+        newest = max([1, *town.operator.named.values()])
+        found += [f"{name} has version {town.up[name].versions}" for name in town.workers
+                  if name.startswith("lm") and name in town.world.loops and town.up[name].versions[MODEL] != newest]
+        return found + [f"process failed: {fault}" for fault in town.world.faults]
+
+    @staticmethod
+    def _wrong(gateway):
+        """What is wrong with a gateway that has been calm for a while."""
+        books = gateway.admission.books.status()
+        states = {"not ready": not gateway.is_ready(), "without lease": not gateway.licence.isHeld(), "requests open": gateway.open,
+                  "places taken": sum(book["open"] + book["line"] for book in books.values()),
+                  "calls counted": sum(each.running or each.running_long for each in gateway.roster.workers.values()),
+                  "connections counted": sum(gateway.pool.count.values()) - sum(map(len, gateway.pool.idle.values())),
+                  "old list": gateway.listing.age_ms() > 5000}
+        return [f"{name} ({state})" for name, state in states.items() if state]
+
+    def _later(self):
+        self.town.world.at(self.rng.expovariate(1 / self.mean_s), self._act)
+
+    def _act(self):
+        if not self.has_end:
+            name = self.rng.choice([each for each in dir(self) if each.startswith("on_")])
+            self.log.append((round(self.town.world.now, 2), name, getattr(self, name)()))
+            self._later()
+
+    def _running(self, role):
+        loops = self.town.world.loops
+        return [name for name in self.town.machines if name.startswith(role) and name in loops and not loops[name].frozen]
+
+    def _one(self, role):
+        """One machine that may be troubled: of the cores only while all run, of the routers while another runs."""
+        running = self._running(role)
+        return self.rng.choice(running) if len(running) >= (3 if role == "core" else 2) else None
+
+    def _worker(self):
+        running = [name for name in self.town.workers if name in self.town.world.loops]
+        return self.rng.choice(running) if len(running) > 3 else None
+
+    def on_kill(self):
+        name = self._one(self.rng.choice(("core", "router")))
+        return name and self.town.kill(name, self.rng.random() < 0.3, back_s=self.rng.uniform(0.3, 5)) or name
+
+    def on_freeze(self):
+        name = self._one(self.rng.choice(("core", "router")))
+        return name and self.town.freeze(name, self.rng.uniform(0.3, 6)) or name
+
+    def on_cut(self):
+        name, town, for_s = self._one(self.rng.choice(("core", "router"))), self.town, self.rng.uniform(0.5, 6)
+        if name:
+            others = [ip for each, ip in town.machines.items() if each != name]
+            pairs = town.trouble(name, lambda: town.world.net.cut([town.machines[name]], others), for_s)
+            town.world.at(for_s, lambda: town.world.net.heal(pairs))
+        return name
+
+    def on_all_cores(self):
+        running = self._running("core")
+        for name in running if len(running) == 3 else ():
+            self.town.kill(name, back_s=self.rng.uniform(0.3, 1))
+            self.town.folders[name].losePower()
+
+    def on_crash(self):
+        name, town = self._worker(), self.town
+        if name:
+            town.world.kill(name, self.rng.random() < 0.3)
+            town.world.at(3, lambda: name in town.world.loops or town.forget(name))
+            town.world.at(self.rng.uniform(3.5, 6), lambda: name in town.world.loops or town.start_worker(name))
+        return name
+
+    def on_leave(self):
+        name, town = self._worker(), self.town
+        if name:
+            life = town.up[name]
+            life.is_leaving = True
+
+            def end():
+                if town.up[name] is life and name in town.world.loops:
+                    town.world.kill(name)
+                    town.forget(name)
+                    town.world.at(2.5, lambda: town.start_worker(name))
+            town.world.at(4.6, end)
+        return name
+
+    def on_quirk(self):
+        name = self._worker()
+        if name:
+            life = self.town.up[name]
+            life.quirk, life.quirk_share = self.rng.choice(QUIRKS), self.rng.choice((0.2, 0.6))
+            self.town.world.at(4, lambda: setattr(life, "quirk", ""))
+        return name and (name, life.quirk)
+
+    def on_gaps(self):
+        for name in [each for each in self.town.workers if each in self.town.world.loops]:
+            cache = self.town.up[name].cache
+            cache.lost_share, cache.late_s = self.rng.choice((0, 0.5)), self.rng.choice((0, 1.0))
+
+    def on_store(self):
+        if "store" in self.town.world.loops:
+            self.town.world.kill("store")
+            self.town.world.at(2, self.town.start_store)
+
+    def _operate(self, make):
+        if all(task.done() for task in self.tasks):
+            self.tasks.append(self.town.beside(make))
+
+    def on_change(self):
+        version, self.version = self.version, self.version + self.rng.randint(2, 4)
+        put = {"routes": [route(f"r-v{version}", f"/v{version}/", "app")]}
+        old = [each["name"] for each in self.town.operator.document["routes"] if each["name"].startswith("r-v")]
+        self._operate(lambda: self.town.operator.patch(version, put=put, remove={"routes": old[:1]} if self.rng.random() < 0.5 and old else None))
+
+    def on_weights(self):
+        version, self.weights = self.weights, self.weights + 1
+        self._operate(lambda: self.town.operator.name(MODEL, version))
+
+
+def main():
+    """Run storms and say what was wrong after each; the exit status is the number of storms with faults."""
+    count = 0
+    for seed in range(int(sys.argv[1]), int(sys.argv[2]) + 1):
+        storm = Storm(seed)
+        found = storm.calm_down()
+        count += bool(found)
+        print(seed, storm.town.served(), len(storm.tasks), *(found and [*found, storm.log]), sep="\n   " if found else " ", flush=True)
+    return min(count, 100)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
