A refused long prompt asks more workers before it is given up

It now waits briefly at the one with least to read, asks up to five more without a wait, and then waits out its bound at the first.

--- a/swiftdeck/gateway/passage.py
+++ b/swiftdeck/gateway/passage.py
@@ -12,7 +12,7 @@
 
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)\r?\n")
 EVENT_END = re.compile(rb"\r?\n\r?\n")
-MARGIN_S = 0.015
+MARGIN_S, WAIT_SHARE, ASKED_MOST = 0.015, 0.2, 6
 
 
 class Passage:
@@ -83,9 +83,8 @@
         if not self.is_long:
             roomy = [each for each in order if each.running < each.listed.slots] or order[:1]
             return roomy[0]
-        end_s = self.start_s + 0.2 * self.aim_s
-        for at, worker in enumerate(order[:3]):
-            wait_s = max(0.0, (end_s - self.loop.time()) / (min(3, len(order)) - at))
+        for worker, wait_share in [(order[0], 0.3), *((each, 0.0) for each in order[1:ASKED_MOST]), (order[0], 1.0)]:
+            wait_s = max(0.0, (self.start_s + WAIT_SHARE * self.aim_s - self.loop.time()) * wait_share)
             wish = Wish(request.name, f"{self.tenant}/{request.parts[-1].name if request.parts else request.name}",
                         self.tenant, worker.name, request.prompt_tokens, self.ledger.deadline_s,
                         sum(gateway.placing.missing(request, worker, salts[worker.name])))
