Cases of lost and failing disks of cores on the platform's site

A core loses its disk right after it has acknowledged, alone or while the others lose power; the head's disk is full or fails. The next change is acknowledged within 4 s and what was acknowledged is in force.

--- a/tests/gateway/cases/operator.py
+++ b/tests/gateway/cases/operator.py
@@ -127,6 +127,38 @@
         self.assertEqual(town.ask("none", start="/new/")["status"], 404)
         self.assertKept(town, 0.95)
 
+    def change(self, town, version):
+        """Add a route, and give the seconds until it is acknowledged."""
+        begun_s = town.world.now
+        put = {"routes": [route(f"r-{version}", f"/v{version}/", "app")]}
+        self.assertEqual(town.operate(lambda: town.operator.patch(version, put=put)), 200)
+        return town.world.now - begun_s
+
+    def test_a_core_loses_its_disk_right_after_it_has_acknowledged(self):
+        for position, all_lose_power in ((0, False), (2, True)):
+            town = self.town(14 + position, rate=4)
+            self.change(town, 5)
+            lost = next(name for name in town.cores() if town.up[name].agreement.position() == position)
+            for name in town.cores() if all_lose_power else [lost]:
+                town.kill(name, back_s=0.8)
+                (town.folders[name].wipe if name == lost else town.folders[name].losePower)()
+            town.world.run(1)
+            self.assertLess(self.change(town, 7), 4)
+            town.world.run(2.1)
+            self.assertEqual([town.ask("none", start=f"/v{version}/")["status"] for version in (5, 7)], [200, 200])
+            self.assertKept(town)
+
+    def test_the_heads_disk_is_full_or_fails(self):
+        for field in ("full", "failing"):
+            town = self.town(17, rate=4)
+            disk = town.folders[town.head()]
+            setattr(disk, field, True)
+            self.assertLess(self.change(town, 5), 4)
+            setattr(disk, field, False)
+            town.world.run(3)
+            self.assertLess(self.change(town, 7), 4)
+            self.assertKept(town)
+
     def test_a_key_that_is_taken_away_is_refused_everywhere_and_its_tenant_goes_on_with_another(self):
         def day():
             town = self.town(12, rate=4)
