Each route is asked all along after a closing fault, so that its service is judged

Cause: the storm's own. Its three agents with checks asked at 0.01, 0.5 and 1.3 s, while every router was down, were refused, and all drew the pause of 12 s before they came back; nobody asked for a check until 12.007 s, and that one was served 0.13 s later. The rule judged a route that nobody asked.

Now the storm itself asks each route once a second for 12 s, after all is mended and after the closing fault, each time at any door and as any tenant. The rule stays as it is and now always has something to judge.

Ruled out: pardoning a route that nobody asked (a storm with few agents would then judge nothing).

--- a/swiftdeck/sim/storm.py
+++ b/swiftdeck/sim/storm.py
@@ -67,8 +67,10 @@
                 self.read()
         self.mendAll()
         town.record("operator")("closing")
+        self.ask_steadily()
         world.run(14)
         self.closing()
+        self.ask_steadily()
         world.run(16)
         self.read()
         town.caller.stopping = True
@@ -140,6 +142,17 @@
                 town.world.freeze(name)
         town.record("operator")("closing")
 
+    def ask_steadily(self, seconds=12):
+        """Ask each route once a second, for agents that met an outage may all be waiting it out."""
+        town = self.town
+
+        def ask(route, tenant):
+            town.spawn(lambda: town.caller.call(tenant, route, [town.caller.book[route], "again"], maxTokens=16, isLast=True,
+                                                timeoutS=10))
+        for at in range(seconds):
+            for route in sorted(town.caller.book):
+                town.world.at(at, lambda route=route: ask(route, self._pick(town.site.keys)))
+
     def strike(self):
         """Bring one fault of the scenario about."""
         name = self.random.choice(SCENARIOS[self.scenario])
