Thirteen faults of the gateway and the adapter, each brought about, then mended

Beside them: the budget is drawn on only when a worker was found.

Ruled out as the mend for the store: telling all routers at each start of a follower; what is down now lapses unless it is said again.

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -453,7 +453,7 @@
         self.holders = {name: each for name, each in self.holders.items() if each.untilS > nowS}
         if held >= stored.version:
             self._wakeCommitters()
-        told = LicenceReturn(licenceMs=self.licenceMs, version=stored.version, view=self.agreement.decided.number)
+        told = LicenceReturn(licenceMs=self.licenceMs, routers=len(self.holders), version=stored.version, view=self.agreement.decided.number)
         digest = self.state.config.digest()
         if ask.held < stored.version or ask.digest != digest:
             told.deltas = (self.state.since(ask.held, ask.digest) if ask.digest else None) or []
--- a/swiftdeck/chain/state.py
+++ b/swiftdeck/chain/state.py
@@ -109,7 +109,11 @@
         """The table of the edition after a change: whole where it is replaced, else what is told of it merged in."""
         told, held = change["document"].get("edition", {}).get(EDITION), self.config.raws.get("edition", {}).get(EDITION, {})
         isWhole = told is not None and change["op"] == "replace"
-        return {EDITION: (told if isWhole else merge(held, told or {})) | {"number": change["edition"]}}
+        tenants = self.config.document.tenants
+        is_walled = any(entry and entry.get("apart") and name in tenants and not tenants[name].apart
+                        for name, entry in change["document"].get("tenants", {}).items())
+        walls = held.get("walls", 0) + is_walled
+        return {EDITION: (told if isWhole else merge(held, told or {})) | {"number": change["edition"]} | ({"walls": walls} if walls else {})}
 
     def _raised(self, model, weights):
         held = self.config.raws.get("models", {}).get(model)
--- a/swiftdeck/config/document.py
+++ b/swiftdeck/config/document.py
@@ -102,10 +102,14 @@
 
 
 class Edition(msgspec.Struct, forbid_unknown_fields=True, rename="camel"):
-    """The operator's own number of the configuration, and whether callers need a tenant's key."""
+    """The operator's own number of the configuration, whether callers need a tenant's key, and how often tenants were set apart.
+
+    What a tenant made before it was set apart lies among what all share; `walls` goes up with it and names other prefixes for all.
+    """
 
     number: Amount
     keyed: bool = True
+    walls: Amount = 0
     told: dict = {}
 
 
--- a/swiftdeck/gateway/admission.py
+++ b/swiftdeck/gateway/admission.py
@@ -1,7 +1,6 @@
 """Asks the owner of a worker's book for a place; where the owner can't be heard, a share of K is used without it."""
 import asyncio
 
-from swiftdeck.fault import isFault
 from swiftdeck.gateway.places import FILL, Owners, PlaceBooks, Wish
 from swiftdeck.wire.messages import LoadNews, PlaceAsk, PlaceEnd, PlaceReturn
 
@@ -44,13 +43,22 @@
             ask = PlaceAsk(router=self.me.name, call=wish.call, episode=wish.episode, tenant=wish.tenant, worker=wish.worker,
                            tokens=wish.tokens, wait_ms=wait_ms, left_ms=max(1, int((wish.deadline_s - self.loop.time()) * 1000)),
                            salt=salt, shared=shared, sizes=sizes, missing=wish.missing)
-            got = await self.mesh.ask(owner, ask, wait_ms + PATIENCE_MS)
-            granted = got.granted if isinstance(got, PlaceReturn) else self._unasked(wish, got)
+            granted = await self._ask_owner(owner, ask, wish, wait_ms)
         if granted:
             self.asked[wish.call] = owner
         return granted
 
-    def _unasked(self, wish, fault):
+    async def _ask_owner(self, owner, ask, wish, wait_ms):
+        """What the owner says; a grant that nobody waits for any more is given back."""
+        got = None
+        try:
+            got = await self.mesh.ask(owner, ask, wait_ms + PATIENCE_MS)
+        finally:
+            if not isinstance(got, PlaceReturn):
+                self.mesh.tell(owner, PlaceEnd(call=wish.call))
+        return got.granted if isinstance(got, PlaceReturn) else self._unasked(wish)
+
+    def _unasked(self, wish):
         """The owner is silent: this router's share of K stands until another one owns the book."""
         self.board.count["placesUnasked"] += 1
         worker = self.roster.workers.get(wish.worker)
--- a/swiftdeck/gateway/following.py
+++ b/swiftdeck/gateway/following.py
@@ -4,7 +4,7 @@
 from swiftdeck.fault import isFault
 from swiftdeck.wire.messages import KeptNews
 
-WAIT_MS, EXPECTED_S, REST_S, LEAST_TOKENS, KNOWN_MOST = 1000, 2.0, 0.2, 1024, 20000
+WAIT_MS, EXPECTED_S, DOWN_S, REST_S, LEAST_TOKENS, KNOWN_MOST = 1000, 2.0, 4.0, 0.2, 1024, 20000
 
 
 class Following:
@@ -40,7 +40,6 @@
             for name, addr in wanted.items():
                 if name not in self.tasks:
                     self.tasks[name] = asyncio.ensure_future(self._follow(name, addr))
-            self.kept.down &= {*self.admission.roster.workers, *self.stores}
             for holder in [each for each in self.kept.by_holder
                            if each not in self.admission.roster.workers and each not in self.stores]:
                 self.kept.forget(holder)
@@ -63,7 +62,7 @@
                 self._tell(name, [], True, True)
                 await asyncio.sleep(0.5)
                 continue
-            if name in self.kept.down:
+            if self.kept.is_down(name, asyncio.get_running_loop().time()):
                 since, epoch = 0, None
                 self._tell(name, [], True)
                 continue
@@ -98,7 +97,10 @@
             return
         if news.forget:
             self.kept.forget(news.holder)
-            (self.kept.down.add if news.is_down else self.kept.down.discard)(news.holder)
+        if news.is_down:
+            self.kept.down[news.holder] = asyncio.get_running_loop().time() + DOWN_S
+        else:
+            self.kept.down.pop(news.holder, None)
         for salt, part, tokens in zip(news.salts, news.parts, news.tokens):
             if tokens:
                 self.kept.keep(news.holder, salt, part, tokens)
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -45,7 +45,8 @@
         self.pool = Pool(self.board, settings.connectMs)
         self.pool.most = self.connections_most
         self.listing = Listing(self.me, self.mesh, self.membership, lists, self.roster, self.board, settings.listMs)
-        self.budget = BudgetShare(self.admission.routers, settings.budgetShare, settings.budgetExtra, settings.budgetWindowMs / 1000)
+        self.budget = BudgetShare(self.admission.routers, settings.budgetShare, settings.budgetExtra, settings.budgetWindowMs / 1000,
+                                  lambda: self.licence.routers)
         self.http = HttpServer(self.handle, settings.bodyBytes, note=self.board.note)
         self.routes, self.named_s, self.tenants = None, {}, {}
         self.stopping, self.open, self.unsettled_s = False, 0, -1e9
@@ -150,8 +151,9 @@
 
     def salt(self, model: str, worker, tenant: str) -> str:
         """What prefixes are kept under: the weights, and the tenant that is kept apart."""
-        entry = self.document.tenants.get(tenant)
-        return f"{self.version(model, worker)}{'/' + tenant if entry and entry.apart else ''}"
+        entry, edition = self.document.tenants.get(tenant), self.document.edition.get(OPERATOR)
+        shared = f".{edition.walls}" if edition and edition.walls else ""
+        return f"{self.version(model, worker)}{'/' + tenant if entry and entry.apart else shared}"
 
     def store(self, service: str) -> str:
         """The address of a store of prefixes, if there is one."""
--- a/swiftdeck/gateway/kept.py
+++ b/swiftdeck/gateway/kept.py
@@ -8,7 +8,11 @@
     """
 
     def __init__(self):
-        self.parts, self.by_holder, self.expected, self.down = {}, {}, {}, set()
+        self.parts, self.by_holder, self.expected, self.down = {}, {}, {}, {}
+
+    def is_down(self, holder: str, now_s: float) -> bool:
+        """Whether a holder's follower lately said that it can't be heard; a follower that is gone itself says nothing."""
+        return self.down.get(holder, now_s) > now_s
 
     def expect(self, holder: str, salt: str, part: str, until_s: float):
         """A holder will keep a part soon."""
@@ -16,6 +20,7 @@
 
     def lapse(self, now_s: float):
         """Forget expectations that were not met in time."""
+        self.down = {holder: until_s for holder, until_s in self.down.items() if until_s > now_s}
         for key, held in list(self.expected.items()):
             self.expected[key] = {holder: until_s for holder, until_s in held.items() if until_s > now_s}
             if not self.expected[key]:
--- a/swiftdeck/gateway/ledger.py
+++ b/swiftdeck/gateway/ledger.py
@@ -68,7 +68,7 @@
     if last.fault is None and not last.was_sent:
         return Move.SEND, None
     if ledger.has_begun and not ledger.resumable:
-        return Move.BREAK, last.fault or STREAM_BROKEN
+        return Move.BREAK, ledger.verdict(STREAM_BROKEN if last.fault is None else last.fault)
     is_spent = len(ledger.sent()) >= ledger.tries or len(ledger.attempts) >= ledger.tries + 3
     if not ledger.repeatable and any(each.may_have_run() for each in ledger.attempts) or is_spent:
         return (Move.BREAK if ledger.has_begun else Move.GIVE_UP), ledger.verdict(last.fault)
--- a/swiftdeck/gateway/passage.py
+++ b/swiftdeck/gateway/passage.py
@@ -4,11 +4,11 @@
 
 import h11
 
-from swiftdeck.fault import (BAD_RETURN, BUDGET_SPENT, DEADLINE_PASSED, NO_ROOM, NO_WORKER, OTHER_WEIGHTS, STREAM_BROKEN,
+from swiftdeck.fault import (BAD_RETURN, BUDGET_SPENT, DEADLINE_PASSED, NO_ROOM, NO_WORKER, STREAM_BROKEN,
                              UNREACHED, WORKER_BAD, WORKER_FULL, WORKER_HANGS, WORKER_LOST, isFault)
 from swiftdeck.gateway.ledger import Attempt, Ledger, Move, next_move
 from swiftdeck.gateway.places import Wish
-from swiftdeck.gateway.seams import Errand, Verdict
+from swiftdeck.gateway.seams import PROMISES, Errand, Verdict
 
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)\r?\n")
 EVENT_END = re.compile(rb"\r?\n\r?\n")
@@ -63,13 +63,12 @@
         gateway, ledger = self.gateway, self.ledger
         attempt = Attempt(len(ledger.attempts) + 1)
         sent = ledger.sent()
-        if sent and not gateway.budget.draw(self.service):
-            gateway.board.count["budgetRefusals"] += 1
-            attempt.fault = BUDGET_SPENT
-            ledger.attempts.append(attempt)
-            return
         ledger.attempts.append(attempt)
-        attempt.worker = await self._admitted(attempt)
+        worker = await self._admitted(attempt)
+        if worker is not None and sent and not gateway.budget.draw(self.service):
+            gateway.board.count["budgetRefusals"] += 1
+            attempt.fault, worker = BUDGET_SPENT, None
+        attempt.worker = worker
 
     async def _admitted(self, attempt):
         gateway, request = self.gateway, self.request
@@ -192,6 +191,7 @@
 
     async def _take(self, attempt, worker, head, sent_s):
         gateway, (status, headers) = self.gateway, head
+        self.link.hear(headers)
         speak = gateway.workers_speak
         version = speak.version(headers)
         if version:
@@ -202,14 +202,16 @@
             if self.verdict is Verdict.ELSEWHERE and speak.worker(headers) not in ("", worker.name):
                 gateway.roster.drop(worker.name)
             await self._drain()
-            return (OTHER_WEIGHTS if self.verdict is Verdict.ELSEWHERE else WORKER_FULL).because(f"status {status}")
+            return WORKER_FULL.because(f"status {status}")
         if self.verdict is Verdict.BAD:
             gateway.judge.failed(worker)
             return WORKER_BAD.because(f"status {status} without a seal")
         if self.verdict is Verdict.FAILURE:
             gateway.judge.failed(worker, False)
-            if self.ledger.repeatable and len(self.ledger.sent()) < self.ledger.tries or self.ledger.has_begun:
+            if self.ledger.repeatable and len(self.ledger.sent()) < self.ledger.tries or self.ledger.has_begun or status in PROMISES:
                 return WORKER_LOST.because(f"status {status}")
+        if self.ledger.has_begun and not 200 <= status < 300:
+            return WORKER_LOST.because(f"status {status} where a stream was to be taken up")
         return await self._relay(attempt, worker, status, headers, sent_s)
 
     async def _drain(self):
@@ -218,9 +220,7 @@
             async with asyncio.timeout(0.05):
                 while not isFault(event := await self.link.event()):
                     if isinstance(event, h11.EndOfMessage):
-                        self.gateway.pool.give(self.link)
-                        self.link = None
-                        return
+                        return self._give_back()
         except TimeoutError:
             pass
 
@@ -254,9 +254,12 @@
             await self._piece(bytes(event.data), is_stream, worker)
         attempt.is_whole = True
         self.gateway.seen(self.request, worker, self.salt, self.is_long and 200 <= status < 300)
+        self._give_back()
+        return None
+
+    def _give_back(self):
         self.gateway.pool.give(self.link)
         self.link = None
-        return None
 
     async def _piece(self, data, is_stream, worker):
         if not is_stream:
--- a/swiftdeck/gateway/places.py
+++ b/swiftdeck/gateway/places.py
@@ -8,7 +8,7 @@
 from swiftdeck.traffic.ring import Ring
 
 FILL = 0.85
-GRACE_S = 0.5
+GRACE_S, LEFT_S = 0.5, 2.0
 
 
 @attrs.frozen
@@ -34,7 +34,7 @@
     def __init__(self, board, decisions, memory_of, pause_ms=400, line_most=64):
         self.board, self.decisions, self.memory_of = board, decisions, memory_of
         self.pause_ms, self.line_most = pause_ms, line_most
-        self.books, self.tokens, self.calls = {}, {}, {}
+        self.books, self.tokens, self.calls, self.waiting, self.left = {}, {}, {}, {}, {}
         self.on_load = lambda worker, backlog, running: None
 
     def _now(self):
@@ -54,6 +54,8 @@
 
     async def ask(self, wish: Wish, wait_ms: int):
         """Whether the call may go to the worker: at once, after a wait in line, or not within it."""
+        if self.left.pop(wish.call, None) is not None:
+            return False
         book = self.of(wish.worker)
         self._reclaim(book)
         held = book.open.get(wish.episode)
@@ -71,11 +73,13 @@
     async def _wait(self, book, wish, wait_ms):
         waiting = Waiting(wish.tenant, wish, asyncio.get_running_loop().create_future(), self._now())
         book.line.add(waiting)
+        self.waiting[wish.call] = waiting
         self.board.count["waits"] += 1
         try:
             await asyncio.wait([waiting.done], timeout=wait_ms / 1000)
         finally:
-            if not waiting.done.done():
+            self.waiting.pop(wish.call, None)
+            if not waiting.done.done() or waiting.done.cancelled():
                 book.line.remove(waiting)
                 waiting.done.cancel()
         self.board.count["waitedOut"] += waiting.done.cancelled()
@@ -98,7 +102,17 @@
         self.on_load(book.worker, sum(missing for missing, _ in mine), len(mine))
 
     def ended(self, call: str, is_kept: bool = True):
-        """A call is over; its episode stays open for a short pause, as its next call may come."""
+        """A call is over; its episode stays open for a short pause, as its next call may come.
+
+        One that is not here yet has been left before its question came, or waits in a line that it now leaves.
+        """
+        if call not in self.calls:
+            waiting = self.waiting.get(call)
+            if waiting is not None:
+                waiting.done.cancel()
+            else:
+                self.left[call] = self._now() + LEFT_S
+            return
         worker, name, _, _ = self.calls.pop(call, ("", "", 0, 0.0))
         book = self.books.get(worker)
         episode = book.open.get(name) if book else None
@@ -136,6 +150,7 @@
 
     def tick(self, names):
         """Give back what lapsed, and forget workers that are gone or owned elsewhere and have nothing open."""
+        self.left = {call: until_s for call, until_s in self.left.items() if until_s > self._now()}
         for worker, book in list(self.books.items()):
             self.pump(book)
             if worker not in names and not book.open and not len(book.line):
--- a/swiftdeck/gateway/placing.py
+++ b/swiftdeck/gateway/placing.py
@@ -4,7 +4,7 @@
 
 from swiftdeck.traffic.ring import Ring
 
-LANE_SHARE = 4
+LANE_SHARE, REMEMBERED = 4, 16
 OTHER_LANE, OTHER_LANE_TOKENS = 1.5, 6000
 AGAIN, MOVED, PLACE_TOKENS = 1.5, 1.0, 1500
 
@@ -15,7 +15,7 @@
     def __init__(self, zone, judge, kept, random, long_tokens=2048, virtual_places=64):
         self.zone, self.judge, self.kept, self.random = zone, judge, kept, random
         self.long_tokens, self.virtual_places = long_tokens, virtual_places
-        self.rings, self.lanes, self.tokens_per_ms = {}, ((), frozenset()), 40.0
+        self.rings, self.lanes, self.tokens_per_ms = {}, {}, 40.0
 
     def short_lane(self, workers):
         """Names of the workers that short calls go to first, so that none waits behind the reading of a long prompt.
@@ -23,10 +23,16 @@
         A part of the workers, the same at each router, chosen by their names alone.
         """
         names = tuple(sorted(each.name for each in workers))
-        if names != self.lanes[0]:
+        if names not in self.lanes:
             ranked = sorted(names, key=lambda name: hashlib.blake2b(name.encode(), digest_size=8).digest())
-            self.lanes = (names, frozenset(ranked[:-(-len(names) // LANE_SHARE)] if len(names) > 2 else names))
-        return self.lanes[1]
+            self._remember(self.lanes, names, frozenset(ranked[:-(-len(names) // LANE_SHARE)] if len(names) > 2 else names))
+        return self.lanes[names]
+
+    @staticmethod
+    def _remember(table, key, value):
+        while len(table) >= REMEMBERED:
+            del table[next(iter(table))]
+        table[key] = value
 
     def is_long(self, request) -> bool:
         """Whether a call keeps so much that it needs a place in a worker's book."""
@@ -35,7 +41,7 @@
     def _ring(self, names):
         key = tuple(names)
         if key not in self.rings:
-            self.rings = {key: Ring(names, self.virtual_places)}
+            self._remember(self.rings, key, Ring(names, self.virtual_places))
         return self.rings[key]
 
     def load(self, worker):
@@ -98,7 +104,7 @@
     def target(self, request, salt, store):
         """The store, where it isn't known to keep the shared parts yet."""
         shared = request.shared()
-        if not store or store in self.kept.down or not shared or not self.is_long(request):
+        if not store or self.kept.is_down(store, asyncio.get_running_loop().time()) or not shared or not self.is_long(request):
             return ""
         is_there = self.kept.tokens(store, salt, shared) >= 0.9 * sum(part.tokens for part in shared)
         return "" if is_there else store
--- a/swiftdeck/gateway/pool.py
+++ b/swiftdeck/gateway/pool.py
@@ -1,5 +1,6 @@
 """Kept connections to workers, within what each worker accepts over all routers."""
 import asyncio
+import re
 
 import h11
 
@@ -7,6 +8,7 @@
 from swiftdeck.http.client import HttpLink
 
 KEEP_S, SPARE_S = 20.0, 1.0
+KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)", re.I)
 
 
 class WorkerConnection(HttpLink):
@@ -28,6 +30,12 @@
         super().connection_lost(error)
         self.pool.lost(self)
 
+    def hear(self, headers):
+        """How long the worker keeps an idle connection, where it says so."""
+        told = next((value for name, value in headers if name.lower() == b"keep-alive"), b"")
+        found = KEEP_ALIVE.search(told)
+        self.keep_s = min(KEEP_S, float(found.group(1))) if found else KEEP_S
+
     def send_request(self, method, target, headers, body):
         """Write one request; a fault when nothing was written."""
         if self.gone or self.transport.is_closing():
@@ -118,7 +126,7 @@
         if kept and link in kept:
             kept.remove(link)
 
-    def give(self, link, head=None):
+    def give(self, link):
         """Give a connection back; it is kept only if nothing on it is in doubt."""
         if not link.is_clean():
             return link.close()
--- a/swiftdeck/gateway/roster.py
+++ b/swiftdeck/gateway/roster.py
@@ -43,6 +43,7 @@
     def take(self, listing):
         """Follow a whole reading of the list."""
         old, self.workers = self.workers, {}
+        before = [(each.name, each.listed.draining) for each in old.values()]
         for listed in listing:
             worker = old.get(listed.name) or Worker(listed, dict(listed.weights))
             worker.listed = listed
@@ -51,8 +52,7 @@
         self.by_service = {}
         for worker in self.workers.values():
             self.by_service.setdefault(worker.listed.service, []).append(worker)
-        if [(each.name, each.listed.draining) for each in old.values()] != \
-                [(each.name, each.listed.draining) for each in self.workers.values()]:
+        if before != [(each.name, each.listed.draining) for each in self.workers.values()]:
             for watch in self.watchers:
                 watch()
 
--- a/swiftdeck/gateway/seams.py
+++ b/swiftdeck/gateway/seams.py
@@ -51,6 +51,9 @@
     last_event: str = ""
 
 
+PROMISES = (408, 421, 429, 503)
+
+
 class Verdict(enum.Enum):
     """What the head of a worker's answer says."""
 
--- a/swiftdeck/gateway/share.py
+++ b/swiftdeck/gateway/share.py
@@ -7,10 +7,14 @@
 
 
 class BudgetShare:
-    """A part of its own calls, and of the allowance what falls on one of as many routers as were ever known at once."""
+    """A part of its own calls, and of the allowance what falls on one of as many routers as were ever known at once.
 
-    def __init__(self, routers, ratio, extra, window_s):
-        self.routers, self.ratio, self.extra, self.window_s = routers, ratio, extra, window_s
+    Known are those that this router hears of and those that hold a lease of the cores, so that routers which are cut off from each
+    other, but not from the cores, don't each take the whole.
+    """
+
+    def __init__(self, routers, ratio, extra, window_s, at_least=lambda: 1):
+        self.routers, self.ratio, self.extra, self.window_s, self.at_least = routers, ratio, extra, window_s, at_least
         self.most, self.budgets = 1, {}
 
     def _of(self, service):
@@ -19,7 +23,7 @@
         return self.budgets[service]
 
     def _allowance(self):
-        self.most = max(self.most, len(self.routers()))
+        self.most = max(self.most, len(self.routers()), self.at_least())
         return int(self.extra * SAFE) // self.most
 
     def call(self, service: str):
--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -7,7 +7,7 @@
 from swiftdeck.gateway.roster import Roster
 from swiftdeck.wire.messages import SwapNews
 
-TAKEN, HOLDS, NOT_NOW, OLD_FENCE = 202, 200, 409, 412
+TAKEN, HOLDS, OLD_FENCE = 202, 200, 412
 RESTART_S = 1.4
 STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 200, 4.0, 0.15
 
@@ -44,7 +44,7 @@
 
     def __init__(self, core, orders):
         self.core, self.orders = core, orders
-        self.busy, self.held_in, self.since_s = {}, 0, None
+        self.busy, self.held_in, self.since_s, self.tried_s = {}, 0, None, {}
 
     def start(self):
         """Go on comparing what workers have with what is named."""
@@ -82,8 +82,11 @@
     def _order_some(self, model, version):
         behind = [each for each in self.core.roster.workers.values()
                   if not each.listed.draining and 0 < each.knows(model) < version and each.name not in self.busy]
+        behind.sort(key=lambda each: self.tried_s.get(each.name, -1e9))
+        self.tried_s = {name: at for name, at in self.tried_s.items() if name in self.core.roster.workers}
         free = self._at_once(model) - sum(1 for each in self.busy.values() if each[0] == model)
         for worker in behind[:max(0, free)]:
+            self.tried_s[worker.name] = self.loop.time()
             self.busy[worker.name] = (model, asyncio.ensure_future(self._swap(worker, model, version)))
 
     def _tell(self, worker, model, version, for_ms):
@@ -103,12 +106,13 @@
             count["ordersSent"] += 1
             if isFault(got):
                 count["ordersUnanswered"] += 1
-            elif got == OLD_FENCE:
+                return
+            if got == OLD_FENCE:
                 count["ordersFenced"] += 1
                 return await asyncio.sleep(1.0)
-            elif got not in (TAKEN, HOLDS, NOT_NOW):
+            if got not in (TAKEN, HOLDS):
                 count[f"ordersRefused.{got}"] += 1
-                return await asyncio.sleep(0.5)
+                return
             await self._await_version(worker, model, version, got == HOLDS)
         finally:
             self.busy.pop(worker.name, None)
--- a/swiftdeck/platform/settings.py
+++ b/swiftdeck/platform/settings.py
@@ -81,7 +81,7 @@
     try:
         file = msgspec.convert(tomllib.loads(Path(path).read_text()), File, strict=False)
         return _place(role, file)
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.ValidationError, ValueError, IndexError) as error:
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.ValidationError, ValueError, OverflowError, IndexError) as error:
         return BAD_SETTING.because(f"{path or PATH_VARIABLE}: {error}")
 
 
--- a/swiftdeck/platform/speech.py
+++ b/swiftdeck/platform/speech.py
@@ -2,7 +2,7 @@
 import msgspec
 
 from swiftdeck.fault import BAD_REQUEST
-from swiftdeck.gateway.seams import Errand, Part, Request, Verdict
+from swiftdeck.gateway.seams import PROMISES, Errand, Part, Request, Verdict
 
 ID, SEAL, TIME_LEFT = b"swiftdeck-request-id", b"swiftdeck-server-seal", b"swiftdeck-time-left-ms"
 MODEL, TOKENS, PREFIX = b"swiftdeck-model", b"swiftdeck-token-count", b"swiftdeck-prompt-prefix"
@@ -31,6 +31,12 @@
     return value if 0 <= value < FOREVER_MS else otherwise
 
 
+def _named(headers):
+    """Headers that a Connection header names as its own."""
+    told = [value for name, value in headers if name.lower() == b"connection"]
+    return {each.strip().lower() for value in told for each in value.split(b",")} - {ID, SEAL, b"content-length"}
+
+
 def parts_of(text: str) -> list[Part]:
     """ID:TOKENS split by commas; what can't be read is left out."""
     pairs = (each.strip().rpartition(":") for each in text.split(",") if each.strip())
@@ -69,7 +75,8 @@
 
     def head(self, request: Request, errand: Errand) -> list:
         """Headers of an attempt: the client's own, less what concerns its connection, and the errand."""
-        headers = [(name, value) for name, value in request.headers if name.lower() not in KEPT_BACK]
+        kept_back = KEPT_BACK | _named(request.headers)
+        headers = [(name, value) for name, value in request.headers if name.lower() not in kept_back]
         headers += [(TIME_LEFT, b"%d" % errand.time_left_ms), (EXPECTED_WORKER, errand.worker.encode()),
                     (URGENCY, b"%d" % errand.urgency)]
         more = ((TENANT, errand.tenant), (EXPECTED_VERSION, errand.version), (SALT, errand.salt), (SOURCE, errand.source),
@@ -89,12 +96,13 @@
         if NOT_RUN in found:
             return Verdict.NOT_RUN
         if 200 <= status < 300:
-            return Verdict.ANSWER if SEAL in found and ID in found else Verdict.BAD
-        return Verdict.FAILURE if status >= 500 else Verdict.ANSWER if ID in found else Verdict.BAD
+            return Verdict.ANSWER if found.get(SEAL) and ID in found else Verdict.BAD
+        return Verdict.FAILURE if status >= 500 or status in PROMISES else Verdict.ANSWER if ID in found else Verdict.BAD
 
     def passed_on(self, headers: list) -> list:
         """Headers of an answer for the client."""
-        kept = [(name, value) for name, value in headers if name.lower() not in PER_CONNECTION]
+        kept_back = PER_CONNECTION | _named(headers)
+        kept = [(name, value) for name, value in headers if name.lower() not in kept_back]
         has_length = any(name.lower() == b"content-length" for name, _ in kept)
         return kept if has_length else [*kept, (b"Transfer-Encoding", b"chunked")]
 
--- a/swiftdeck/traffic/licence.py
+++ b/swiftdeck/traffic/licence.py
@@ -32,7 +32,7 @@
         self.router = f"{me.name}/{me.incarnation:x}"
         self.held, self.untilS, self.watchers = None, -1.0, []
         self.waiting, self.stopping, self.mustHaveWhole = [], False, False
-        self.failures, self.peeks = 0, False
+        self.failures, self.peeks, self.routers = 0, False, 0
         mesh.on(Nudge, self.onNudge)
         mesh.on(Relay, self.onRelay)
 
@@ -76,7 +76,7 @@
             if self.peeks and self.held is None:
                 await self._peek()
             return False
-        self.failures = 0
+        self.failures, self.routers = 0, got.routers
         return self._take(got, sentS)
 
     async def _peek(self):
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -260,6 +260,7 @@
     view: int = bp.uint64_field(4)
     deltas: list[bytes] = bp.bytes_field(5)
     digest: bytes = bp.bytes_field(6)
+    routers: int = bp.uint32_field(7)
 
 
 @message
--- /dev/null
+++ b/tests/gateway/test_mended.py
@@ -0,0 +1,162 @@
+"""Faults of the gateway and the adapter that were found by reading and brought about: each of these failed once."""
+import asyncio
+from unittest import mock
+
+import h11
+
+from swiftdeck.bench.outer.worker import PlatformWorker
+from swiftdeck.fault import WORKER_LOST
+from swiftdeck.gateway.ledger import Move, next_move
+from swiftdeck.gateway.places import PlaceBooks, Wish
+from swiftdeck.gateway.roster import Roster
+from swiftdeck.gateway.share import BudgetShare
+from swiftdeck.platform.speech import Callers, Workers
+from tests.gateway.case import SiteCase
+from tests.gateway.parts import SimCase, listed
+from tests.gateway.test_ledger import LOST, ledger
+from tests.gateway.test_pool import ANSWER, PoolTest
+from tests.gateway.town import MODEL, STORE, PlatformTown
+from tests.platform.test_speech import ERRAND, SENT, exchange
+
+
+class SwapsTest(SiteCase):
+    def loaded(self, do):
+        town = self.town(3)
+        do(town)
+        begun_s = town.world.now
+        town.operate(lambda: town.operator.name(MODEL, 2))
+        town.world.run(12)
+        return {item["worker"]: round(item["atMs"] / 1000 - begun_s, 2) for item in town.records if item["kind"] == "loaded"}
+
+    def test_a_dead_worker_on_the_list_does_not_hold_up_new_weights(self):
+        loaded = self.loaded(lambda town: (town.world.kill("lm1"), town.world.at(4, lambda: town.forget("lm1"))))
+        self.assertEqual(len(loaded), 3, loaded)
+        self.assertLess(max(loaded.values()), 5.5)
+
+    def test_a_busy_worker_does_not_block_new_weights(self):
+        loaded = self.loaded(lambda town: setattr(town.up["lm1"], "busy", "other"))
+        self.assertEqual(len(loaded), 3, loaded)
+
+
+class LedgerTest(SimCase):
+    def test_a_break_keeps_its_cause(self):
+        self.assertEqual(next_move(ledger(LOST, has_begun=True), 1.0), (Move.BREAK, WORKER_LOST))
+
+
+class RosterTest(SimCase):
+    def test_watchers_are_told_that_a_worker_drains(self):
+        made, heard = Roster(), []
+        made.take([listed("w1")])
+        made.watchers.append(lambda: heard.append(1))
+        made.take([listed("w1", draining=True)])
+        self.assertEqual(heard, [1])
+
+
+class PlacesTest(SimCase):
+    def test_a_place_asked_for_by_one_who_left_is_not_taken(self):
+        def wish(name):
+            return Wish(name, f"e-{name}", "t", "w1", 17000, self.world.now + 1e6)
+
+        async def go():
+            books = PlaceBooks(mock.Mock(count=mock.MagicMock()), None, lambda worker: 20000)
+            books.ended("c1")
+            left = await books.ask(wish("c1"), 0)
+            first = await books.ask(wish("c2"), 0)
+            waits = asyncio.ensure_future(books.ask(wish("c3"), 1000))
+            await asyncio.sleep(0.01)
+            books.ended("c3")
+            return left, first, await waits, len(books.of("w1").line), len(books.of("w1").open)
+        self.assertEqual(self.do(go), (False, True, False, 0, 1))
+
+
+class PoolKeepTest(PoolTest):
+    def test_the_time_that_a_worker_keeps_idle_connections_is_heeded(self):
+        link = self.take()
+        self.script.append((ANSWER % b"r1").replace(b"request", b"Keep-Alive: timeout=2\r\nrequest"))
+        self.ask(link, "r1")
+
+        async def read():
+            head = event = await link.event()
+            while not isinstance(event, h11.EndOfMessage):
+                event = await link.event()
+            return head
+        head = self.do(read)
+        link.hear(list(head.headers.raw_items()))
+        self.within(lambda: self.pool.give(link))
+        self.world.run(1.95)
+        self.assertIsNot(self.take(), link)
+
+
+class HeadersTest(SimCase):
+    def test_headers_that_connection_names_concern_one_connection(self):
+        sent = [*SENT, (b"Connection", b"keep-alive, X-Hop"), (b"X-Hop", b"1")]
+        names = [name.lower() for name, _ in Workers().head(Callers().read(exchange(sent)), ERRAND)]
+        self.assertNotIn(b"x-hop", names)
+        self.assertNotIn(b"x-hop", [name.lower() for name, _ in Workers().passed_on([(b"Connection", b"X-Hop"), (b"X-Hop", b"1")])])
+
+
+class AnswersTest(SiteCase):
+    def answering(self, status, more=""):
+        """Workers answer so, though they ran; `resumed` for streams that are taken up only."""
+        method = PlatformWorker._stream if more == "resumed" else PlatformWorker._answer
+
+        async def answers(worker, exchange, head, name, run, *rest):
+            if more == "resumed" and not head.get("last-event-id"):
+                return await method(worker, exchange, head, name, run, *rest)
+            worker.record("answer", id=name, run=run, seal="", status=status, body="x")
+            await exchange.whole(status, [("Swiftdeck-Request-Id", name)], b"after all")
+            return True
+        return mock.patch.object(PlatformWorker, method.__name__, answers)
+
+    def test_a_status_that_would_promise_is_not_passed_on_from_a_worker_that_ran(self):
+        with self.answering(503):
+            town = PlatformTown(3).start()
+            town.ask("r-once")
+            self.assertEqual(town.breaches(), {})
+
+    def test_a_failed_resumption_is_not_spliced_into_the_stream(self):
+        with self.answering(404, "resumed"):
+            town = self.town(3)
+            for name in ("lm1", "lm2", "lm3", "lm4"):
+                town.up[name].quirk = "cut"
+            town.world.run(6)
+            self.assertNotIn("ORDER", town.breaches())
+
+
+class SharesTest(SimCase):
+    def test_routers_that_know_each_other_by_the_cores_alone_share_the_allowance(self):
+        addrs = [f"r{at}" for at in range(3)]
+        shares = [BudgetShare(lambda addr=addr: [addr], 0.2, 30, 10.0, lambda: 3) for addr in addrs]
+        self.within(lambda: [share.call("s") for share in shares])
+        self.world.run(12.5)
+        self.assertLessEqual(self.within(lambda: sum(share.draw("s") for share in shares for _ in range(100))), 30)
+
+
+class FollowingTest(SiteCase):
+    def test_a_store_is_up_again_for_others_though_its_follower_started_anew(self):
+        town = self.town(8, rate=6.0)
+        owner = next(name for name in town.routers() if town.up[name].me.addr == town.up["router1"].admission.owner(STORE))
+        town.world.kill("store")
+        town.world.run(3)
+        town.kill(owner, back_s=0.4)
+        town.start_store()
+        town.world.run(15)
+        nodes = [town.up[name] for name in town.routers()]
+        self.assertEqual([node.kept.is_down(STORE, node.loop.time()) for node in nodes], [False] * len(nodes))
+
+
+class WallsTest(SiteCase):
+    def test_parts_of_a_tenant_from_before_it_was_set_apart_are_used_by_nobody(self):
+        town = PlatformTown(6).start()
+        town.ask("r-stream", tenant="pair7")
+        customers = [{"name": "pair7", "api-keys": ["key-p1"], "urgency": 1, "isolated": True}]
+        town.operate(lambda: town.operator.patch(5, put={"customers": customers}))
+        town.world.run(2.5)
+        town.ask("r-stream", path="2", tenant="nowu640")
+        self.assertEqual(town.breaches(), {})
+
+
+del SiteCase, SimCase
+for each in [name for name in dir(PoolTest) if name.startswith("test_")]:
+    setattr(PoolKeepTest, each, None)
+del PoolTest
