--- a/swiftdeck/programs/bench.py
+++ b/swiftdeck/programs/bench.py
@@ -1,6 +1,7 @@
 """The command line of the stand-ins and of the one-machine fleet."""
 import asyncio
 import json
+import multiprocessing
 import random
 import signal
 import traceback
@@ -16,6 +17,7 @@
 from swiftdeck.bench.growth import growth
 from swiftdeck.bench.measure import MEASURES
 from swiftdeck.bench.platform import Platform
+from swiftdeck.bench import scale as scales
 from swiftdeck.bench.record import FileRecord
 from swiftdeck.bench.store import Store
 from swiftdeck.bench.worker import Worker
@@ -180,6 +182,30 @@
                 typer.echo(json.dumps({"seed": number} | row))
 
 
+@app.command()
+def scale(what: Annotated[str, typer.Argument(help="fleet, of hollow nodes in virtual time; or parts, one by one.")] = "fleet",
+          routers: Annotated[list[int], typer.Option(help="How many routers; may be given several times.")] = [25, 50, 100, 200],
+          cores: Annotated[list[int], typer.Option(help="How many cores; may be given several times.")] = [3],
+          workersEach: Annotated[float, typer.Option(help="Workers for each router.")] = scales.WORKERS_EACH,
+          seconds: Annotated[float, typer.Option(help="Simulated time that is measured.")] = 4.0, seed: int = 1, seeds: int = 1,
+          jobs: Annotated[int, typer.Option(help="Fleets at a time, each in a process of its own.")] = 2):
+    """What each role sends, takes and uses against the number of nodes, workers and tenants."""
+    if what not in ("fleet", "parts"):
+        typer.echo("scale: fleet, parts", err=True)
+        raise typer.Exit(2)
+    if what == "parts":
+        typer.echo("\n".join(scales.table(list(scales.parts()), scales.PARTS)))
+        return
+    work = [(number, count, chain, workersEach, seconds) for count in routers for chain in cores for number in range(seed, seed + seeds)]
+    with ProcessPoolExecutor(jobs, max_tasks_per_child=1, mp_context=multiprocessing.get_context("spawn")) as pool:
+        rows = []
+        for fresh in pool.map(scales.fleet, work):
+            rows += fresh
+            for row in fresh:
+                typer.echo(json.dumps({name: row[name] for name in ("role", "routers", "cores", "sentByKind")}))
+    typer.echo("\n".join(scales.table(rows, scales.FLEET)))
+
+
 def main():
     """Entry of the program."""
     app()
