Episodes count in a worker's book by the tokens that they keep

The book now adds up the tokens of its open episodes and of the one that asks; idle ones make room at once when it is wanted.

--- a/swiftdeck/gateway/places.py
+++ b/swiftdeck/gateway/places.py
@@ -27,14 +27,15 @@
 class PlaceBooks:
     """Owner of the books; a later call of an open episode looks at no cap, and nothing admitted is taken back.
 
-    K is what the worker's memory holds of episodes as large as those that are open. A place of a router that is gone comes
+    K counts episodes by the tokens that they keep, against what the worker's memory holds; `cap` shows it in episodes as large as
+    those that came lately. A place of a router that is gone comes
     back at its call's deadline, for nobody can run it longer.
     """
 
     def __init__(self, board, decisions, memory_of, pause_ms=400, line_most=64):
         self.board, self.decisions, self.memory_of = board, decisions, memory_of
         self.pause_ms, self.line_most = pause_ms, line_most
-        self.books, self.tokens, self.calls, self.waiting, self.left = {}, {}, {}, {}, {}
+        self.books, self.tokens, self.calls, self.waiting, self.left, self.sizes = {}, {}, {}, {}, {}, {}
         self.on_load = lambda worker, backlog, running: None
 
     def _now(self):
@@ -49,8 +50,12 @@
     def _cap(self, book, tokens):
         mean = self.tokens[book.worker]
         self.tokens[book.worker] = mean = mean + 0.1 * (tokens - mean) if mean else float(tokens)
-        book.cap = max(1, int(self.memory_of(book.worker) * FILL / max(1.0, mean, tokens / 2)))
-        return book.cap
+        book.cap = max(1, int(self.memory_of(book.worker) * FILL / max(1.0, mean)))
+
+    def _has_room(self, book, tokens):
+        """Whether the worker's memory holds the prompt beside those of the open episodes; one alone always may."""
+        held = sum(self.sizes.get((book.worker, name), 0) for name in book.open)
+        return not book.open or held + tokens <= self.memory_of(book.worker) * FILL
 
     async def ask(self, wish: Wish, wait_ms: int):
         """Whether the call may go to the worker: at once, after a wait in line, or not within it."""
@@ -62,7 +67,10 @@
         if held is not None:
             self._run(book, held, wish)
             return True
-        if len(book.open) < self._cap(book, wish.tokens) and not len(book.line):
+        self._cap(book, wish.tokens)
+        if not self._has_room(book, wish.tokens):
+            self._end_idle(book, 0)
+        if self._has_room(book, wish.tokens) and not len(book.line):
             self._begin(book, wish)
             return True
         if len(book.line) >= self.line_most or wait_ms <= 0:
@@ -93,6 +101,7 @@
 
     def _run(self, book, episode, wish):
         episode.running[wish.call] = wish.deadline_s
+        self.sizes[(book.worker, episode.name)] = max(wish.tokens, self.sizes.get((book.worker, episode.name), 0))
         episode.turns += 1
         self.calls[wish.call] = (book.worker, episode.name, wish.missing, self._now())
         self._tell_load(book)
@@ -122,7 +131,7 @@
         if not episode.running:
             episode.idleSinceS = self._now()
             if not is_kept:
-                book.leave(episode)
+                self._leave(book, episode)
         self._tell_load(book)
         self.pump(book)
 
@@ -134,15 +143,21 @@
                 self.calls.pop(call, None)
                 self.board.count["placesReclaimed"] += 1
                 episode.idleSinceS = now_s
-        pause_ms = 0 if len(book.line) or not book.hasRoom() else self.pause_ms
-        for episode in book.ended(now_s, pause_ms):
-            book.leave(episode)
+        self._end_idle(book, 0 if len(book.line) else self.pause_ms)
+
+    def _end_idle(self, book, pause_ms):
+        for episode in book.ended(self._now(), pause_ms):
+            self._leave(book, episode)
             self.board.count["episodesEnded"] += 1
 
+    def _leave(self, book, episode):
+        book.leave(episode)
+        self.sizes.pop((book.worker, episode.name), None)
+
     def pump(self, book):
         """Let the next ones begin while there is room."""
         self._reclaim(book)
-        while len(book.line) and book.hasRoom():
+        while len(book.line) and self._has_room(book, book.line.first().ask.tokens):
             waiting = book.line.take()
             if waiting.isAsking():
                 self._begin(book, waiting.ask)
