A tail tells each router of a version once

Each confirmation of a version woke all that waited, and nudged every router that had not confirmed yet: with the square of their number.

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -23,6 +23,7 @@
     addr: str
     untilS: float
     held: int
+    nudged: int = 0
 
 
 class Chain:
@@ -334,7 +335,8 @@
                 done.set_result(None)
         if self.isLast():
             for holder in self.holders.values():
-                if holder.held < self.state.stored.version and holder.untilS > self.loop.time():
+                if max(holder.held, holder.nudged) < self.state.stored.version and holder.untilS > self.loop.time():
+                    holder.nudged = self.state.stored.version
                     self.mesh.tell(holder.addr, Nudge(version=self.state.stored.version))
 
     async def onCopyAsk(self, ask, sender):
@@ -449,7 +451,7 @@
             return OLD_VIEW.because("router knows a newer version")
         old = self.holders.get(ask.router)
         held = max(ask.held, old.held if old else 0)
-        self.holders[ask.router] = Holder(ask.addr, nowS + self.licenceMs / 1000, held)
+        self.holders[ask.router] = Holder(ask.addr, nowS + self.licenceMs / 1000, held, old.nudged if old else 0)
         self.holders = {name: each for name, each in self.holders.items() if each.untilS > nowS}
         if held >= stored.version:
             self._wakeCommitters()
--- /dev/null
+++ b/tests/chain/test_nudges.py
@@ -0,0 +1,20 @@
+"""A change is announced to each router once."""
+import unittest
+
+from swiftdeck.sim.town import Town
+from swiftdeck.wire.messages import Nudge
+
+
+class NudgesTest(unittest.TestCase):
+    def test_each_router_is_told_of_a_version_once(self):
+        town = Town(4, routers=6).start()
+        told = []
+        for name in town.coreNames():
+            mesh, tell = town.up[name].mesh, town.up[name].mesh.tell
+            mesh.tell = lambda addr, message, tell=tell: (
+                told.append((addr, message.version)) if isinstance(message, Nudge) else None, tell(addr, message))
+        for cap in (5, 6, 7):
+            self.assertEqual(town.change("PATCH", {"models": {town.site.model: {"cap": cap}}})[0], 200)
+        self.assertEqual(len(told), len(set(told)))
+        self.assertEqual(len(told), 18)
+        self.assertEqual({town.up[name].licence.held.version for name in town.routerNames()}, {town.version})
