A gateway answers operators at a door of its own

Cause: a gateway's http address is for callers alone, so ctl status and the doctor saw the cores and a silent rest. It now has `opsHttp`, on the platform the address where readiness is asked for; status and counters are told there, in the form that the doctor reads, and the readiness question is handled before it by the adapter.

--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -11,7 +11,7 @@
 Ms = Annotated[int, msgspec.Meta(ge=10, le=600000)]
 
 
-OWN = {"name", "inner", "http", "seeds", "zone", "dataFolder", "platform", "store", "operatorKey", "founders", "mayFound"}
+OWN = {"name", "inner", "http", "opsHttp", "seeds", "zone", "dataFolder", "platform", "store", "operatorKey", "founders", "mayFound"}
 
 
 class Settings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -20,6 +20,7 @@
     name: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,63}$")]
     inner: str
     http: str
+    opsHttp: str = ""
     seeds: list[str] = []
     zone: str = "z1"
     dataFolder: str = ""
@@ -72,7 +73,7 @@
             yield from self._addrFaults(f"seeds[{at}]", seed)
         for at, founder in enumerate(self.founders):
             yield from self._addrFaults(f"founders[{at}]", founder)
-        for name in ("platform", "store"):
+        for name in ("platform", "store", "opsHttp"):
             if getattr(self, name):
                 yield from self._addrFaults(name, getattr(self, name))
         if self.configLicenceMs <= self.viewLicenceMs:
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -5,7 +5,7 @@
 from swiftdeck.chain.chart import Chart
 from swiftdeck.config.document import keyDigest
 from swiftdeck.control.node import Node
-from swiftdeck.fault import NO_LICENCE, NO_ROUTE, UNKNOWN_KEY, isFault
+from swiftdeck.fault import BAD_OPERATOR, NO_LICENCE, NO_ROUTE, NOT_FOUND, UNKNOWN_KEY, isFault
 from swiftdeck.gateway.admission import Admission
 from swiftdeck.gateway.following import Following
 from swiftdeck.gateway.health import Judge
@@ -31,6 +31,7 @@
 
     def __init__(self, settings, dialects, random, log=None):
         super().__init__(settings, "router", random, log)
+        self.me.httpAddr = settings.opsHttp or settings.http
         self.callers_speak, self.workers_speak, lists, caches = dialects
         self.chart = Chart(self.mesh, self.membership, self.news)
         self.licence = ConfigLicence(self.me, self.mesh, self.membership, self.chart, self.board, settings.renewMs)
@@ -48,6 +49,7 @@
         self.budget = BudgetShare(self.admission.routers, settings.budgetShare, settings.budgetExtra, settings.budgetWindowMs / 1000,
                                   lambda: self.licence.routers)
         self.http = HttpServer(self.handle, settings.bodyBytes, note=self.board.note)
+        self.ops = HttpServer(self.operate, note=self.board.note) if settings.opsHttp else None
         self.routes, self.named_s, self.tenants = None, {}, {}
         self.stopping, self.open, self.unsettled_s = False, 0, -1e9
         self.roster.watchers.append(lambda: self.pool.follow(self.roster.workers))
@@ -64,6 +66,9 @@
         self.task = asyncio.ensure_future(self._watching())
         ip, _, port = self.settings.http.rpartition(":")
         await self.http.start(ip, int(port))
+        if self.ops:
+            ip, _, port = self.settings.opsHttp.rpartition(":")
+            await self.ops.start(ip, int(port))
         self.board.note("gateway started", addr=self.settings.inner, http=self.settings.http)
 
     async def stop(self):
@@ -218,6 +223,14 @@
         finally:
             self.open -= 1
 
+    async def operate(self, exchange):
+        """One request of an operator."""
+        key = self.settings.operatorKey
+        if key and exchange.headers.get("authorization") != f"Bearer {key}":
+            return BAD_OPERATOR
+        told = {"/v1/status": self.status, "/v1/counters": self.counters}.get(exchange.path.rstrip("/"))
+        return NOT_FOUND if told is None else await exchange.give(200, told())
+
     async def refuse(self, exchange, fault, request):
         """The final answer of a request that is given up."""
         self.board.count[f"refused.{fault.code}"] += 1
@@ -230,6 +243,14 @@
 
     def status(self):
         """What doctor and operators want to know of this process."""
+        view = self.chart.view
         return {"name": self.me.name, "role": "router", "zone": self.me.zone, "stopping": self.stopping, "ready": self.is_ready(),
-                "version": self.licence.held.version if self.licence.held else 0, "books": self.admission.books.status(),
-                "listAgeMs": self.listing.age_ms(), "open": self.open, "counters": self.counters()}
+                "view": {"number": view.number, "members": [ref.addr for ref in view.members],
+                         "voters": [ref.addr for ref in view.voters]},
+                "version": self.licence.held.version if self.licence.held else 0, "licence": self.licence.isHeld(),
+                "list": {"ageMs": self.listing.age_ms(), "fresh": self.listing.age_ms() <= self.settings.listOldMs, "workers": []},
+                "workers": {each.name: {"service": each.listed.service, "weights": each.weights, "running": each.running,
+                                        "shunned": each.shunned_until_s > self.loop.time()} for each in self.roster.workers.values()},
+                "books": self.admission.books.status(), "keeps": [], "clockMs": self.clockMs(), "shared": self.settings.shared(),
+                "tasks": self.taskCount(), "open": self.open, "running": sum(each.running for each in self.roster.workers.values()),
+                "neighbours": self.neighbours(), "seeds": self.membership.seeds, "counters": self.counters()}
--- a/swiftdeck/platform/program.py
+++ b/swiftdeck/platform/program.py
@@ -4,8 +4,7 @@
 import random
 import sys
 
-from swiftdeck.fault import NOT_FOUND, isFault
-from swiftdeck.http.server import HttpServer
+from swiftdeck.fault import isFault
 from swiftdeck.platform.settings import read_place
 from swiftdeck.programs.loop import makeLog, runUntilSignal
 
@@ -13,16 +12,13 @@
 LOOK_S, COUNTERS_S = 1.0, 10.0
 
 
-async def _ready_door(addr, is_ready):
-    """Answers the platform's question whether new connections should come here."""
+def ready_door(node):
+    """Answers the platform's question whether new connections should come here, and leaves the rest to the node's own door."""
     async def handle(exchange):
         if exchange.path != READY:
-            return NOT_FOUND
-        return await exchange.whole(200 if is_ready() else 503, [], b"")
-    ip, _, port = addr.rpartition(":")
-    server = HttpServer(handle)
-    await server.start(ip, int(port))
-    return server
+            return await node.operate(exchange)
+        return await exchange.whole(200 if node.is_ready() else 503, [], b"")
+    return handle
 
 
 async def _look_for_seeds(role, node, log):
@@ -56,8 +52,6 @@
         fault = await box[0].start()
         box.append(asyncio.ensure_future(_look_for_seeds(role, box[0], log)))
         box.append(asyncio.ensure_future(_count_aloud(box[0], log)))
-        if place.readiness:
-            box.append(await _ready_door(place.readiness, box[0].is_ready))
         return fault
     return runUntilSignal(start, lambda: box[0].stop(), lambda: _seeds_again(role, box[0], log))
 
@@ -68,7 +62,10 @@
     from swiftdeck.platform.caches import PlatformCaches
     from swiftdeck.platform.lists import PlatformList
     from swiftdeck.platform.speech import Callers, Workers
-    return Gateway(place.settings, (Callers(), Workers(), PlatformList(place.list_addr), PlatformCaches()), random.SystemRandom(), log)
+    node = Gateway(place.settings, (Callers(), Workers(), PlatformList(place.list_addr), PlatformCaches()), random.SystemRandom(), log)
+    if node.ops:
+        node.ops.handler = ready_door(node)
+    return node
 
 
 def core(place, log):
--- a/swiftdeck/platform/settings.py
+++ b/swiftdeck/platform/settings.py
@@ -70,9 +70,7 @@
     """Our settings and what only the adapter needs."""
 
     settings: Settings
-    readiness: str = ""
     list_addr: str = ""
-    lease_ms: int = 3000
 
 
 def read_place(role: str, path: str = ""):
@@ -92,7 +90,7 @@
     http = file.listen_addresses.control if is_core else file.listen_addresses.front
     settings = msgspec.convert(dict(
         name=file.node_name, inner=f"{file.ip}:{port}", http=http or f"{file.ip}:{port + 1}", seeds=seeds, zone=file.zone,
-        dataFolder=file.data_dir if is_core else "", founders=seeds, mayFound=file.first_start,
+        opsHttp="" if is_core else file.listen_addresses.readiness, dataFolder=file.data_dir if is_core else "", founders=seeds, mayFound=file.first_start,
         lossesBorne=file.tolerate.machines, stopMs=int(max(1000, file.bounds.grace_s * 1000 - 1200)),
         budgetShare=bounds.retry_ratio, budgetExtra=int(bounds.extra_retries), budgetWindowMs=int(bounds.retry_window_s * 1000),
         oldWeightsMs=int(max(500, bounds.version_ms - 2500)), orderLeaseMs=int(bounds.lease_ms + bounds.thaw_slack_ms),
@@ -100,4 +98,4 @@
     first = next(settings.faults(), None)
     if first is not None:
         return BAD_SETTING.because(first)
-    return Place(settings, file.listen_addresses.readiness, file.platform_api.address)
+    return Place(settings, file.platform_api.address)
--- a/tests/gateway/town.py
+++ b/tests/gateway/town.py
@@ -19,7 +19,7 @@
 from swiftdeck.platform.lists import PlatformList
 from swiftdeck.platform.operator_door import OperatorDoor
 from swiftdeck.platform.orders import PlatformOrders
-from swiftdeck.platform.program import _ready_door
+from swiftdeck.platform.program import ready_door
 from swiftdeck.platform.settings import read_place
 from swiftdeck.platform.speech import Callers, Workers
 from swiftdeck.sim.folder import SimFolder
@@ -112,9 +112,9 @@
 
         async def main():
             gateway = Gateway(place.settings, (Callers(), Workers(), PlatformList(place.list_addr), PlatformCaches()), self.rng())
+            gateway.ops.handler = ready_door(gateway)
             self._rose(name, gateway)
             await gateway.start()
-            await _ready_door(place.readiness, gateway.is_ready)
         self.world.start(name, self.machines[name], main)
 
     def _rose(self, name, node):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -46,7 +46,7 @@
         self.assertEqual((settings.name, settings.inner, settings.http, settings.zone, settings.dataFolder), (
             "node-3", "10.0.0.3:7000", "10.0.0.3:8080", "galpao-norte", ""))
         self.assertEqual(settings.seeds, ["10.0.0.10:7000", "10.0.0.11:7000"])
-        self.assertEqual((place.readiness, place.list_addr), ("10.0.0.3:8081", "10.0.0.99:80"))
+        self.assertEqual((place.settings.opsHttp, place.list_addr), ("10.0.0.3:8081", "10.0.0.99:80"))
         self.assertEqual((settings.budgetShare, settings.budgetExtra, settings.budgetWindowMs, settings.orderLeaseMs), (0.25, 58, 10000, 3300))
         self.assertLess(settings.stopMs, 8000)
         self.assertLess(settings.oldWeightsMs, 8000)
