A tail tells only the configuration that its own disk has

Cause: a tail, and the head of a chain of one, takes an entry in before its sync, and handed licences, configurations and what routers peek at out of that. Members before the tail have synced what they pass on, so after a loss of all power the chain gives it back; but a core alone, or a tail whose one companion is then wiped, is the only place, and the power takes it. Then no tail knows the version that routers hold: each of their asks is refused as from a router that knows more, and they serve nothing until later changes have passed that number.

A member now notes the configuration as of its last sync, and tells that: licences, configurations, peeks, the nudges to routers and the time from which a version has stood. Routers keep their licences for the version before while a newer one syncs.

Ruled out: holding the licence back until the sync, as with outcomes (a disk that stalls for seconds would let the routers' licences run out, for a version that is not committed). After a loss of all power the routers are the only ones with old knowledge; they hold what some tail's disk had, which the disks of all members before it have, too; in a chain of one or two the disk that comes back has it.

--- a/swiftdeck/bench/scale.py
+++ b/swiftdeck/bench/scale.py
@@ -11,7 +11,7 @@
 
 from swiftdeck.bench.measure import spread
 from swiftdeck.board.board import Board
-from swiftdeck.chain.chain import Chain, Holder
+from swiftdeck.chain.chain import Chain, Durable, Holder
 from swiftdeck.chain.chart import Chart
 from swiftdeck.config.configuration import Configuration
 from swiftdeck.config.document import keyDigest
@@ -371,11 +371,11 @@
 def _licences(count):
     chain = object.__new__(Chain)
     chain.loop, chain.licenceMs, chain.board, chain.mayTell, chain.isLast = asyncio.get_running_loop(), 4000, Board(), lambda: True, lambda: True
-    chain.state = type("State", (), {"stored": type("S", (), {"version": 7}), "config": Configuration.empty()})()
+    chain.durable = Durable(7, Configuration.empty())
     chain.agreement = type("Agreement", (), {"decided": View(number=1)})()
     chain.committers, until_s = [], chain.loop.time() + 1e6
     chain.holders = {f"router{at}/1": Holder(f"10.2.0.{at}:7000", until_s, 7) for at in range(count)}
-    data = bytes(LicenceAsk(router="router1/1", addr="10.2.0.1:7000", held=7, digest=chain.state.config.digest()))
+    data = bytes(LicenceAsk(router="router1/1", addr="10.2.0.1:7000", held=7, digest=chain.durable.config.digest()))
     return lambda: bytes(chain.onLicenceAsk(LicenceAsk().parse(data), ""))
 
 
--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -16,6 +16,14 @@
 PASS_ENTRIES, PASS_BYTES, KEPT_ENTRIES, KNOWN_KEPT = 256, 4 << 20, 4096, 64
 
 
+@attrs.frozen
+class Durable:
+    """The newest configuration that a loss of power cannot take back from this member's disk."""
+
+    version: int
+    config: object
+
+
 @attrs.define
 class Holder:
     """A router that may hold a licence for a configuration."""
@@ -36,6 +44,7 @@
         self.licenceMs, self.rewriteBytes, self.ackWaitMs = licenceMs, rewriteBytes, ackWaitMs
         self.losses_borne = losses_borne
         self.state, self.serial, self.entries, self.synced = ChainState(**bounds), 0, {}, 0
+        self.durable = Durable(0, self.state.config)
         self.fault, self.needsCopy, self.mustCompare, self.is_partial = None, False, False, False
         self.wholeIn, self.lastIn, self.wholeSinceS = 0, 0, 0.0
         self.incoming, self.committers, self.holders = [], [], {}
@@ -105,8 +114,8 @@
             self.lastIn = view if self.isLast() else 0
 
     def _know(self):
-        """Remember when this tail first had the newest version."""
-        version = self.state.stored.version
+        """Remember when this tail first had the newest version on its disk."""
+        version = self.durable.version
         if self.isLast() and version not in self.known_s:
             self.known_s[version] = self.loop.time()
             if len(self.known_s) > KNOWN_KEPT:
@@ -172,6 +181,7 @@
                 self._finish(done, got)
             self.kick.set()
             if self.isLast():
+                self._know()
                 self._wakeCommitters()
         else:
             for done, _ in waiting:
@@ -212,7 +222,7 @@
         try:
             serial = self.serial
             await self.journal.sync()
-            self.synced = max(self.synced, serial)
+            self._mark_synced(serial)
             if self.journal.size > self.rewriteBytes:
                 await self._rewrite()
             return True
@@ -220,10 +230,15 @@
             self._fail(error)
             return False
 
+    def _mark_synced(self, serial):
+        self.synced = max(self.synced, serial)
+        if self.synced >= self.serial:
+            self.durable = Durable(self.state.stored.version, self.state.config)
+
     async def _rewrite(self):
         data, serial = self.state.toBytes(), self.serial
         await self.journal.rewrite([{"k": "state", "n": serial, "state": data}])
-        self.synced = max(self.synced, serial)
+        self._mark_synced(serial)
         self.rewriteBytes = max(1 << 20, 4 * len(data))
         self.board.count["rewrites"] += 1
 
@@ -335,9 +350,9 @@
                 done.set_result(None)
         if self.isLast():
             for holder in self.holders.values():
-                if max(holder.held, holder.nudged) < self.state.stored.version and holder.untilS > self.loop.time():
-                    holder.nudged = self.state.stored.version
-                    self.mesh.tell(holder.addr, Nudge(version=self.state.stored.version))
+                if max(holder.held, holder.nudged) < self.durable.version and holder.untilS > self.loop.time():
+                    holder.nudged = self.durable.version
+                    self.mesh.tell(holder.addr, Nudge(version=self.durable.version))
 
     async def onCopyAsk(self, ask, sender):
         """The state as far as it is synced here, which it is between two commands of the owner."""
@@ -368,6 +383,7 @@
         except msgspec.DecodeError as error:
             return DAMAGED.because(error)
         self.state, self.serial, self.entries, self.synced = fresh, got.serial, {}, got.serial
+        self._mark_synced(got.serial)
         self.fault, self.needsCopy = None, False
         self.board.count["copies"] += 1
         self.board.put("disk", "good")
@@ -429,37 +445,38 @@
 
     def on_peek_ask(self, ask, sender):
         """What this tail has synced, without a word on whether it is the newest: whatever a tail has was committed."""
-        if not self.isLast() or self.needsCopy or self.fault is not None or self.serial > self.synced:
+        if not self.isLast() or self.needsCopy or self.fault is not None:
             return NOT_TAIL
-        return PeekReturn(version=self.state.stored.version, document=self.state.config.bytes(), digest=self.state.config.digest(),
+        config = self.durable.config
+        return PeekReturn(version=self.durable.version, document=config.bytes(), digest=config.digest(),
                           view=self.agreement.decided.number)
 
     def onConfigAsk(self, ask, sender):
         if not self.mayTell():
             return NOT_TAIL
-        return ConfigReturn(version=self.state.stored.version, document=self.state.config.bytes())
+        return ConfigReturn(version=self.durable.version, document=self.durable.config.bytes())
 
     def onLicenceAsk(self, ask, sender):
         if not self.mayTell():
             return NOT_TAIL
-        nowS, stored = self.loop.time(), self.state.stored
+        nowS, durable = self.loop.time(), self.durable
         if ask.handBack:
             self.holders.pop(ask.router, None)
             self._wakeCommitters()
-            return LicenceReturn(version=stored.version)
-        if ask.held > stored.version:
+            return LicenceReturn(version=durable.version)
+        if ask.held > durable.version:
             return OLD_VIEW.because("router knows a newer version")
         old = self.holders.get(ask.router)
         held = max(ask.held, old.held if old else 0)
         self.holders[ask.router] = Holder(ask.addr, nowS + self.licenceMs / 1000, held, old.nudged if old else 0)
         self.holders = {name: each for name, each in self.holders.items() if each.untilS > nowS}
-        if held >= stored.version:
+        if held >= durable.version:
             self._wakeCommitters()
-        told = LicenceReturn(licenceMs=self.licenceMs, routers=len(self.holders), version=stored.version, view=self.agreement.decided.number)
-        digest = self.state.config.digest()
-        if ask.held < stored.version or ask.digest != digest:
-            told.deltas = (self.state.since(ask.held, ask.digest) if ask.digest else None) or []
-            told.document = b"" if told.deltas else self.state.config.bytes()
+        told = LicenceReturn(licenceMs=self.licenceMs, routers=len(self.holders), version=durable.version, view=self.agreement.decided.number)
+        digest = durable.config.digest()
+        if ask.held < durable.version or ask.digest != digest:
+            told.deltas = (self.state.since(ask.held, ask.digest, durable.version) if ask.digest else None) or []
+            told.document = b"" if told.deltas else durable.config.bytes()
             self.board.count["wholesSent"] += not told.deltas
             told.digest = digest
         return told
--- a/swiftdeck/chain/state.py
+++ b/swiftdeck/chain/state.py
@@ -47,9 +47,9 @@
             raise msgspec.DecodeError(config.reason)
         self.stored, self.config, self.deltas, self.isTrue = stored, config, {}, True
 
-    def since(self, version: int, digest: bytes):
-        """The changes that lead from a version with this digest to the newest, or none if they are not kept."""
-        versions = range(version + 1, self.stored.version + 1)
+    def since(self, version: int, digest: bytes, newest: int | None = None):
+        """The changes that lead from a version with this digest to a newer one, or none if they are not kept."""
+        versions = range(version + 1, (self.stored.version if newest is None else newest) + 1)
         if not all(each in self.deltas for each in versions) or not versions or self.deltas[version + 1][0] != digest:
             return None
         return [self.deltas[each][1] for each in versions]
--- a/tests/cases/cores.py
+++ b/tests/cases/cores.py
@@ -3,6 +3,7 @@
 
 from swiftdeck.bench.checker import check
 from swiftdeck.chain.agreement import ids
+from swiftdeck.http.client import fetchJson
 from swiftdeck.sim.town import Town
 
 
@@ -227,6 +228,52 @@
         self.assertEqual(town.change("PATCH", self.cap(13), name=names[0])[0], 200)
         self.assertGreater(town.world.now - at_s, 0.9)
 
+    def tells_while_tail_syncs(self, town, head, tail):
+        """Change the configuration through a head while the tail's disk is slow; gives the newest version told meanwhile."""
+        town.folders[tail].stallS = 0.9
+        town.spawn(lambda: fetchJson(town.addresses[head]["http"], "PATCH", f"/v1/config?base={town.version}", self.cap(14),
+                                     timeoutMs=800))
+        told = []
+        for _ in range(7):
+            town.world.run(0.1)
+            told.append(self.read(town, tail)[0])
+        return max(*told, *(town.up[name].licence.held.version for name in town.routerNames()))
+
+    def serves_again(self, town):
+        """Whether all routers hold a licence once more within the time that they need for one."""
+        return town.world.run(until=lambda: all(town.up[name].licence.isHeld() for name in town.routerNames()), limitS=10)
+
+    def testACoreAloneTellsNoVersionThatThePowerMayTakeBack(self):
+        town = self.started(1)
+        told = self.tells_while_tail_syncs(town, "core1", "core1")
+        town.world.kill("core1")
+        town.folders["core1"].losePower()
+        town.folders["core1"].stallS = 0.0
+        town.startCore("core1")
+        town.world.run(5)
+        self.assertTrue(self.serves_again(town))
+        self.assertLessEqual(told, self.read(town)[0])
+
+    def testTheTailOfTwoTellsNoVersionThatItsPowerMayTakeBackWithTheOtherWiped(self):
+        town = self.started(3)
+        head, other, tail = sorted(town.coreNames(), key=lambda name: town.up[name].agreement.position())
+        self.lose(town, [other])
+        self.settle(town, [head, tail])
+        told = self.tells_while_tail_syncs(town, head, tail)
+        self.lose(town, [head], wiped=True)
+        self.lose(town, [tail])
+        town.folders[tail].stallS = 0.0
+        for name in (head, other, tail):
+            town.startCore(name)
+        town.world.run(5)
+        self.assertTrue(self.serves_again(town))
+        self.assertLessEqual(told, self.read(town)[0])
+
+    def testACoreAloneAcknowledgesAfterTheSetTimeToo(self):
+        town = self.started(1, ackWaitMs=300)
+        town.world.freeze("router2")
+        self.assertLess(self.insist(town, 11), 0.6)
+
     def testACoreKilledBeforeTheFirstViewStillFounds(self):
         town = self.town(3)
         for name in ("core1", "core2"):
