--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -140,10 +140,11 @@
 
     async def _watching(self):
         """Remember when the cores were last in trouble, as far as this router can tell."""
-        view = None
+        seen = None
         while True:
-            if self.chart.view.number != view or not self.licence.isHeld() or self.licence.failures:
-                view, self.unsettled_s = self.chart.view.number, self.loop.time()
+            now = (self.chart.view.number, frozenset(each.incarnation for each in self.membership.alive("core")))
+            if now != seen or not self.licence.isHeld() or self.licence.failures:
+                seen, self.unsettled_s = now, self.loop.time()
             await asyncio.sleep(0.25)
 
     def _newest(self, model):
--- a/swiftdeck/gateway/places.py
+++ b/swiftdeck/gateway/places.py
@@ -7,7 +7,7 @@
 from swiftdeck.traffic.line import Waiting
 from swiftdeck.traffic.ring import Ring
 
-FILL = 0.85
+FILL, TOKENS_PER_MS = 0.85, 40.0
 GRACE_S, LEFT_S = 0.5, 2.0
 
 
@@ -35,7 +35,8 @@
     def __init__(self, board, decisions, memory_of, pause_ms=400, line_most=64):
         self.board, self.decisions, self.memory_of = board, decisions, memory_of
         self.pause_ms, self.line_most = pause_ms, line_most
-        self.books, self.tokens, self.calls, self.waiting, self.left, self.sizes = {}, {}, {}, {}, {}, {}
+        self.books, self.tokens, self.calls, self.waiting, self.left = {}, {}, {}, {}, {}
+        self.sizes, self.unread = {}, {}
         self.on_load = lambda worker, backlog, running: None
 
     def _now(self):
@@ -103,12 +104,17 @@
         episode.running[wish.call] = wish.deadline_s
         self.sizes[(book.worker, episode.name)] = max(wish.tokens, self.sizes.get((book.worker, episode.name), 0))
         episode.turns += 1
-        self.calls[wish.call] = (book.worker, episode.name, wish.missing, self._now())
+        self.calls[wish.call] = (book.worker, episode.name)
+        self.unread[book.worker] = (self._unread(book) + wish.missing, self._now())
         self._tell_load(book)
 
+    def _unread(self, book):
+        """Tokens that calls let in here still have to be read, as far as a worker's usual pace tells."""
+        tokens, since_s = self.unread.get(book.worker, (0, 0.0))
+        return max(0.0, tokens - (self._now() - since_s) * 1000 * TOKENS_PER_MS)
+
     def _tell_load(self, book):
-        mine = [(missing, since_s) for worker, _, missing, since_s in self.calls.values() if worker == book.worker]
-        self.on_load(book.worker, sum(missing for missing, _ in mine), len(mine))
+        self.on_load(book.worker, self._unread(book), sum(worker == book.worker for worker, _ in self.calls.values()))
 
     def ended(self, call: str, is_kept: bool = True):
         """A call is over; its episode stays open for a short pause, as its next call may come.
@@ -122,7 +128,7 @@
             else:
                 self.left[call] = self._now() + LEFT_S
             return
-        worker, name, _, _ = self.calls.pop(call, ("", "", 0, 0.0))
+        worker, name = self.calls.pop(call, ("", ""))
         book = self.books.get(worker)
         episode = book.open.get(name) if book else None
         if episode is None:
@@ -170,6 +176,7 @@
             self.pump(book)
             if worker not in names and not book.open and not len(book.line):
                 del self.books[worker], self.tokens[worker]
+                self.unread.pop(worker, None)
 
     def status(self):
         """The books in their outward form."""
--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -8,7 +8,7 @@
 from swiftdeck.wire.messages import SwapNews
 
 TAKEN, HOLDS, OLD_FENCE = 202, 200, 412
-RESTART_S = 1.4
+RESTART_S, WAITED = 1.4, "waited"
 STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 200, 4.0, 0.15
 
 
@@ -44,12 +44,13 @@
 
     def __init__(self, core, orders):
         self.core, self.orders = core, orders
-        self.busy, self.held_in, self.since_s, self.tried_s = {}, 0, None, {}
+        self.busy, self.held_in, self.since_s, self.tried_s, self.waited_in = {}, 0, None, {}, b""
 
     def start(self):
         """Go on comparing what workers have with what is named."""
         self.loop = asyncio.get_running_loop()
         self.started_s, self.started_in = self.loop.time(), self.core.agreement.decided.number
+        self.waited_in = self.core.folder.read(WAITED)
         self.task = asyncio.ensure_future(self._minding())
 
     def fence(self) -> int:
@@ -60,9 +61,21 @@
         number, now_s = agreement.decided.number, self.loop.time()
         if self.since_s is None or self.held_in not in (number, number - 1):
             self.since_s = self.started_s + RESTART_S if number == self.started_in else now_s
+            if self.waited_in == self._waited(number):
+                self.since_s = -1e9
         self.held_in = number
         return number if now_s - self.since_s >= self.core.settings.orderLeaseMs / 1000 else 0
 
+    def _waited(self, number):
+        return f"{self.core.agreement.coreId} {number}".encode()
+
+    async def _note_waited(self, number):
+        """Remember on disk that this view's pause is over, so that a restart under the same view needn't sit it out again."""
+        try:
+            await self.core.folder.replace(WAITED, self._waited(number))
+        except OSError:
+            self.core.board.count["waitsUnnoted"] += 1
+
     def _at_once(self, model):
         able = [each for each in self.core.roster.workers.values() if model in each.weights]
         return max(1, len(able) // 4)
@@ -73,8 +86,12 @@
             agreement = self.core.agreement
             if agreement.position() != 0 and self.since_s is not None:
                 self.since_s = None
-            if not self.fence():
+            fence = self.fence()
+            if not fence:
                 continue
+            if self.waited_in != self._waited(fence):
+                self.waited_in = self._waited(fence)
+                self.noting = asyncio.ensure_future(self._note_waited(fence))
             for model, entry in self.core.chain.state.config.document.models.items():
                 if entry.weights.isdecimal():
                     self._order_some(model, int(entry.weights))
--- a/tests/gateway/cases/operator.py
+++ b/tests/gateway/cases/operator.py
@@ -100,6 +100,26 @@
             self.assertEqual(self.versions(town), {2})
             self.assertKept(town)
 
+    def test_a_head_that_starts_again_under_its_view_does_not_sit_its_pause_out_again(self):
+        def day():
+            town = self.town(6, rate=5)
+            town.world.run(5)
+            head = town.head()
+            town.operate(lambda: town.operator.name(MODEL, 2))
+            view = town.up[head].agreement.decided.number
+            town.kill(head, back_s=0.4)
+            begun_ms = town.world.now * 1000
+            town.world.run(9)
+            same = town.up[head].agreement.decided.number == view
+            self.assertKept(town)
+            return same, [item["atMs"] - begun_ms for item in town.records if item["kind"] == "order"]
+        same, orders = day()
+        self.assertTrue(same)
+        self.assertEqual(len(orders), 4)
+        self.assertLess(orders[0], 3500)
+        with mock.patch.object(Swaps, "_note_waited", mock.AsyncMock()):
+            self.assertGreater(day()[1][0], 4500)
+
     def test_the_head_is_killed_during_a_change(self):
         for seed in range(8, 11):
             town = self.town(seed, rate=4)
--- a/tests/gateway/test_places.py
+++ b/tests/gateway/test_places.py
@@ -1,7 +1,7 @@
 """Tests of the admission books."""
 import asyncio
 
-from swiftdeck.gateway.places import FILL, GRACE_S, Owners, PlaceBooks, Wish
+from swiftdeck.gateway.places import FILL, GRACE_S, TOKENS_PER_MS, Owners, PlaceBooks, Wish
 from tests.gateway.parts import SimCase
 
 ROOM = 100000
@@ -34,6 +34,21 @@
             self.assertEqual([self.ask(f"c{at}", tokens=tokens) for at in range(most + 3)], [True] * most + [False] * 3, tokens)
             self.assertEqual(books.status(), {"w": {"open": most, "cap": most, "line": 0}})
 
+    def test_what_is_told_to_be_read_runs_down_with_time_whichever_calls_run(self):
+        told = []
+        self.books.on_load = lambda worker, backlog, running: told.append((backlog, running))
+        for call in ("c1", "c2"):
+            wish = self.wish(call)
+            self.do(lambda: self.books.ask(Wish(*[*(getattr(wish, name) for name in ("call", "episode", "tenant", "worker", "tokens",
+                                                                                      "deadline_s")), 10000]), 0))
+        self.assertEqual(told, [(10000, 1), (20000, 2)])
+        self.world.run(0.3)
+        self.end("c1")
+        self.assertAlmostEqual(told[-1][0], 20000 - 300 * TOKENS_PER_MS, delta=100)
+        self.world.run(1)
+        self.end("c2")
+        self.assertEqual(told[-1], (0, 0))
+
     def test_books_of_workers_are_apart(self):
         self.fill()
         self.assertEqual((self.ask("x"), self.ask("x", worker="w2")), (False, True))
