A failed call names the worker that it was sent to, and the check's pardon goes by it

The final answer, and the event that ends a broken stream, now carry `worker` where a byte may have gone to one, and the check counts it among the workers of the call. It stays as strict for every other loss: the test plants a loss at a named worker, pardoned when that one fell, not when another did.

Not run again: the fleet of real processes itself.

--- a/swiftdeck/bench/caller.py
+++ b/swiftdeck/bench/caller.py
@@ -63,6 +63,7 @@
                 answer = {} if isFault(whole) else msgspec.json.decode(whole)
                 result |= {name: answer[name] for name in ("code", "notRun", "call", "run", "reason") if name in answer}
                 result["whole"] = bool(answer.get("end"))
+                result["sentTo"] = "" if result["whole"] else answer.get("worker", "")
                 due = "".join(f"[[{marker}]]{seq} " for seq in range(max(1, maxTokens // 16)))
                 if result["whole"] and answer.get("text") != due:
                     result["wrong"] = f"text {answer.get('text', '')[:200]!r}"
@@ -83,7 +84,7 @@
                 await asyncio.sleep(slowS)
             piece = msgspec.json.decode(line[5:])
             if "code" in piece:
-                result["code"] = piece["code"]
+                result["code"], result["sentTo"] = piece["code"], piece.get("worker", "")
                 continue
             if result["run"] not in ("", piece["run"]):
                 result["wrong"] = "piece of another run"
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -335,7 +335,9 @@
             fault = await self._promised(fault)
         self.router.board.count[f"faults.{fault.code}"] += 1
         self.router.decisions.add("final", call=self.name, tenant=self.tenant, code=fault.code, why=fault.name)
+        sent = self.ledger.sent()
+        told = {"call": self.name} | ({"worker": sent[-1].grant.worker} if sent else {})
         if self.begun:
-            await self._event(fault.asBody() | {"call": self.name}, "error")
+            await self._event(fault.asBody() | told, "error")
             return self.exchange.finish()
-        return await self.exchange.giveFault(fault, [("call-id", self.name)], call=self.name)
+        return await self.exchange.giveFault(fault, [("call-id", self.name)], **told)
--- a/tests/bench/test_checker.py
+++ b/tests/bench/test_checker.py
@@ -108,6 +108,9 @@
         broken = self.back(200, run="r-1", code=140)
         for target, isPardoned in (("w", True), ("v", False), ("router1", True), ("router2", False)):
             self.assertEqual("notCutOff" not in self.found(kill(target), broken), isPardoned, target)
+        unseen = [self.try_(80, "9"), self.back(200, "9", code=140, sentTo="u")]
+        for target, isPardoned in (("u", True), ("w", False), ("router2", False)):
+            self.assertEqual("notCutOff" not in self.found(kill(target), *unseen), isPardoned, target)
         back = self.line(95, "operator", "back", {"id": 7})
         late = [self.try_(9000, "2"), self.back(9100, "2", status=-2)]
         self.assertIn("notCutOff", self.found(kill("router1"), back, *late))
