Checker: VERSION by one settled stretch of the core, and workers left behind at the end

The stand-ins' checker excused a run on old weights when its router, or a core, had had any trouble since the acknowledgement. The old test case for a router in trouble 4 s before its request is replaced by stricter ones: it is now a breach.

New: workers that still have older weights when the traffic ends (more than one and over a tenth), after settled stretches of 1.5 x version-ms in all. Planted breaches of each are caught, the cases beside them are not.

--- a/swiftdeck/bench/outer/checker.py
+++ b/swiftdeck/bench/outer/checker.py
@@ -9,6 +9,9 @@
 DENIED_MOST, DENIED_EACH, OVER_TRIES_MOST = 5, 500, 3
 OWN_ENDS = ("silence or deadline", "not reached")
 FOREVER = 1 << 60
+LINK, PROCESS = "link", "process"
+"""What a trouble concerns: a machine's links, or its processes alone."""
+LEFT_BEHIND_SHARE, LEFT_BEHIND_STRETCH = 0.1, 1.5
 
 
 @attrs.frozen
@@ -34,10 +37,26 @@
         begin_ms = (at_ms if since_ms is None else since_ms) - self.contact_ms
         return not any(
             a <= at_ms and b >= begin_ms
-            for name, a, b in self.troubles
+            for name, a, b, *_ in self.troubles
             if name == machine or name.startswith("core")
         )
 
+    def settled_stretches(self, begin_ms, end_ms):
+        """Lengths of the stretches of a span in which the core was settled and no link was in trouble."""
+        unsettled = sorted(
+            (a, b + self.contact_ms)
+            for name, a, b, *kind in self.troubles
+            if name.startswith("core") or LINK in kind
+        )
+        lengths, since_ms = [], begin_ms
+        for a, b in unsettled:
+            if a > since_ms:
+                lengths.append(min(a, end_ms) - since_ms)
+            since_ms = max(since_ms, b)
+            if since_ms >= end_ms:
+                return [each for each in lengths if each > 0]
+        return [each for each in [*lengths, end_ms - since_ms] if each > 0]
+
 
 class Records:
     """The records by kind, and what follows from them for several rules."""
@@ -323,23 +342,46 @@
 
 
 def version(records, bounds):
-    """A run that begins on weights much older than what was acknowledged."""
+    """A run that begins on weights much older than what was acknowledged, or workers that are left behind."""
     named = records.of("named")
     for item in records.of("run"):
         asked = records.tries.get(item["id"])
-        late = [
-            each
-            for each in named
-            if each["model"] == item["model"]
-            and item["version"] < each["version"]
-            and item["atMs"] > each["atMs"] + bounds.version_ms
-        ]
-        if (
-            asked
-            and late
-            and bounds.in_touch(asked["router"], item["atMs"], min(each["atMs"] for each in late))
-        ):
-            yield f"{item['id']} began on version {item['version']}"
+        if asked is None or not bounds.in_touch(asked["router"], item["atMs"]):
+            continue
+        for each in named:
+            if each["model"] != item["model"] or item["version"] >= each["version"]:
+                continue
+            longest_ms = max(bounds.settled_stretches(each["atMs"], item["atMs"]), default=0)
+            if longest_ms > bounds.version_ms:
+                late_ms = item["atMs"] - each["atMs"]
+                yield (
+                    f"{item['id']} began on version {item['version']}, "
+                    f"{late_ms} ms after version {each['version']} was acknowledged"
+                )
+    yield from _left_behind(records, bounds)
+
+
+def _left_behind(records, bounds):
+    """Workers that still have older weights when the traffic ends, though there was time enough to move them."""
+    for end in records.of("trafficEnds"):
+        for model in {each["model"] for each in records.of("named")}:
+            able = [each for each in end["workers"] if model in each["versions"]]
+            behind = [each for each in able if _is_left_behind(records, bounds, end, each, model)]
+            if len(behind) > max(1, LEFT_BEHIND_SHARE * len(able)):
+                names = sorted(each["worker"] for each in behind)
+                yield f"{names} still have old weights of {model} when the traffic ends"
+
+
+def _is_left_behind(records, bounds, end, worker, model):
+    up_ms = max(
+        (item["atMs"] for item in records.of("up") if item["worker"] == worker["worker"]), default=0
+    )
+    return any(
+        sum(bounds.settled_stretches(max(each["atMs"], up_ms), end["atMs"]))
+        > LEFT_BEHIND_STRETCH * bounds.version_ms
+        for each in records.of("named")
+        if each["model"] == model and each["version"] > worker["versions"][model]
+    )
 
 
 def drain(records, bounds):
--- a/tests/bench/outer/test_checker.py
+++ b/tests/bench/outer/test_checker.py
@@ -3,7 +3,7 @@
 import copy
 import unittest
 
-from swiftdeck.bench.outer.checker import RULES, Bounds, check
+from swiftdeck.bench.outer.checker import LINK, PROCESS, RULES, Bounds, check
 
 DOCUMENT = {
     "version": 1,
@@ -318,10 +318,43 @@
     def test_version(self):
         late = [asked(8500, "e", "/lm/1"), *ran(8510, "e", "w#9", "/lm/1", "lm", 1, model="m")]
         self.caught("VERSION", *late)
-        self.assertEqual(check([*good(), *late], Bounds(troubles=[["router1", 4000, 5000]])), {})
-        self.assertEqual(
-            check([*good(), *late], Bounds(troubles=[["router2", 4000, 5000]])).keys(), {"VERSION"}
-        )
+        for kept_by, broken_by in (
+            (["router1", 5600, 5600, PROCESS], ["router1", 5400, 5400, PROCESS]),
+            (["core1", 2000, 2000, PROCESS], ["router2", 6000, 6000, PROCESS]),
+            (["router2", 2000, 2000, LINK], ["router2", 460, 460, PROCESS]),
+        ):
+            self.assertEqual(check([*good(), *late], Bounds(troubles=[kept_by])), {})
+            self.assertEqual(
+                check([*good(), *late], Bounds(troubles=[broken_by])).keys(), {"VERSION"}
+            )
+
+    def test_version_counts_one_settled_stretch(self):
+        late = [asked(14500, "e", "/lm/1"), *ran(14510, "e", "w#9", "/lm/1", "lm", 1, model="m")]
+        troubled = Bounds(troubles=[["core1", 5000, 6000, PROCESS]])
+        self.assertEqual(check([*good(), *late], troubled), {})
+        later = [asked(17500, "e", "/lm/1"), *ran(17510, "e", "w#9", "/lm/1", "lm", 1, model="m")]
+        self.assertEqual(check([*good(), *later], troubled).keys(), {"VERSION"})
+
+    def test_version_looks_at_workers_left_behind(self):
+        def end(at_ms, *versions):
+            workers = [
+                {"worker": f"w{at}", "versions": {"m": version}}
+                for at, version in enumerate(versions)
+            ]
+            return line(at_ms, "trafficEnds", workers=workers)
+
+        self.caught("VERSION", end(12460, 1, 1, 2, 2))
+        for kept in (
+            end(12440, 1, 1, 2, 2),
+            end(12460, 1, 2, 2, 2),
+            end(12460, 1, 1, *[2] * 20),
+        ):
+            self.assertEqual(check([*good(), kept]), {})
+        troubled = Bounds(troubles=[["core1", 5000, 6000, PROCESS]])
+        self.assertEqual(check([*good(), end(16440, 1, 1, 2, 2)], troubled), {})
+        self.assertEqual(check([*good(), end(16460, 1, 1, 2, 2)], troubled).keys(), {"VERSION"})
+        up = [line(460, "up", worker=f"w{at}", service="lm", versions={"m": 1}) for at in (0, 1)]
+        self.assertEqual(check([*good(), *up, end(12455, 1, 1, 2, 2)]), {})
 
     def test_drain(self):
         late = [asked(3800, "e"), line(3801, "arrive", worker="v", service="app", id="e")]
--- a/tests/gateway/town.py
+++ b/tests/gateway/town.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from swiftdeck.bench.outer.balancer import Balancer
-from swiftdeck.bench.outer.checker import Bounds, check
+from swiftdeck.bench.outer.checker import LINK, PROCESS, Bounds, check
 from swiftdeck.bench.outer.client import Client
 from swiftdeck.bench.outer.listing import WorkerList
 from swiftdeck.bench.outer.operator import Operator
@@ -268,6 +268,15 @@
             if name in self.up and name not in self.forgotten
         ]
 
+    def staying_workers(self):
+        """The workers that run and aren't to leave, with the versions that they have."""
+        running = [self.up[name] for name in self.workers if name in self.world.loops]
+        return [
+            {"worker": each.name, "versions": dict(each.versions)}
+            for each in running
+            if not each.is_leaving
+        ]
+
     def forget(self, *names):
         """Let the platform see that workers are gone."""
         self.forgotten |= set(names)
@@ -417,15 +426,18 @@
         self.world.run(seconds)
         assert all(each.done() for each in self.running)
 
-    def trouble(self, name, action, for_s=0.0):
-        """Do something to a machine and note that it was in trouble meanwhile."""
-        self.troubles.append([name, self.now_ms(), self.now_ms() + int(for_s * 1000)])
+    def trouble(self, name, action, for_s=0.0, kind=LINK):
+        """Do something to a machine and note that it, or its links, were in trouble meanwhile."""
+        self.troubles.append([name, self.now_ms(), self.now_ms() + int(for_s * 1000), kind])
         return action()
 
     def kill(self, name, silent=False, back_s=None):
         """Kill a process, and start it again after a while if told so."""
         self.trouble(
-            name, lambda: self.world.kill(name, silent), back_s if back_s is not None else 1e6
+            name,
+            lambda: self.world.kill(name, silent),
+            back_s if back_s is not None else 1e6,
+            PROCESS,
         )
         if back_s is not None:
             start = self.start_core if name.startswith("core") else self.start_router
@@ -445,7 +457,7 @@
 
     def freeze(self, name, for_s):
         """Stop a process in its tracks for a while."""
-        self.trouble(name, lambda: self.world.freeze(name), for_s)
+        self.trouble(name, lambda: self.world.freeze(name), for_s, PROCESS)
         self.world.at(for_s, lambda: name in self.world.loops and self.world.thaw(name))
 
     def results(self):
@@ -464,6 +476,7 @@
 
     def breaches(self):
         """End the load, read the configuration back, and give the breaches of rules."""
+        self.record("clients")("trafficEnds", workers=self.staying_workers())
         self.rest()
         self.operate(self.operator.read)
         return check(
