Failing: requests begin on old weights too late, without orders and in a queue

Cases in which nobody orders the workers, so that the routers alone have to leave old weights: a router that was started again or frozen counts a naming anew, weights named every 4 s start the clock of the oldest ones anew, and a stalled disk at the head (a change of view, no trouble of the core) lengthens the bound.

--- a/swiftdeck/bench/outer/checker.py
+++ b/swiftdeck/bench/outer/checker.py
@@ -374,7 +374,8 @@
 
 def _is_left_behind(records, bounds, end, worker, model):
     up_ms = max(
-        (item["atMs"] for item in records.of("up") if item["worker"] == worker["worker"]), default=0
+        (item["atMs"] for item in records.of("up") if item.get("worker") == worker["worker"]),
+        default=0,
     )
     return any(
         sum(bounds.settled_stretches(max(each["atMs"], up_ms), end["atMs"]))
--- /dev/null
+++ b/tests/gateway/cases/old_weights.py
@@ -0,0 +1,143 @@
+"""Cases of new weights: no request begins on old ones for long, and no worker is left behind."""
+
+import asyncio
+import itertools
+from unittest import mock
+
+from swiftdeck.gateway.swap import Swaps
+from tests.gateway.case import SiteCase
+from tests.gateway.town import BOUNDS, MODEL, PlatformTown, route
+
+VERSION_S = BOUNDS["version_ms"] / 1000
+
+
+def orders_nothing():
+    """A head that gives no orders, for whatever reason: then the routers alone keep old weights from being used."""
+    return mock.patch.object(Swaps, "_order_some", lambda *_: None)
+
+
+class WeightsCase(SiteCase):
+    def name(self, town, version):
+        """Name new weights; they are acknowledged when this returns."""
+        self.assertEqual(town.operate(lambda: town.operator.name(MODEL, version)), 200)
+
+    def old_runs(self, town):
+        """What the checker says of runs on old weights."""
+        return [each for each in town.breaches().get("VERSION", ()) if " began " in each]
+
+    def unordered(self, seed, *steps):
+        """A day on which nobody orders workers: weights are named, then steps are taken at their times; gives old runs."""
+        with orders_nothing():
+            town = self.town(seed, rate=30.0)
+            self.name(town, 2)
+            named_s = town.world.now
+            for at_s, step in steps:
+                town.world.run(max(0.0, named_s + at_s - town.world.now))
+                step(town)
+            town.world.run(max(0.0, named_s + 2 * VERSION_S - town.world.now))
+            return self.old_runs(town)
+
+    def troubles(self):
+        """Days without orders, on which something happens that is no trouble of the core: name, seed, steps."""
+
+        def restart(town):
+            town.kill("router1", back_s=0.5)
+
+        def freeze(town):
+            town.freeze("router1", 2.9)
+
+        def reset(town):
+            town.reset_connections("router1")
+
+        def stall(town):
+            folder = town.folders[town.head()]
+            folder.stall_s = 4.0
+            town.world.at(4.0, lambda: setattr(folder, "stall_s", 0.0))
+            put = {"routes": [route("r-more", "/more/", "app")]}
+            town.beside(lambda: town.operator.patch(5, put=put))
+
+        def names(version):
+            return lambda town: self.name(town, version)
+
+        return (
+            ("nothing", 1, ()),
+            ("router started again at once", 2, ((1.0, restart),)),
+            ("router started again later", 2, ((4.0, restart),)),
+            ("router frozen at once", 3, ((0.5, freeze),)),
+            ("router frozen later", 3, ((2.5, freeze),)),
+            ("router's connections reset", 4, [(at_s, reset) for at_s in (2.0, 3.0, 4.0, 4.9)]),
+            ("weights named in quick succession", 5, ((4.0, names(3)), (8.0, names(4)))),
+            ("disk stalls at the head at once", 6, ((0.3, stall),)),
+            ("disk stalls at the head later", 6, ((2.5, stall),)),
+        )
+
+    def test_old_weights_end_in_time_though_nobody_orders(self):
+        for name, seed, steps in self.troubles():
+            with self.subTest(name):
+                self.assertEqual(self.unordered(seed, *steps), [])
+
+    def crowd(self):
+        """Requests wait at the only worker of a model, whose runs go on for longer than old weights may be begun on."""
+
+        def begin(count, out):
+            def step(town):
+                for at in range(count):
+                    town.beside(
+                        lambda at=at: town._asking(
+                            "r-stream", f"{out}-{at}", parts=[("short", 300)], out=out, aim_ms=1500
+                        ),
+                        "clients",
+                    )
+
+            return step
+
+        with orders_nothing():
+            town = PlatformTown(7, models=1).start()
+            self.name(town, 2)
+            named_s = town.world.now
+            for at_s, step in ((4.3, begin(12, 530)), (4.8, begin(4, 6))):
+                town.world.run(named_s + at_s - town.world.now)
+                step(town)
+            town.world.run(6)
+            return town
+
+    def test_a_request_that_waits_at_a_worker_does_not_begin_on_old_weights_too_late(self):
+        self.assertEqual(self.old_runs(self.crowd()), [])
+
+    def busy_day(self, **more):
+        """All workers are busy with long streams while new weights are named."""
+        town = PlatformTown(8, **more).start()
+        busy = town.beside(lambda: self.long_streams(town), "clients")
+        town.load.append(busy)
+        town.world.run(3)
+        self.name(town, 2)
+        town.world.run(1.5 * VERSION_S + 0.5)
+        return town
+
+    async def long_streams(self, town, each_s=0.1):
+        for at in itertools.count():
+            asking = town._asking("r-resume", f"{at}", parts=[("short", 300)], out=500, aim_ms=1500)
+            town.running.append(asyncio.ensure_future(asking))
+            await asyncio.sleep(each_s)
+
+    def test_no_worker_is_left_behind_where_streams_are_long(self):
+        town = self.busy_day(models=6)
+        self.assertEqual(town.breaches(), {})
+
+    def test_no_worker_is_left_behind_by_workers_that_answer_no_order(self):
+        town = self.town(9, models=8)
+        silent = ("lm1", "lm2", "lm3")
+        for name in silent:
+            town.world.freeze(name)
+        self.name(town, 2)
+        town.world.run(VERSION_S - 2.0)
+        left = {
+            each.name
+            for each in (town.up[name] for name in town.workers if name.startswith("lm"))
+            if each.versions[MODEL] < 2
+        }
+        self.assertEqual(left, {town.up[name].name for name in silent})
+        for name in silent:
+            town.world.thaw(name)
+        town.world.run(3.0)
+        self.assertEqual({town.up[name].versions[MODEL] for name in silent}, {2})
--- a/tests/gateway/town.py
+++ b/tests/gateway/town.py
@@ -450,7 +450,7 @@
 
     def reset_connections(self, name):
         """Reset all connections of a machine."""
-        self.trouble(name, lambda: None)
+        self.trouble(name, lambda: None, kind=PROCESS)
         ip = self.machines[name]
         for each in [each for each in self.world.net.open if each.loop.ip == ip]:
             self._do(name, each.abort)
