Old weights count from the age of their naming, which travels with each lease

Cause: each router counted a naming from when it took the configuration itself, anew after a restart and anew for all older weights with each newer naming, and lengthened that by its own view of trouble (failed renewals, views) to 11.5 s. And the bound ended with the sending of a request, not with the beginning of its run.

Ruled out: reset connections of a router, long streams, workers that answer no order (cases stay, green before and after). A worker of unknown version is asked for the newest one and refuses.

Change: tail and routers tell each other the age of each naming with each lease; the highest wins, so that neither a restart nor a change of view makes one younger (chain/weight_ages.py). A worker's weights count from the first newer naming. Beyond the bound lead only changes of the core that its tail reports (member/core_watch.py), or no majority of the voters in reach; what a router suspects itself ends 1 s before the bound (gateway/old_weights.py). Right before the bytes go the age is looked at again; a request that its worker hasn't answered 0.4 s before the bound is taken back. Versions are learned only from answers that are the worker's own.

Invariant: invariant.oldWeights counts requests sent after the bound and answers to such; cases demand 0, and with the choice by age taken out it counts.

The operator case that took out the choice of workers alone now takes out the check of ages, which covers choice and sending; with only the choice taken out it demands that no rule is broken.

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -10,6 +10,7 @@
 from swiftdeck.chain.config_updates import ConfigUpdates
 from swiftdeck.chain.state import ChainState
 from swiftdeck.chain.state_transfer import StateTransfer
+from swiftdeck.chain.weight_ages import WeightAges
 from swiftdeck.disk.journal import Journal
 from swiftdeck.fault import (
     BAD_FRAME,
@@ -106,6 +107,7 @@
         self.incoming, self.committers, self.holders = [], [], {}
         self.unwritten = []
         self.known_s = {}
+        self.weight_ages, self.core_calm_ms = WeightAges(), lambda: 0
         self.next_last, self.pass_failed_s = None, None
         self.last_write_s = None
         agreement.watchers.append(self.on_view)
@@ -184,8 +186,10 @@
             self.last_in = view if self.isLast() else 0
 
     def _know(self):
-        """Remember when this tail first had the newest version on its disk."""
+        """Remember when this tail first had the newest version on its disk, and the weights that it names."""
         version = self.durable.version
+        if self.isLast():
+            self.weight_ages.note(self.durable.config.document.models, self.loop.time())
         if self.isLast() and version not in self.known_s:
             self.known_s[version] = self.loop.time()
             if len(self.known_s) > KNOWN_KEPT:
@@ -622,6 +626,7 @@
             return LeaseReturn(version=durable.version)
         if ask.held > durable.version:
             return OLD_VIEW.because("router knows a newer version")
+        self.weight_ages.merge(ask.named, now_s)
         old = self.holders.get(ask.router)
         held = max(ask.held, old.held if old else 0)
         self.holders[ask.router] = Holder(
@@ -635,6 +640,8 @@
             routers=len(self.holders),
             version=durable.version,
             view=self.agreement.decided.number,
+            named=self.weight_ages.told(now_s),
+            core_calm_ms=self.core_calm_ms(),
         )
         self.updates.add(told, ask, self.state, durable)
         return told
--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -71,6 +71,7 @@
     connectMs: Ms = 300
     budgetWindowMs: Ms = 10000
     oldWeightsMs: Ms = 5500
+    weightsBoundMs: Ms = 8000
     orderLeaseMs: Ms = 3300
     leaveMs: Ms = 2800
     partsMost: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 2000
--- a/swiftdeck/control/core.py
+++ b/swiftdeck/control/core.py
@@ -14,6 +14,7 @@
 from swiftdeck.duty.ballots import Ballots
 from swiftdeck.fault import DAMAGED, is_fault
 from swiftdeck.http.server import HttpServer
+from swiftdeck.member.core_watch import CoreWatch
 
 
 class Core(Node):
@@ -43,6 +44,8 @@
             keepMs=settings.claimKeepMs,
             claimsMost=settings.claimsMost,
         )
+        self.core_watch = CoreWatch(self.me, self.membership)
+        self.chain.core_calm_ms = self.core_watch.calm_ms
         self.ballots = Ballots(self.mesh, self.agreement, settings.dutyLicenceMs)
         self.cluster_map = ClusterMap(self.mesh, self.membership, self.news)
         self.change_writer = ChangeWriter(self.mesh, self.cluster_map)
@@ -95,6 +98,7 @@
         self.ballots.start()
         await self.mesh.start()
         self.membership.start()
+        self.core_watch.start()
         self.news.start()
         self.cluster_map.learn(self.agreement.decided)
         self.cluster_map.start()
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -1,6 +1,7 @@
 """The process of an edge machine whose callers and workers speak a platform's way: what is decided is decided here."""
 
 import asyncio
+import math
 from collections import Counter
 
 from swiftdeck.board.beat import next_beat
@@ -14,6 +15,7 @@
 from swiftdeck.gateway.health import Judge
 from swiftdeck.gateway.kept import KeptTable
 from swiftdeck.gateway.listing import Listing
+from swiftdeck.gateway.old_weights import OldWeights
 from swiftdeck.gateway.placing import Placing
 from swiftdeck.gateway.pool import Pool
 from swiftdeck.gateway.proxied_request import ProxiedRequest
@@ -24,7 +26,9 @@
 from swiftdeck.traffic.lease import ConfigLease
 from swiftdeck.wire.messages import SwapNews, WorkerNews
 
-OLD_MOST_S = 6.0
+OLD_WEIGHTS = "invariant.oldWeights"
+LOST_S = 1.0
+"""How long no majority of the cores is in reach before that counts as trouble of theirs, not of this process."""
 OPERATOR = "operator"
 CALLERS = "callers"
 
@@ -41,6 +45,9 @@
             self.me, self.mesh, self.membership, self.cluster_map, self.board, settings.renewMs
         )
         self.lease.peeks = True
+        self.old_weights = OldWeights(
+            self.lease.weight_ages, settings.oldWeightsMs / 1000, settings.weightsBoundMs / 1000
+        )
         self.worker_registry, self.kept = WorkerRegistry(), KeptTable()
         self.judge = Judge(self.worker_registry, self.board)
         self.judge.on_trouble = self.tell_trouble
@@ -77,8 +84,8 @@
         )
         self.http = HttpServer(self.handle, settings.bodyBytes, note=self.board.note)
         self.ops = HttpServer(self.operate, note=self.board.note) if settings.opsHttp else None
-        self.routes, self.named_s, self.tenants = None, {}, {}
-        self.stopping, self.open, self.unsettled_s = False, 0, -1e9
+        self.routes, self.tenants = None, {}
+        self.stopping, self.open, self.lost_cores_s = False, 0, -math.inf
         self.worker_registry.watchers.append(lambda: self.pool.follow(self.worker_registry.workers))
         self.broadcast.on(WorkerNews, self.on_worker_news)
         self.mesh.on(SwapNews, self.on_swap_news)
@@ -125,16 +132,6 @@
         """Compile what each request needs."""
         document = held.document
         self.routes, self.tenants = RouteTable(document), held.tenant_by_key
-        now_s = self.loop.time()
-        self.named_s = {
-            name: (
-                model.weights,
-                self.named_s[name][1]
-                if self.named_s.get(name, ("",))[0] == model.weights
-                else now_s,
-            )
-            for name, model in document.models.items()
-        }
         limits = document.limits.get(CALLERS)
         if limits:
             self.http.head_limit, self.http.body_limit = limits.head_bytes, limits.body_bytes
@@ -173,36 +170,66 @@
         """Workers that may take a request: ready, not about to be ordered, and on weights that may still be served."""
         now_s = self.loop.time()
         serving = self.worker_registry.serving(service)
-        newest, since_s = self._newest(model)
-        since_s = max(since_s, min(self.unsettled_s, since_s + OLD_MOST_S))
-        may_be_old = now_s - since_s < self.settings.oldWeightsMs / 1000 or not self.lease.is_held()
-        fit = [
-            each
-            for each in serving
-            if may_be_old or not each.knows(model) or each.knows(model) >= newest
-        ]
+        versions = {each.knows(model) for each in serving}
+        usable = {version for version in versions if self.is_usable(model, version)}
+        fit = [each for each in serving if each.knows(model) in usable]
         calm = [each for each in fit if each.swapping_until_s <= now_s]
         return calm or fit
 
+    def is_usable(self, model: str, version: int) -> bool:
+        """Whether requests may be sent now to a worker that is known to have a version, 0 where that isn't known.
+
+        A worker of unknown version is asked for the newest one, and turns the request away if it has another.
+        """
+        if not version or self.loop.time() < self.old_weights.sent_until_s(model, version):
+            return True
+        return not self.lease.is_held() and self._has_lost_cores()
+
+    def must_begin_by_s(self, model: str, version: int) -> float:
+        """By when a worker has to answer a request that was sent for a version, infinity where it may take its time."""
+        if not version or self._has_lost_cores():
+            return math.inf
+        return self.old_weights.awaited_until_s(model, version)
+
+    def _has_lost_cores(self):
+        """Whether no majority of the cores that vote is in reach, so that nobody can order workers either."""
+        voters = {each.addr for each in self.cluster_map.voters()}
+        in_reach = voters.intersection(self.membership.reachable("core"))
+        return 2 * len(in_reach) <= len(voters)
+
     async def _watching(self):
-        """Remember when the cores were last in trouble, as far as this router can tell."""
-        seen = None
+        """Remember when the cores were last in trouble: as their tail says, and as it looks from here."""
+        seen, lost_since_s = None, None
         while True:
+            now_s = self.loop.time()
             now = (
                 self.cluster_map.view.number,
                 frozenset(each.incarnation for each in self.membership.alive("core")),
             )
             if now != seen or not self.lease.is_held() or self.lease.failures:
-                seen, self.unsettled_s = now, self.loop.time()
+                seen, self.old_weights.suspected_s = now, now_s
+            is_lost = not self.lease.is_held() and self._has_lost_cores()
+            lost_since_s = (now_s if lost_since_s is None else lost_since_s) if is_lost else None
+            if is_lost and now_s - lost_since_s > LOST_S:
+                self.lost_cores_s = now_s
+            self.old_weights.core_changed_s = max(self.lease.core_changed_s, self.lost_cores_s)
             await next_beat(0.25)
 
-    def _newest(self, model):
-        weights, since_s = self.named_s.get(model, ("0", -1e9))
-        return int(weights) if weights.isdecimal() else 0, since_s
-
     def version(self, model: str, worker) -> int:
         """The version of the weights on which a request should run there, 0 where none is known."""
-        return worker.knows(model) or self._newest(model)[0]
+        return worker.knows(model) or self.old_weights.ages.newest(model)
+
+    def check_weights(self, model: str, version: int, sent_s: float, what: str):
+        """Count a request that was sent to weights for which the bound had passed, or that was answered by such.
+
+        Holds whenever the cores can be reached; without a majority of them nobody could order the worker.
+        """
+        late_s = sent_s - self.old_weights.bound_until_s(model, version)
+        if version and late_s > 0 and not self._has_lost_cores():
+            self.board.count[OLD_WEIGHTS] += 1
+            self.board.note(
+                "old weights", what=what, model=model, version=version, lateMs=int(late_s * 1000)
+            )
 
     def salt(self, model: str, worker, tenant: str) -> str:
         """What prefixes are kept under: the weights, and the tenant that is kept apart."""
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -66,7 +66,7 @@
             gateway.placing.is_long(request),
         )
         self.aim_s = (path.target_ms or 1000) / 1000
-        self.salt = self.version = ""
+        self.salt, self.version = "", 0
         self.is_passing_on = False
 
     def _left_s(self):
@@ -172,6 +172,9 @@
         self.link = got
         if self.loop.time() >= self.ledger.deadline_s:
             return DEADLINE_PASSED
+        if not gateway.is_usable(self.request.model, worker.knows(self.request.model)):
+            self._give_back()
+            return NO_WORKER.because("the worker's weights have become too old")
         upstream_request = self._upstream_request(worker)
         fault = self.link.send_request(
             self.request.method,
@@ -183,6 +186,7 @@
             return fault
         attempt.was_sent, sent_s = True, self.loop.time()
         gateway.board.count["attemptsSent"] += 1
+        gateway.check_weights(self.request.model, self.version, sent_s, "sent")
         head = await self._head_in_time(worker, sent_s)
         if head is None:
             return WORKER_HANGS
@@ -195,20 +199,23 @@
     async def _head_in_time(self, worker, sent_s):
         """The head of the answer, or None when another worker is to be tried.
 
-        Silence ends nothing that can't be repeated, and nothing at a worker that answers others meanwhile.
+        Silence ends nothing that can't be repeated, and nothing at a worker that answers others meanwhile; but where a request
+        may still wait at its worker, it is taken back before it would begin on weights that are too old.
         """
         reading = asyncio.ensure_future(self._head())
         try:
             until_s = sent_s + max(0.15, 0.7 * self.aim_s)
             while True:
-                await asyncio.wait(
-                    [reading],
-                    timeout=max(0.001, min(until_s, self.ledger.deadline_s) - self.loop.time()),
-                )
+                begin_s = self.gateway.must_begin_by_s(self.request.model, self.version)
+                wake_s = min(until_s, self.ledger.deadline_s, begin_s)
+                await asyncio.wait([reading], timeout=max(0.001, wake_s - self.loop.time()))
                 if reading.done():
                     return reading.result()
                 if self.loop.time() >= self.ledger.deadline_s:
                     return DEADLINE_PASSED
+                if self.loop.time() >= begin_s:
+                    self.gateway.board.count["oldWeightsTakenBack"] += 1
+                    return None
                 if worker.answered_s < sent_s and self._may_move(worker):
                     self.gateway.judge.failed(worker, False)
                     return None
@@ -275,13 +282,15 @@
         gateway, (status, headers) = self.gateway, head
         self.link.hear(headers)
         speak = gateway.workers_speak
-        version = speak.version(headers)
-        if version:
+        version, is_its_own = speak.version(headers), speak.worker(headers) in ("", worker.name)
+        if version and is_its_own and self.verdict is not Verdict.BAD:
             gateway.worker_registry.learn(worker, {self.request.model: version})
+            if self.verdict is Verdict.ANSWER:
+                gateway.check_weights(self.request.model, version, sent_s, "answered")
         if self.verdict in (Verdict.NOT_RUN, Verdict.ELSEWHERE):
             attempt.has_not_run = True
             gateway.board.count[f"turnedAway.{status}"] += 1
-            if self.verdict is Verdict.ELSEWHERE and speak.worker(headers) not in ("", worker.name):
+            if self.verdict is Verdict.ELSEWHERE and not is_its_own:
                 gateway.worker_registry.drop(worker.name)
             await self._drain()
             return WORKER_FULL.because(f"status {status}")
--- a/swiftdeck/platform/settings.py
+++ b/swiftdeck/platform/settings.py
@@ -133,6 +133,7 @@
             budgetExtra=int(bounds.extra_retries),
             budgetWindowMs=int(bounds.retry_window_s * 1000),
             oldWeightsMs=int(max(500, bounds.version_ms - 2500)),
+            weightsBoundMs=int(bounds.version_ms),
             orderLeaseMs=int(bounds.lease_ms + bounds.thaw_slack_ms),
             viewLicenceMs=1500,
             configLicenceMs=2500,
--- a/swiftdeck/traffic/lease.py
+++ b/swiftdeck/traffic/lease.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from swiftdeck.chain.config_updates import unpack
+from swiftdeck.chain.weight_ages import WeightAges
 from swiftdeck.config.configuration import Configuration
 from swiftdeck.fault import INVALID, NO_LEASE, is_fault
 from swiftdeck.wire.messages import LeaseAsk, LeaseReturn, Nudge, PeekAsk, PeekReturn, Relay
@@ -45,6 +46,7 @@
         self.held, self.until_s, self.watchers = None, -1.0, []
         self.waiting, self.stopping, self.must_have_whole = [], False, False
         self.failures, self.peeks, self.routers = 0, False, 0
+        self.weight_ages, self.core_changed_s = WeightAges(), -1e9
         mesh.on(Nudge, self.on_nudge)
         mesh.on(Relay, self.on_relay)
 
@@ -80,6 +82,7 @@
             hand_back=hand_back,
             digest=self.held.config.digest() if self.held and not self.must_have_whole else b"",
             takes_packed=True,
+            named=self.weight_ages.told(self.loop.time()),
         )
 
     async def _renew(self):
@@ -95,9 +98,20 @@
                 await self._peek()
             return False
         self.failures, self.routers = 0, got.routers
+        self._take_ages(got, sentS)
         told = unpack(got)
         return False if is_fault(told) else self._take(told, sentS)
 
+    def _take_ages(self, got, sentS):
+        """Learn how long ago weights were named, and when the tail last saw a core come or go.
+
+        Neither is taken for older than the tail said, whatever the answer's way took: a naming counts from its arrival, which
+        the next renewals correct, and a change of the core from when the tail was asked.
+        """
+        self.weight_ages.merge(got.named, self.loop.time())
+        if got.core_calm_ms:
+            self.core_changed_s = max(self.core_changed_s, sentS - got.core_calm_ms / 1000)
+
     async def _peek(self):
         """Take what a tail has on its disk, to serve by without a lease: it was committed once, if perhaps not last."""
         addrs = {each.addr for each in self.membership.alive("core")} | {
@@ -149,6 +163,7 @@
             key: name for name, tenant in config.document.tenants.items() for key in tenant.keys
         }
         self.held = Held(got.version, config, by_key)
+        self.weight_ages.note(config.document.models, self.loop.time())
         self.board.put("config", got.version)
         for watch in self.watchers:
             watch(self.held)
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -283,6 +283,13 @@
     document: bytes = bp.bytes_field(2)
 
 
+@message
+class NamedWeights(Wire):
+    model: str = bp.string_field(1)
+    version: int = bp.uint64_field(2)
+    age_ms: int = bp.uint32_field(3)
+
+
 @message
 class LeaseAsk(Wire):
     router: str = bp.string_field(1)
@@ -291,6 +298,7 @@
     hand_back: bool = bp.bool_field(4)
     digest: bytes = bp.bytes_field(5)
     takes_packed: bool = bp.bool_field(6)
+    named: list[NamedWeights] = bp.message_field(7)
 
 
 @message
@@ -304,6 +312,8 @@
     routers: int = bp.uint32_field(7)
     packed: bytes = bp.bytes_field(8)
     is_whole: bool = bp.bool_field(9)
+    named: list[NamedWeights] = bp.message_field(10)
+    core_calm_ms: int = bp.uint32_field(11)
 
 
 @message
--- a/tests/config/test_outward_names.py
+++ b/tests/config/test_outward_names.py
@@ -59,6 +59,7 @@
         "connectMs",
         "budgetWindowMs",
         "oldWeightsMs",
+        "weightsBoundMs",
         "orderLeaseMs",
         "leaveMs",
         "partsMost",
--- a/tests/gateway/case.py
+++ b/tests/gateway/case.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from swiftdeck.gateway.gateway import OLD_WEIGHTS
 from tests.gateway.town import PlatformTown
 
 
@@ -18,6 +19,7 @@
         """No rule is broken, no process failed, and at least such a share of the requests was served."""
         self.assertEqual(town.breaches(), {})
         self.assertEqual(town.world.faults, [])
+        self.assertEqual(town.count(OLD_WEIGHTS), 0)
         served, count = town.served()
         self.assertGreaterEqual(served, share * count)
 
--- a/tests/gateway/cases/old_weights.py
+++ b/tests/gateway/cases/old_weights.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+import math
 from unittest import mock
 
+from swiftdeck.gateway.gateway import OLD_WEIGHTS, Gateway
 from swiftdeck.gateway.swap import Swaps
 from tests.gateway.case import SiteCase
 from tests.gateway.town import BOUNDS, MODEL, PlatformTown, route
@@ -35,6 +37,7 @@
                 town.world.run(max(0.0, named_s + at_s - town.world.now))
                 step(town)
             town.world.run(max(0.0, named_s + 2 * VERSION_S - town.world.now))
+            self.assertEqual(town.count(OLD_WEIGHTS), 0)
             return self.old_runs(town)
 
     def troubles(self):
@@ -76,6 +79,14 @@
             with self.subTest(name):
                 self.assertEqual(self.unordered(seed, *steps), [])
 
+    def test_the_invariant_counts_requests_on_weights_that_are_too_old(self):
+        town = self.town(1, rate=30.0)
+        with orders_nothing(), mock.patch.object(Gateway, "is_usable", lambda *_: True):
+            self.name(town, 2)
+            town.world.run(VERSION_S + 2.0)
+        self.assertGreater(town.count(OLD_WEIGHTS), 20)
+        self.assertTrue(self.old_runs(town))
+
     def crowd(self):
         """Requests wait at the only worker of a model, whose runs go on for longer than old weights may be begun on."""
 
@@ -104,6 +115,12 @@
     def test_a_request_that_waits_at_a_worker_does_not_begin_on_old_weights_too_late(self):
         self.assertEqual(self.old_runs(self.crowd()), [])
 
+        def waits(*_):
+            return math.inf
+
+        with mock.patch.object(Gateway, "must_begin_by_s", waits):
+            self.assertNotEqual(self.old_runs(self.crowd()), [])
+
     def busy_day(self, **more):
         """All workers are busy with long streams while new weights are named."""
         town = PlatformTown(8, **more).start()
--- a/tests/gateway/cases/operator.py
+++ b/tests/gateway/cases/operator.py
@@ -55,12 +55,12 @@
         with mock.patch.object(Gateway, "on_swap_news", lambda self, news, sender: None):
             self.assert_kept(day(), 0.9)
             eligible = Gateway.eligible
+            with mock.patch.object(
+                Gateway, "eligible", lambda self, service, model: eligible(self, service, "")
+            ):
+                self.assertEqual(day().breaches(), {})
             self.assert_falls_without(
-                mock.patch.object(
-                    Gateway, "eligible", lambda self, service, model: eligible(self, service, "")
-                ),
-                day,
-                "VERSION",
+                mock.patch.object(Gateway, "is_usable", lambda *_: True), day, "VERSION"
             )
 
     def naming_at_a_frozen_head(self, seed=4):
--- /dev/null
+++ b/tests/gateway/test_old_weights.py
@@ -0,0 +1,41 @@
+"""Tests of the times until when older weights may be used."""
+
+import math
+import unittest
+
+from swiftdeck.chain.weight_ages import WeightAges
+from swiftdeck.gateway.old_weights import OldWeights
+from swiftdeck.wire.messages import NamedWeights
+
+SEND_S, BOUND_S, NAMED_S = 5.5, 8.0, 100.0
+
+
+class OldWeightsTest(unittest.TestCase):
+    def setUp(self):
+        ages = WeightAges()
+        ages.merge([NamedWeights(model="m", version=2)], NAMED_S)
+        self.old = OldWeights(ages, SEND_S, BOUND_S)
+
+    def times(self, version=1):
+        """The three times, counted from the naming."""
+        old = self.old
+        found = (old.sent_until_s, old.awaited_until_s, old.bound_until_s)
+        return [round(each("m", version) - NAMED_S, 6) for each in found]
+
+    def test_times_of_a_calm_day(self):
+        self.assertEqual(self.times(), [5.5, 7.6, 8.0])
+
+    def test_the_newest_weights_and_unknown_models_have_no_end(self):
+        self.assertEqual(self.times(2), [math.inf] * 3)
+        self.assertEqual(self.old.sent_until_s("other", 1), math.inf)
+
+    def test_a_change_of_the_core_lets_all_times_count_anew(self):
+        self.old.core_changed_s = NAMED_S + 4.0
+        self.assertEqual(self.times(), [9.5, 11.6, 12.0])
+        self.old.core_changed_s = NAMED_S - 4.0
+        self.assertEqual(self.times(), [5.5, 7.6, 8.0])
+
+    def test_what_a_router_suspects_never_goes_beyond_the_bound(self):
+        for suspected_s, sent_until_s in ((1.0, 6.5), (4.0, 7.0), (50.0, 7.0), (-9.0, 5.5)):
+            self.old.suspected_s = NAMED_S + suspected_s
+            self.assertEqual(self.times(), [sent_until_s, 7.6, 8.0])
