The head orders workers as fast as the time for old weights requires

Cause: one slot of six was held for up to 4.4 s by a worker that waits for long runs or answers nothing, whatever time was left; and a head that missed one of two quick view numbers sat the pause between holders out again, though nobody else could have ordered in between.

Change: a slot is held for 2 s; a quarter of the workers is ordered at once while there is time, half in the last 2 s, all once routers send nothing to old weights any more, by the same rule as the routers (gateway/old_weights.py). A head that was the head less than orderLeaseMs - RESTART_S ago goes on: another one sits out orderLeaseMs before its first order, or that less RESTART_S where it started under its view. Workers whose version isn't known are ordered.

--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -1,16 +1,34 @@
 """New weights cross the fleet: the chain's head orders workers onto them, a few at a time."""
 
 import asyncio
+import math
 
+import attrs
+
+from swiftdeck.chain.weight_ages import WeightAges
 from swiftdeck.control.core import Core
 from swiftdeck.fault import is_fault
 from swiftdeck.gateway.listing import Listing
+from swiftdeck.gateway.old_weights import OldWeights
 from swiftdeck.gateway.worker_registry import WorkerRegistry
 from swiftdeck.wire.messages import SwapNews
 
 TAKEN, HOLDS, OLD_FENCE = 202, 200, 412
 RESTART_S, WAITED = 1.4, "waited"
 STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 200, 4.0, 0.15
+SLOT_S = 2.0
+"""How long a worker that is being ordered holds back the next one; after that it is slow, or silent."""
+CALM_SHARE, HURRIED_SHARE, HURRY_S = 1 / 4, 1 / 2, 2.0
+"""Shares of a model's workers that are ordered at once: with time to spare, and in the last seconds before it is over."""
+
+
+@attrs.define
+class Swap:
+    """A worker that is being moved to newer weights."""
+
+    model: str
+    begun_s: float
+    task: asyncio.Task | None = None
 
 
 class SwapCore(Core):
@@ -44,14 +62,25 @@
     until no order of the one before can be on its way, and for as long as two holders must lie apart. A head that only started
     again counts this from its start: nobody else ordered under its view, and the head before it had lost its lease by then.
 
+    A core that was the head shortly before, and is it again, goes on: whoever was the head meanwhile has not sat its own pause
+    out, and gave no order. So views that change often don't keep everybody from ordering.
+
+    Few workers are ordered at a time while routers may still use the others. Once that time is over the rest get nothing to do
+    until they have been ordered, so all are.
+
     Weights are ordered only once their naming is committed: what this core alone has taken in may be lost with it, and a
     worker can't be taken back to older weights.
     """
 
     def __init__(self, core, orders):
         self.core, self.orders = core, orders
-        self.busy, self.held_in, self.since_s, self.tried_s, self.waited_in = {}, 0, None, {}, b""
-        self.telling = {}
+        self.busy: dict[str, Swap] = {}
+        self.since_s, self.headed_in, self.headed_s = None, 0, -math.inf
+        self.tried_s, self.waited_in = {}, b""
+        self.telling, self.seen_view = {}, 0
+        self.old_weights = OldWeights(
+            WeightAges(), core.settings.oldWeightsMs / 1000, core.settings.weightsBoundMs / 1000
+        )
 
     def start(self):
         """Go on comparing what workers have with what is named."""
@@ -66,12 +95,15 @@
         if agreement.position() != 0 or not agreement.mayServe() or not self.core.chain.is_whole():
             return 0
         number, now_s = agreement.decided.number, self.loop.time()
-        if self.since_s is None or self.held_in not in (number, number - 1):
+        pause_s = self.core.settings.orderLeaseMs / 1000
+        stays = self.headed_in in (number, number - 1)
+        stays = stays or now_s - self.headed_s < pause_s - RESTART_S
+        if self.since_s is None or not stays:
             self.since_s = self.started_s + RESTART_S if number == self.started_in else now_s
             if self.waited_in == self._waited(number):
-                self.since_s = -1e9
-        self.held_in = number
-        return number if now_s - self.since_s >= self.core.settings.orderLeaseMs / 1000 else 0
+                self.since_s = -math.inf
+        self.headed_in, self.headed_s = number, now_s
+        return number if now_s - self.since_s >= pause_s else 0
 
     def _waited(self, number):
         return f"{self.core.agreement.coreId} {number}".encode()
@@ -83,18 +115,10 @@
         except OSError:
             self.core.board.count["waitsUnnoted"] += 1
 
-    def _at_once(self, model):
-        able = [
-            each for each in self.core.worker_registry.workers.values() if model in each.weights
-        ]
-        return max(1, len(able) // 4)
-
     async def _minding(self):
         while True:
             await asyncio.sleep(LOOK_S)
-            agreement = self.core.agreement
-            if agreement.position() != 0 and self.since_s is not None:
-                self.since_s = None
+            self._note_ages()
             fence = self.fence()
             if not fence:
                 continue
@@ -106,27 +130,49 @@
                 if entry.weights.isdecimal():
                     self._order_some(model, int(entry.weights))
 
+    def _note_ages(self):
+        """Follow what routers go by: when weights were named, and when the cores were last in trouble."""
+        now_s, view = self.loop.time(), self.core.agreement.decided.number
+        if view != self.seen_view:
+            self.seen_view, self.old_weights.suspected_s = view, now_s
+        self.old_weights.core_changed_s = self.core.core_watch.changed_s
+        self.old_weights.ages.note(self.core.chain.state.config.document.models, now_s)
+
     def _order_some(self, model, version):
+        workers = self.core.worker_registry.workers
+        self.tried_s = {name: at for name, at in self.tried_s.items() if name in workers}
+        able = [each for each in workers.values() if model in each.weights]
         behind = [
             each
-            for each in self.core.worker_registry.workers.values()
-            if not each.listed.draining
-            and 0 < each.knows(model) < version
+            for each in able
+            if each.knows(model) < version
+            and not each.listed.draining
             and each.name not in self.busy
         ]
-        behind.sort(key=lambda each: self.tried_s.get(each.name, -1e9))
-        self.tried_s = {
-            name: at
-            for name, at in self.tried_s.items()
-            if name in self.core.worker_registry.workers
-        }
-        free = self._at_once(model) - sum(1 for each in self.busy.values() if each[0] == model)
-        for worker in behind[: max(0, free)]:
-            self.tried_s[worker.name] = self.loop.time()
-            self.busy[worker.name] = (
-                model,
-                asyncio.ensure_future(self._swap(worker, model, version)),
-            )
+        behind.sort(key=lambda each: self.tried_s.get(each.name, -math.inf))
+        for worker in behind[: self._free_slots(model, len(able), behind)]:
+            self._begin(worker, model, version)
+
+    def _free_slots(self, model, able_count, behind):
+        """How many workers more may be ordered now."""
+        now_s = self.loop.time()
+        left_s = min(
+            (self.old_weights.sent_until_s(model, each.knows(model)) - now_s for each in behind),
+            default=math.inf,
+        )
+        if left_s <= 0:
+            return len(behind)
+        at_once = max(1, int(able_count * (CALM_SHARE if left_s > HURRY_S else HURRIED_SHARE)))
+        taken = sum(
+            swap.model == model and now_s - swap.begun_s < SLOT_S for swap in self.busy.values()
+        )
+        return max(0, at_once - taken)
+
+    def _begin(self, worker, model, version):
+        now_s = self.loop.time()
+        swap = self.busy[worker.name] = Swap(model, now_s)
+        self.tried_s[worker.name] = now_s
+        swap.task = asyncio.ensure_future(self._swap(worker, model, version))
 
     def _tell(self, worker, model, version, for_ms):
         """Tell all routers of a worker, in one message with the others of which the same is told now."""
