--- a/tests/gateway/raw.py
+++ b/tests/gateway/raw.py
@@ -10,13 +10,15 @@
 OWN_KEY = KEYS["nowu640"][0]
 
 
-def request_bytes(name, route="r-safe", path="1", body=b"{}", lines=(), method="POST"):
+def request_bytes(
+    name, route="r-safe", path="1", body=b"{}", lines=(), method="POST", time_left_ms=3000
+):
     """One proper request."""
     head = [
         f"{method} {ROUTES[route][0]}{path} HTTP/1.1",
         f"Host: {HOST}",
         f"Swiftdeck-Request-Id: {name}",
-        "Swiftdeck-Time-Left-Ms: 3000",
+        f"Swiftdeck-Time-Left-Ms: {time_left_ms}",
         f"Authorization: Bearer {OWN_KEY}",
         *lines,
     ]
@@ -53,7 +55,7 @@
         await asyncio.get_running_loop().create_connection(lambda: self, ip, 8080)
         return self
 
-    def tell(self, name, route="r-safe", path="1", body=b"{}"):
+    def tell(self, name, route="r-safe", path="1", body=b"{}", time_left_ms=3000):
         """Note a request as one that this client means to send."""
         self.asked.append(name)
         self.record(
@@ -68,14 +70,16 @@
             router=self.router,
             mode=ROUTES[route][1],
             resumable=False,
-            end_ms=3000,
+            end_ms=time_left_ms,
             after=0,
         )
 
-    def ask(self, name, route="r-safe", path="1", body=b"{}", lines=()):
+    def ask(self, name, route="r-safe", path="1", body=b"{}", lines=(), time_left_ms=3000):
         """Send a request, and note it."""
-        self.tell(name, route, path, body)
-        self.transport.write(request_bytes(name, route, path, body, lines))
+        self.tell(name, route, path, body, time_left_ms)
+        self.transport.write(
+            request_bytes(name, route, path, body, lines, time_left_ms=time_left_ms)
+        )
 
     def account(self):
         """Read what came as answers to what was asked, in order, and note each and whatever is left over."""
