A stopping router ends admission by the clock, and answers what it can't finish

Cause: Gateway.stop went on taking requests while anything was open, and under steady traffic something always is; what was open when the time was over ended with the process, without an answer, also where nothing had been sent to a worker. Ruled out: a late signal or a slow loop (the loop left its wait as soon as nothing was open; the reproduction has neither).

Now a Drain has four phases that the clock alone ends: serving, draining (2.4 s of a grace of 8 s: requests are taken, answers close their connections), refusing (503 with a promise at once, on old and new connections and for bytes that were read before), closed (31/36 of the grace, so within its last sixth): each open request gets its final answer from its ledger, a promise where nothing was sent, else 502; only an answer that has begun is cut. Connections at rest are closed at the end of admission, new ones are heard to the last, requests read behind an answer are each answered before the connection is closed, and one of which only a part came is promised not to run. The lease goes back after the last answer, and in a time that fits into what is left. Connections at rest obey a longer idle time of a newer configuration.

Invariants, logged and counted: requestsCut by reason, invariant.requestsCut for those that nothing excuses, invariant.passedOnAfterAdmissionEnd.

--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -72,7 +72,7 @@
     budgetWindowMs: Ms = 10000
     oldWeightsMs: Ms = 5500
     orderLeaseMs: Ms = 3300
-    leaveMs: Ms = 2800
+    leaveMs: Ms = 2500
     partsMost: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 2000
 
     def shared(self):
@@ -98,6 +98,8 @@
             yield "configLicenceMs: must be above viewLicenceMs"
         if self.grantMs >= self.holdLicenceMs:
             yield "grantMs: must be below holdLicenceMs"
+        if self.leaveMs >= self.stopMs:
+            yield "leaveMs: must be below stopMs"
         if self.inner == self.http:
             yield "http: is the same as inner"
 
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -7,7 +7,15 @@
 from swiftdeck.chain.cluster_map import ClusterMap
 from swiftdeck.config.document import key_digest
 from swiftdeck.control.node import Node
-from swiftdeck.fault import BAD_OPERATOR, NO_LEASE, NO_ROUTE, NOT_FOUND, UNKNOWN_KEY, is_fault
+from swiftdeck.fault import (
+    BAD_OPERATOR,
+    NO_LEASE,
+    NO_ROUTE,
+    NOT_FOUND,
+    STOPPING,
+    UNKNOWN_KEY,
+    is_fault,
+)
 from swiftdeck.gateway.admission import Admission
 from swiftdeck.gateway.broadcast import Broadcast
 from swiftdeck.gateway.following import Following
@@ -20,11 +28,15 @@
 from swiftdeck.gateway.routes import RouteTable
 from swiftdeck.gateway.share import BudgetShare
 from swiftdeck.gateway.worker_registry import WorkerRegistry
+from swiftdeck.http.drain import Drain, DrainTimes
 from swiftdeck.http.server import HttpServer
 from swiftdeck.traffic.lease import ConfigLease
 from swiftdeck.wire.messages import SwapNews, WorkerNews
 
 OLD_MOST_S = 6.0
+LOOK_S = 0.02
+ANSWERS_SHARE, HAND_BACK_SHARE, HAND_BACK_MOST_MS = 0.15, 0.45, 500
+"""What the last answers and the return of the lease may take of the time that is left after the work."""
 OPERATOR = "operator"
 CALLERS = "callers"
 
@@ -75,10 +87,13 @@
             settings.budgetWindowMs / 1000,
             lambda: self.lease.routers,
         )
-        self.http = HttpServer(self.handle, settings.bodyBytes, note=self.board.note)
+        self.drain = Drain(DrainTimes(settings.leaveMs / 1000, settings.stopMs / 1000))
+        self.http = HttpServer(
+            self.handle, settings.bodyBytes, note=self.board.note, drain=self.drain
+        )
         self.ops = HttpServer(self.operate, note=self.board.note) if settings.opsHttp else None
         self.routes, self.named_s, self.tenants = None, {}, {}
-        self.stopping, self.open, self.unsettled_s = False, 0, -1e9
+        self.requests, self.unsettled_s = set(), -1e9
         self.worker_registry.watchers.append(lambda: self.pool.follow(self.worker_registry.workers))
         self.broadcast.on(WorkerNews, self.on_worker_news)
         self.mesh.on(SwapNews, self.on_swap_news)
@@ -99,24 +114,39 @@
         self.board.note("gateway started", addr=self.settings.inner, http=self.settings.http)
 
     async def stop(self):
-        """Turn unready, end each connection with its next answer, finish what is open, leave."""
-        self.stopping = self.http.closing = True
+        """Turn unready, take requests a little longer, finish what was taken, answer the rest, hand back, leave."""
+        self.drain.begin(self.loop.time())
         self.board.note("gateway stops", open=self.open)
-        start_s = self.loop.time()
-        end_s = start_s + self.settings.stopMs / 1000
-        while self.loop.time() < end_s and (
-            self.open or self.loop.time() < start_s + self.settings.leaveMs / 1000
-        ):
-            await asyncio.sleep(0.05)
+        for request in self.requests:
+            request.end_by(self.drain.work_end_s)
+        await asyncio.sleep(self.drain.admission_end_s - self.loop.time())
+        self.http.close_resting()
+        self.board.note("admission ended", open=self.open)
+        answers_s = self.drain.times.after_work_s * ANSWERS_SHARE
+        while self.open and self.loop.time() < self.drain.work_end_s + answers_s:
+            await asyncio.sleep(LOOK_S)
         self.http.stop()
-        while self.loop.time() < end_s and self.open:
-            await asyncio.sleep(0.02)
-        await self.lease.hand_back()
+        await self.http.finish(answers_s)
+        await self.lease.hand_back(self._hand_back_ms())
         self.membership.leave()
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(LOOK_S)
         self.board.note("gateway stopped", open=self.open, **self.counters())
         self.mesh.close()
 
+    def _hand_back_ms(self):
+        left_ms = self.drain.times.after_work_s * 1000
+        return min(HAND_BACK_MOST_MS, int(left_ms * HAND_BACK_SHARE))
+
+    @property
+    def open(self) -> int:
+        """How many requests have no final answer yet."""
+        return len(self.requests)
+
+    @property
+    def stopping(self) -> bool:
+        """Whether this process was told to stop."""
+        return self.drain.has_begun()
+
     def is_ready(self) -> bool:
         """Whether new connections should come here."""
         return not self.stopping and self.routes is not None and bool(self.worker_registry.workers)
@@ -254,6 +284,9 @@
         request = self.callers_speak.read(exchange)
         if is_fault(request):
             return await self.refuse(exchange, request, None)
+        exchange.name = request.name
+        if not self.drain.admits(start_s):
+            return await self.refuse(exchange, STOPPING, request)
         if self.routes is None:
             return await self.refuse(exchange, NO_LEASE, request)
         route = self.routes.find(request.host, request.path)
@@ -265,11 +298,11 @@
             return await self.refuse(exchange, UNKNOWN_KEY, request)
         proxied_request = ProxiedRequest(self, exchange, request, route, tenant, start_s)
         self.budget.call(proxied_request.service)
-        self.open += 1
+        self.requests.add(proxied_request)
         try:
             return await proxied_request.serve()
         finally:
-            self.open -= 1
+            self.requests.discard(proxied_request)
 
     async def operate(self, exchange):
         """One request of an operator."""
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -11,6 +11,7 @@
     DEADLINE_PASSED,
     NO_ROOM,
     NO_WORKER,
+    STOPPING,
     STREAM_BROKEN,
     UNREACHED,
     WORKER_BAD,
@@ -22,6 +23,7 @@
 from swiftdeck.gateway.interfaces import PROMISES, UpstreamRequest, Verdict
 from swiftdeck.gateway.ledger import Attempt, Ledger, Move, next_move
 from swiftdeck.gateway.places import Wish
+from swiftdeck.http.cuts import CutReason
 
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)\r?\n")
 EVENT_END = re.compile(rb"\r?\n\r?\n")
@@ -68,22 +70,51 @@
         self.aim_s = (path.target_ms or 1000) / 1000
         self.salt = self.version = ""
         self.is_passing_on = False
+        self.work_limit = None
 
     def _left_s(self):
         return self.ledger.deadline_s - self.loop.time()
 
     async def serve(self):
-        """Make moves until the request has its final answer."""
-        acts = {Move.PLACE: self._place, Move.SEND: self._send}
+        """Make moves until the request has its final answer, which comes at the end of the work at the latest."""
         try:
-            while True:
-                move, fault = next_move(self.ledger, self.loop.time())
-                if move not in acts:
-                    return await self._end(move, fault)
-                await acts[move]()
+            async with asyncio.timeout_at(self._work_end_s()) as self.work_limit:
+                await self._move_on()
+        except TimeoutError:
+            if not self.work_limit.expired():
+                raise
+            await self._end_with_work()
         finally:
+            self.work_limit = None
             self._leave()
 
+    def _work_end_s(self):
+        drain = self.gateway.drain
+        return drain.work_end_s if drain.has_begun() else None
+
+    def end_by(self, work_end_s):
+        """Have the final answer given at a time, whatever is under way."""
+        if self.work_limit is not None and not self.work_limit.expired():
+            self.work_limit.reschedule(work_end_s)
+
+    async def _move_on(self):
+        acts = {Move.PLACE: self._place, Move.SEND: self._send}
+        while True:
+            move, fault = next_move(self.ledger, self.loop.time())
+            if move not in acts:
+                return await self._end(move, fault)
+            await acts[move]()
+
+    async def _end_with_work(self):
+        """Give the final answer that what was done allows; an answer that has begun can only be cut."""
+        self._leave()
+        self.gateway.board.count["endedWithWork"] += 1
+        if self.exchange.begun:
+            return self.exchange.abort(CutReason.END_OF_WORK)
+        fault = self.ledger.verdict(STOPPING)
+        self.gateway.board.count[f"faults.{fault.code}"] += 1
+        return await self.gateway.refuse(self.exchange, fault, self.request)
+
     def _leave(self):
         if self.link is not None:
             self.link.close()
@@ -173,6 +204,7 @@
         if self.loop.time() >= self.ledger.deadline_s:
             return DEADLINE_PASSED
         upstream_request = self._upstream_request(worker)
+        self._check_admission()
         fault = self.link.send_request(
             self.request.method,
             self.request.target,
@@ -192,6 +224,18 @@
             return head if head.code != BAD_RETURN.code else WORKER_BAD.because(head.reason)
         return await self._take(attempt, worker, head, sent_s)
 
+    def _check_admission(self):
+        """A request that was read after the end of admission, or is still here after that of the work, goes to no worker."""
+        drain = self.gateway.drain
+        if self.start_s < drain.admission_end_s and self.loop.time() < drain.work_end_s:
+            return
+        self.gateway.board.count["invariant.passedOnAfterAdmissionEnd"] += 1
+        self.gateway.board.note(
+            "request passed on after the end of admission",
+            request=self.request.name,
+            phase=drain.phase(self.loop.time()).value,
+        )
+
     async def _head_in_time(self, worker, sent_s):
         """The head of the answer, or None when another worker is to be tried.
 
@@ -396,6 +440,9 @@
         count[f"faults.{fault.code}"] += 1
         if move is Move.BREAK:
             count["streamsBroken"] += 1
-            return self.exchange.abort()
+            is_late = fault.code == DEADLINE_PASSED.code
+            return self.exchange.abort(
+                CutReason.DEADLINE if is_late else CutReason.WORKER_BROKE_OFF
+            )
         self._leave()
         return await self.gateway.refuse(self.exchange, fault, self.request)
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 towards callers and operators, as an asyncio protocol over h11."""
 
 import asyncio
+import math
 import re
 import socket
 import struct
@@ -10,10 +11,22 @@
 import h11
 import msgspec
 
-from swiftdeck.fault import BAD_REQUEST, HANDLER_FAILED, SLOW_REQUEST, TOO_LARGE, Fault, is_fault
+from swiftdeck.fault import (
+    BAD_REQUEST,
+    HANDLER_FAILED,
+    SLOW_REQUEST,
+    STOPPING,
+    TOO_LARGE,
+    Fault,
+    is_fault,
+)
+from swiftdeck.http.cuts import CutReason
+from swiftdeck.http.drain import Drain, DrainTimes, Phase
 
 HEAD_LIMIT = 32768
 RESET = struct.pack("ii", 1, 0)
+LOOK_S = 0.01
+FOREVER = DrainTimes(math.inf, math.inf)
 HEAD_END, CHUNKS_END = re.compile(rb"\n\r?\n"), b"\r\n\r\n"
 
 
@@ -54,7 +67,7 @@
         }
         self.body = body
         self.begun = self.finished = False
-        self.feed = None
+        self.feed, self.name = None, ""
 
     async def lines(self):
         """The lines of a body that is read as it comes; one that is too long ends them."""
@@ -96,9 +109,9 @@
                 await self.piece(body)
             self.finish()
 
-    def abort(self):
+    def abort(self, reason=CutReason.HANDLER_FAILED):
         """Cut the return off, so that it can't look complete."""
-        self.conversation.abort()
+        self.conversation.abort(reason)
 
     async def give_fault(self, fault: Fault, headers=(), **more):
         """A fault as the return, with Retry-After where it says when to come back."""
@@ -107,7 +120,7 @@
     def begin(self, status, headers):
         """Start a return; its pieces follow."""
         self.begun = True
-        close = [("Connection", "close")] if self.conversation.server.closing else []
+        close = [("Connection", "close")] if self.conversation.closes_after_this() else []
         self.conversation.send(h11.Response(status_code=status, headers=[*headers, *close]))
 
     async def piece(self, data: bytes):
@@ -131,7 +144,7 @@
         self.loop = asyncio.get_running_loop()
         self.request, self.body, self.body_size = None, [], 0
         self.task = self.wakeup = self.transport = None
-        self.paused = self.feed = None
+        self.paused = self.feed = self.exchange = self.cut_reason = None
         self.gone = self.dropping = self.is_chunked = False
         self.before = self.latest = b""
 
@@ -142,16 +155,34 @@
 
     def rest(self, ms):
         """Set the wakeup that ends a connection that is too slow."""
+        self.rests_since_s = self.loop.time()
+        self.wake_after(ms / 1000)
+
+    def wake_after(self, seconds):
+        """Set the wakeup anew."""
         if self.wakeup:
             self.wakeup.cancel()
-        self.wakeup = self.loop.call_later(ms / 1000, self.too_slow)
+        self.wakeup = self.loop.call_later(seconds, self.too_slow)
 
     def too_slow(self):
-        if self.task is None:
-            if self.request or self.conn.trailing_data[0]:
-                self.drop(SLOW_REQUEST)
-            else:
-                self.transport.close()
+        """End a connection on which nothing comes; one at rest has the time that now holds, which may have grown."""
+        if self.task is not None:
+            return
+        if not self.is_at_rest():
+            return self.drop(SLOW_REQUEST)
+        left_s = self.rests_since_s + self.server.idleMs / 1000 - self.loop.time()
+        if left_s > 0:
+            self.wake_after(left_s)
+        else:
+            self.transport.close()
+
+    def is_at_rest(self) -> bool:
+        """Whether no byte of a request is here that has no answer yet."""
+        return self.task is None and self.request is None and not self.conn.trailing_data[0]
+
+    def closes_after_this(self) -> bool:
+        """Whether the answer that begins now is to be the last: a server drains, and no further request is here."""
+        return self.server.drain.has_begun() and not self.conn.trailing_data[0]
 
     def data_received(self, data):
         if self.dropping:
@@ -240,10 +271,10 @@
         return event
 
     async def serve(self, request, body, feed=None):
-        exchange = None
+        exchange = self.exchange = None
         try:
             try:
-                exchange = HttpExchange(self, request, body)
+                exchange = self.exchange = HttpExchange(self, request, body)
             except ValueError as error:
                 return self.drop(BAD_REQUEST.because(f"target or headers can't be read: {error}"))
             exchange.feed = feed
@@ -251,21 +282,27 @@
             if is_fault(fault):
                 await exchange.give_fault(fault)
         except asyncio.CancelledError:
-            self.abort()
+            self.abort(CutReason.UNANSWERED)
             return
-        except (ConnectionError, h11.LocalProtocolError):
-            self.abort()
+        except ConnectionError:
+            self.abort(CutReason.CLIENT_LEFT)
         except Exception as error:
-            self.server.count["faults.%d" % HANDLER_FAILED.code] += 1
-            self.server.note("exchange failed", code=HANDLER_FAILED.code, reason=repr(error))
-            if exchange is None or exchange.begun:
-                self.abort()
-            else:
-                await exchange.give_fault(HANDLER_FAILED)
+            await self.fail(exchange, error)
         finally:
             self.task = self.feed = None
         self.next()
 
+    async def fail(self, exchange, error):
+        """End an exchange whose handler failed: by an answer that says so, where none has begun."""
+        self.server.count["faults.%d" % HANDLER_FAILED.code] += 1
+        self.server.note("exchange failed", code=HANDLER_FAILED.code, reason=repr(error))
+        if exchange is None or exchange.begun:
+            return self.abort(CutReason.HANDLER_FAILED)
+        try:
+            await exchange.give_fault(HANDLER_FAILED)
+        except ConnectionError:
+            self.abort(CutReason.CLIENT_LEFT)
+
     def next(self):
         """Go on with the next request of the connection."""
         if self.gone or self.dropping:
@@ -273,7 +310,7 @@
         if (
             self.conn.our_state is h11.DONE
             and self.conn.their_state is h11.DONE
-            and (not self.server.stopping or self.conn.trailing_data[0])
+            and (self.server.keeps_connections() or self.conn.trailing_data[0])
         ):
             self.conn.start_next_cycle()
             self.before, self.latest = b"", self.conn.trailing_data[0]
@@ -283,12 +320,23 @@
                 self.step()
             except h11.RemoteProtocolError as error:
                 self.drop(BAD_REQUEST.because(str(error)), error.error_status_hint)
+            if self.server.is_stopped and not self.dropping:
+                self.stop()
         else:
+            self.cut_reason = self.cut_reason or CutReason.UNANSWERED
             self.transport.close()
 
+    def stop(self):
+        """Close unless an answer is under way; a request of which a part is here is promised not to run."""
+        if self.is_at_rest():
+            self.transport.close()
+        elif self.task is None and not self.transport.is_closing():
+            self.drop(STOPPING)
+
     def drop(self, fault, status=None):
         """Answer a request that cannot be read, and close."""
         self.dropping = True
+        self.cut_reason = self.cut_reason or CutReason.CLIENT_FAULT
         self.server.count[f"faults.{fault.code}"] += 1
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             data = msgspec.json.encode(fault.as_body())
@@ -322,7 +370,7 @@
                     await self.paused
             except TimeoutError:
                 self.server.count["slowCallers"] += 1
-                self.abort()
+                self.abort(CutReason.CLIENT_STALLED)
                 raise ConnectionResetError("caller takes nothing")
 
     def pause_writing(self):
@@ -339,9 +387,10 @@
             self.take(b"")
         return self.task is not None and not self.dropping
 
-    def abort(self):
+    def abort(self, reason=CutReason.HANDLER_FAILED):
         """Cut the connection; for a client that takes its end for the end of an answer, by a reset."""
         if self.transport and not self.gone:
+            self.cut_reason = self.cut_reason or reason
             sock = self.transport.get_extra_info("socket")
             if sock is not None and self.conn.their_http_version == b"1.0":
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
@@ -349,6 +398,8 @@
 
     def connection_lost(self, error):
         self.gone = True
+        if self.exchange is not None and not self.exchange.finished:
+            self.server.note_cut(self.exchange, self.cut_reason or CutReason.CLIENT_LEFT)
         self.server.open.pop(self, None)
         self.resume_writing()
         if self.wakeup:
@@ -369,10 +420,12 @@
         slow_write_ms=20000,
         note=lambda *_, **__: None,
         streams=(),
+        drain=None,
     ):
         self.handler, self.body_limit, self.note, self.streams = handler, body_limit, note, streams
         self.idleMs, self.slow_ms, self.slow_write_ms = idleMs, slow_ms, slow_write_ms
-        self.open, self.stopping, self.closing, self.server = {}, False, False, None
+        self.open, self.is_stopped, self.server = {}, False, None
+        self.drain = drain or Drain(FOREVER)
         self.head_limit = HEAD_LIMIT
         self.count = Counter()
 
@@ -381,10 +434,47 @@
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(lambda: HttpConversation(self), ip, port)
 
+    def phase(self) -> Phase:
+        """What is done with a request that is read now."""
+        return self.drain.phase(asyncio.get_running_loop().time())
+
+    def keeps_connections(self) -> bool:
+        """Whether a connection may rest after an answer."""
+        return not self.is_stopped and self.phase() in (Phase.SERVING, Phase.DRAINING)
+
+    def close_resting(self):
+        """Close the connections on which nothing is asked."""
+        for each in list(self.open):
+            if each.is_at_rest():
+                each.transport.close()
+
     def stop(self):
-        """Take no more connections and close the idle ones."""
-        self.stopping = True
+        """Take no more connections, and close all but those with an answer under way."""
+        self.is_stopped = True
         self.server.close()
         for each in list(self.open):
-            if each.task is None:
-                each.transport.close()
+            each.stop()
+
+    async def finish(self, limit_s: float):
+        """Let the answers that are under way come to their end; cut off what is left after so long."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + limit_s
+        while self.open and loop.time() < end_s:
+            await asyncio.sleep(LOOK_S)
+        for each in list(self.open):
+            each.abort(CutReason.UNANSWERED)
+        if self.open:
+            await asyncio.sleep(0)
+
+    def note_cut(self, exchange, reason: CutReason):
+        """Account for a request that was read whole and whose connection ended without a complete answer."""
+        self.count[f"requestsCut.{reason.value}"] += 1
+        if not reason.is_excused():
+            self.count["invariant.requestsCut"] += 1
+        if reason is not CutReason.CLIENT_LEFT:
+            self.note(
+                "request cut",
+                request=exchange.name or exchange.path,
+                reason=reason.value,
+                phase=self.phase().value,
+            )
--- a/swiftdeck/platform/settings.py
+++ b/swiftdeck/platform/settings.py
@@ -8,6 +8,7 @@
 
 from swiftdeck.config.settings import Settings
 from swiftdeck.fault import BAD_SETTING
+from swiftdeck.http.drain import DrainTimes
 
 PATH_VARIABLE = "SWIFTDECK_CONFIG"
 SEED_PORT_OF = "control"
@@ -113,6 +114,7 @@
 
 def _place(role, file):
     port, bounds = file.internal_ports[0], file.bounds
+    drain = DrainTimes.within(bounds.grace_s)
     seeds = [f"{each.rpartition(':')[0]}:{port}" for each in file.seed_addresses]
     is_core = role == "core"
     http = file.listen_addresses.control if is_core else file.listen_addresses.front
@@ -128,7 +130,8 @@
             founders=seeds,
             mayFound=file.first_start,
             lossesBorne=file.tolerate.machines,
-            stopMs=int(max(1000, file.bounds.grace_s * 1000 - 1200)),
+            leaveMs=int(drain.admission_s * 1000),
+            stopMs=int(drain.work_s * 1000),
             budgetShare=bounds.retry_ratio,
             budgetExtra=int(bounds.extra_retries),
             budgetWindowMs=int(bounds.retry_window_s * 1000),
--- a/swiftdeck/traffic/lease.py
+++ b/swiftdeck/traffic/lease.py
@@ -187,8 +187,8 @@
             await asyncio.wait([done], timeout=max(0.001, until_s - self.loop.time()))
         return self.is_held()
 
-    async def hand_back(self):
+    async def hand_back(self, within_ms=500):
         """Give the lease up, so that no acknowledgement waits for this router."""
         self.stopping, self.until_s = True, -1.0
         if self.cluster_map.tail():
-            await self.mesh.ask(self.cluster_map.tail(), self._ask(True), 500)
+            await self.mesh.ask(self.cluster_map.tail(), self._ask(True), within_ms)
