--- a/swiftdeck/traffic/books.py
+++ b/swiftdeck/traffic/books.py
@@ -3,53 +3,75 @@
 import asyncio
 import typing
 
-from swiftdeck.traffic.book import Book, Conversation
+import attrs
 
+from swiftdeck.traffic.book import Book, Conversation, RunningAttempt
 
-class Host(typing.Protocol):
-    """What the parts of a keeper ask of it."""
+SHUN_S = 2.0
+"""How long a worker that could not be reached gets no starts."""
+
+
+class Coordinator(typing.Protocol):
+    """What the parts of an admission coordinator ask of it."""
 
     model: str
     term: int
 
     def config(self):
-        """The model's entry in the configuration held."""
+        """Return the model's entry in the configuration held, or None."""
 
     def is_ready(self) -> bool:
         """Whether starts may be granted, all routers having been asked."""
 
-    def mine(self) -> list:
-        """The workers of the model."""
+    def listed_workers(self) -> list:
+        """Return the listed workers of the model."""
+
+
+@attrs.frozen
+class RunningCall:
+    """An attempt that runs, with its call and its conversation."""
+
+    conversation: Conversation
+    call: str
+    attempt: RunningAttempt
 
 
 class Books:
-    """Owner of the books: the other parts read them, and change them only by its commands."""
-
-    def __init__(self, host: Host, board, decisions, holdLicenceMs=3000):
-        self.host, self.board, self.decisions, self.holdLicenceMs = (
-            host,
-            board,
-            decisions,
-            holdLicenceMs,
-        )
+    """Owner of the books: the other parts read them, and change them only by its commands.
+
+    `table` has the book of each worker by its name, `conversations` those that are open by their
+    name. `by_last` finds the names of conversations by a tenant and the digest of a prompt, and
+    `routers` has the time until which the slots of each router are held for it, by its address.
+    """
+
+    def __init__(self, coordinator: Coordinator, board, decisions, hold_lease_ms=3000):
+        self.coordinator, self.board, self.decisions = coordinator, board, decisions
+        self.hold_lease_ms = hold_lease_ms
         self.loop = asyncio.get_running_loop()
         self.clear()
 
     def clear(self):
         """Begin with empty books."""
-        self.table, self.conversations, self.by_last, self.routers = {}, {}, {}, {}
+        self.table: dict[str, Book] = {}
+        self.conversations: dict[str, Conversation] = {}
+        self.by_last: dict[tuple[str, bytes], set[str]] = {}
+        self.routers: dict[str, float] = {}
 
-    def of(self, worker) -> Book:
-        """The book of a worker."""
+    def of(self, worker: str) -> Book:
+        """Return the book of a worker, a new one if it has none."""
         if worker not in self.table:
-            config = self.host.config()
-            self.table[worker] = Book(
-                worker, (config.capLeast if config.adapts else config.cap) if config else 1
-            )
+            self.table[worker] = Book(worker, self._first_cap())
         return self.table[worker]
 
-    def all(self):
-        """The books as they are now, safe to change meanwhile."""
+    def _first_cap(self) -> int:
+        """Return the cap that a new book begins with: the least one where it adapts."""
+        config = self.coordinator.config()
+        if config is None:
+            return 1
+        return config.capLeast if config.adapts else config.cap
+
+    def all(self) -> list[Book]:
+        """Return the books as they are now, safe to change meanwhile."""
         return list(self.table.values())
 
     def open(self, conversation: Conversation):
@@ -57,67 +79,84 @@
         self.conversations[conversation.name] = conversation
         self.of(conversation.worker).entry(conversation)
 
-    def move(self, conversation: Conversation, worker):
+    def move(self, conversation: Conversation, worker: str):
         """Enter a conversation at another worker, over the cap if need be."""
         self.of(conversation.worker).leave(conversation)
         self.of(worker).entry(conversation)
 
-    def adopt(self, told, addr, grace_s):
-        """Take over what a router tells of a conversation that it serves or served."""
+    def adopt(self, reported, router: str, idle_floor_s: float):
+        """Take over what a router reports of a conversation that it serves or served.
+
+        `reported` is an OpenConversation; `idle_floor_s` is the earliest time since which the
+        conversation counts as idle. Of reports that name different workers the newest stands.
+        """
         now_s = self.loop.time()
-        found = self.conversations.get(told.conversation)
-        idle_since_s = max(now_s - told.idleMs / 1000, grace_s)
-        if found is None:
-            found = Conversation(
-                told.conversation, told.tenant, told.group, told.worker, told.weights
-            )
-            found.idle_since_s = idle_since_s
-            self.open(found)
-        elif idle_since_s > found.idle_since_s and told.worker != found.worker:
-            self.move(found, told.worker)
-        found.is_served = True
-        found.parts, found.turns = max(found.parts, told.parts), max(found.turns, told.turns)
-        found.idle_since_s = max(found.idle_since_s, idle_since_s)
-        self.remember(found, told.last)
-        if told.call and told.is_sent:
-            found.running[told.call] = (addr, now_s)
-            self.seen(addr)
-
-    def run(self, conversation: Conversation, ask, sender) -> bool:
-        """Count a granted attempt; gives whether its call is a new one."""
+        idle_since_s = max(now_s - reported.idleMs / 1000, idle_floor_s)
+        conversation = self.conversations.get(reported.conversation)
+        if conversation is None:
+            conversation = self._open_reported(reported, idle_since_s)
+        elif idle_since_s > conversation.idle_since_s and reported.worker != conversation.worker:
+            self.move(conversation, reported.worker)
+        conversation.is_served = True
+        conversation.parts = max(conversation.parts, reported.parts)
+        conversation.turns = max(conversation.turns, reported.turns)
+        conversation.idle_since_s = max(conversation.idle_since_s, idle_since_s)
+        self.remember(conversation, reported.last)
+        if reported.call and reported.is_sent:
+            conversation.running[reported.call] = RunningAttempt(router, now_s)
+            self.renew_router(router)
+
+    def _open_reported(self, reported, idle_since_s: float) -> Conversation:
+        """Enter a conversation that only a router knew of."""
+        conversation = Conversation(
+            reported.conversation,
+            reported.tenant,
+            reported.group,
+            reported.worker,
+            reported.weights,
+            idle_since_s=idle_since_s,
+        )
+        self.open(conversation)
+        return conversation
+
+    def attempt_granted(self, conversation: Conversation, ask, router: str) -> bool:
+        """Count a granted attempt; returns whether its call is a new one."""
         is_new = ask.attempt <= 1 and not ask.was_granted and ask.call not in conversation.running
-        conversation.running[ask.call] = (sender, self.loop.time())
+        conversation.running[ask.call] = RunningAttempt(router, self.loop.time())
         conversation.turns += is_new
         self.remember(conversation, ask.talk[-1])
         conversation.weights = ask.weights
         conversation.parts = max(conversation.parts, len(ask.chain))
         conversation.is_over = False
-        self.seen(sender)
+        self.renew_router(router)
         return is_new
 
-    def call_ended(self, conversation: Conversation, call):
-        """A attempt is over; the conversation is idle from now on when it was the last."""
-        if conversation.running.pop(call, None) is not None and not conversation.running:
-            conversation.idle_since_s = self.loop.time()
-
-    def attempt_ended(self, conversation: Conversation, end):
-        """Take in that an attempt is over; close its conversation if that ends too."""
+    def attempt_ended(self, conversation: Conversation, end) -> Book:
+        """Take in an AttemptEnd, close its conversation if that ends too, and return its book."""
         conversation.is_over = conversation.is_over or end.is_over
         book = self.of(conversation.worker)
         if end.parts and conversation.turns > 1:
             book.returns += 1
             book.hits += end.hits >= end.earlier
         if end.never_sent and end.is_bad:
-            book.shunned_until_s = self.loop.time() + 2.0
-        self.call_ended(conversation, end.call)
+            book.shunned_until_s = self.loop.time() + SHUN_S
+        self._stop_running(conversation, end.call)
         conversation.is_served = conversation.is_served or not end.never_sent
-        if not conversation.is_served and not conversation.running:
+        if conversation.running:
+            return book
+        if not conversation.is_served:
             self.close(conversation, "never sent")
-        elif conversation.is_over and not conversation.running:
+        elif conversation.is_over:
             self.close(conversation, "said so")
         return book
 
-    def close(self, conversation: Conversation, why):
+    def _stop_running(self, conversation: Conversation, call: str):
+        """Take an attempt out; the conversation is idle from now on when it was the last."""
+        attempt = conversation.running.pop(call, None)
+        if attempt is not None and not conversation.running:
+            conversation.idle_since_s = self.loop.time()
+
+    def close(self, conversation: Conversation, why: str):
         """End a conversation."""
         self.of(conversation.worker).leave(conversation)
         self.conversations.pop(conversation.name, None)
@@ -132,15 +171,15 @@
             turns=conversation.turns,
         )
 
-    def _forget(self, conversation, last):
+    def _forget(self, conversation: Conversation, last: bytes):
         names = self.by_last.get((conversation.tenant, last))
         if names:
             names.discard(conversation.name)
             if not names:
                 del self.by_last[(conversation.tenant, last)]
 
-    def remember(self, conversation: Conversation, last):
-        """Know a conversation again by a prompt of its own."""
+    def remember(self, conversation: Conversation, last: bytes):
+        """Know a conversation again by the digest of one of its prompts."""
         if last in conversation.lasts:
             return
         if len(conversation.lasts) == conversation.lasts.maxlen:
@@ -148,68 +187,72 @@
         conversation.lasts.append(last)
         self.by_last.setdefault((conversation.tenant, last), set()).add(conversation.name)
 
-    def continued(self, ask):
-        """The open conversation that a prompt extends, under whatever weights it was begun."""
+    def continued(self, ask) -> Conversation | None:
+        """Return the open conversation that a prompt extends, under whatever weights it was begun.
+
+        A prompt that the conversation already had extends it only when no other call of it runs:
+        two equal prompts at once are two conversations.
+        """
         for last in reversed(ask.talk):
             for name in sorted(self.by_last.get((ask.tenant, last), ())):
-                found = self.conversations[name]
-                is_same = last == ask.talk[-1]
-                is_busy = is_same and found.running and ask.call not in found.running
-                if found.group == ask.group and not is_busy:
-                    return found
+                conversation = self.conversations[name]
+                is_equal = last == ask.talk[-1]
+                is_busy = conversation.running and ask.call not in conversation.running
+                if conversation.group == ask.group and not (is_equal and is_busy):
+                    return conversation
         return None
 
-    def seen(self, addr):
-        """A router was heard: its slots are held for another lease."""
-        self.routers[addr] = self.loop.time() + self.holdLicenceMs / 1000
+    def renew_router(self, router: str):
+        """Hold the slots of a router that was heard for another lease."""
+        self.routers[router] = self.loop.time() + self.hold_lease_ms / 1000
 
     def reclaim(self):
         """Give the slots of silent routers back."""
         now_s = self.loop.time()
-        silent = [addr for addr, until_s in self.routers.items() if until_s < now_s]
-        for addr in silent:
-            del self.routers[addr]
-            for each in list(self.conversations.values()):
-                for call in [call for call, (holder, _) in each.running.items() if holder == addr]:
-                    self.call_ended(each, call)
-                    self.board.count["legsReclaimed"] += 1
-
-    def mend(self, sender, calls, settled_s):
-        """End what a router no longer runs; gives those of its calls that are not known here."""
-        for each in list(self.conversations.values()):
-            for call in [
-                call
-                for call, (addr, since_s) in each.running.items()
-                if addr == sender and call not in calls and since_s < settled_s
-            ]:
-                self.call_ended(each, call)
+        silent = [router for router, until_s in self.routers.items() if until_s < now_s]
+        for router in silent:
+            del self.routers[router]
+            for found in self._running_at(router):
+                self._stop_running(found.conversation, found.call)
+                self.board.count["legsReclaimed"] += 1
+
+    def reconcile(self, router: str, calls: set[str], settled_s: float) -> set[str]:
+        """End what a router no longer runs; returns those of its calls that are not known here.
+
+        An attempt that was granted at `settled_s` or later is left alone: the router may not have
+        had its grant yet when it listed its calls.
+        """
+        for found in self._running_at(router):
+            if found.call not in calls and found.attempt.granted_s < settled_s:
+                self._stop_running(found.conversation, found.call)
                 self.board.count["legEndsMended"] += 1
-        return calls - {
-            call
-            for each in self.conversations.values()
-            for call, (addr, _) in each.running.items()
-            if addr == sender
-        }
+        return calls - {found.call for found in self._running_at(router)}
+
+    def _running_at(self, router: str) -> list[RunningCall]:
+        """Return the attempts for which a router holds a grant."""
+        return [
+            RunningCall(conversation, call, attempt)
+            for conversation in self.conversations.values()
+            for call, attempt in conversation.running.items()
+            if attempt.router == router
+        ]
 
     def end_idle(self, book: Book, config):
         """Close what has been idle for long, and follow the configuration's cap."""
-        for each in book.ended(self.loop.time(), config.idleMs):
-            self.close(each, "over" if each.is_over else "idle")
+        for conversation in book.ended(self.loop.time(), config.idleMs):
+            self.close(conversation, "over" if conversation.is_over else "idle")
         if not config.adapts:
             book.cap = config.cap
 
-    def drop(self, listed):
+    def drop_unlisted(self, listed: set[str]):
         """Forget the books of workers that are no longer listed and have nothing open."""
-        for name in [
-            name
-            for name, book in self.table.items()
-            if name not in listed and not book.open and not len(book.line)
-        ]:
-            del self.table[name]
-
-    def status(self, index):
-        """The books in their outward form."""
-        for worker in self.host.mine():
+        for book in self.all():
+            if book.worker not in listed and not book.open and not len(book.line):
+                del self.table[book.worker]
+
+    def status(self, index) -> dict:
+        """Return the books in their outward form, by worker."""
+        for worker in self.coordinator.listed_workers():
             self.of(worker.name)
         return {
             name: {
@@ -218,7 +261,7 @@
                 "line": len(book.line),
                 "up": index.is_up(name),
                 "weights": index.weights(name),
-                "running": sum(len(each.running) for each in book.open.values()),
+                "running": sum(len(conversation.running) for conversation in book.open.values()),
             }
             for name, book in sorted(self.table.items())
         }
--- a/swiftdeck/traffic/decisions.py
+++ b/swiftdeck/traffic/decisions.py
@@ -5,11 +5,14 @@
 
 
 class Decisions:
-    """What this process decided, newest last."""
+    """What this process decided, newest last.
+
+    `clock` gives seconds; `first` is the number of the oldest decision that is still here.
+    """
 
     def __init__(self, clock, keep=10000):
         self.clock, self.first, self.items, self.keep = clock, 1, deque(), keep
-        self.waiting = []
+        self.waiting: list[asyncio.Future] = []
 
     def add(self, kind: str, **fields):
         """Record a decision."""
@@ -23,21 +26,28 @@
             if not done.done():
                 done.set_result(None)
 
-    def since(self, number: int):
-        """How many after a number are no longer here, and those that are."""
+    def since(self, number: int) -> tuple[int, list[dict]]:
+        """Return how many after a number are no longer here, and a list of those that are."""
         lost = max(0, self.first - 1 - max(0, number))
         start = max(0, number + 1 - self.first)
         return lost, [self.items[at] for at in range(start, len(self.items))]
 
-    def about(self, name: str):
-        """Decisions that name a call or a conversation, and those of the conversations named."""
+    def about(self, name: str) -> list[dict]:
+        """Return the decisions that name a call or a conversation.
+
+        Those of the conversations that they name are among them.
+        """
         direct = [
             item for item in self.items if name in (item.get("call"), item.get("conversation"))
         ]
-        talks = {item["conversation"] for item in direct if item.get("conversation")}
-        return [item for item in self.items if item in direct or item.get("conversation") in talks]
+        conversations = {item["conversation"] for item in direct if item.get("conversation")}
+        return [
+            item
+            for item in self.items
+            if item in direct or item.get("conversation") in conversations
+        ]
 
-    async def more(self, timeout_s):
+    async def more(self, timeout_s: float):
         """Wait for the next decision, or until the time is over."""
         done = asyncio.get_running_loop().create_future()
         self.waiting.append(done)
--- a/swiftdeck/traffic/fetches.py
+++ b/swiftdeck/traffic/fetches.py
@@ -3,45 +3,60 @@
 import asyncio
 
 SLOW_S = 10.0
+"""How long a link that was too slow is not tried again."""
 
 
 class FetchPlanner:
-    """Prefers the peer that keeps most, then the store; avoids a slow link for a while."""
+    """Prefers the peer that keeps most, then the store; avoids a slow link for a while.
 
-    def __init__(self, host, index, workers, store=""):
-        self.host, self.index, self.workers, self.store = host, index, workers, store
-        self.links = {}
+    `avoided` has the time until which each pair of source and target is avoided; a source is the
+    name of a worker, or the address of the store.
+    """
+
+    def __init__(self, coordinator, index, workers, store=""):
+        self.coordinator, self.index, self.workers, self.store = coordinator, index, workers, store
+        self.avoided: dict[tuple[str, str], float] = {}
 
     def clear(self):
         """Know of no slow link."""
-        self.links = {}
+        self.avoided = {}
 
-    def source(self, target, ask) -> str:
-        """The address to fetch from, empty for computing anew."""
-        config = self.host.config()
+    def source(self, target: str, ask) -> str:
+        """Return the address to fetch from, empty for computing anew."""
+        config = self.coordinator.config()
         if not config.fetches or len(ask.chain) < 2 or ask.size < config.fetchLeast:
             return ""
-        here = self.index.depth(target, ask.chain)
-        if here >= len(ask.chain) - 1:
+        depth_here = self.index.depth(target, ask.chain)
+        if depth_here >= len(ask.chain) - 1:
             return ""
-        depths = {
-            name: self.index.depth(name, ask.chain) for name in self.index.kept if name != target
-        }
-        best = max(depths, key=lambda name: (depths[name], self._speed(name, target)), default=None)
-        listed = self.workers.workers.get(best)
-        if best and depths[best] > here and listed and self._speed(best, target) >= 0:
-            return listed.addr
-        if here == 0 and self.store and self._speed(self.store, target) >= 0:
+        peer = self._best_peer(target, ask, depth_here)
+        if peer is not None:
+            return peer.addr
+        if depth_here == 0 and self.store and self._is_usable(self.store, target):
             return self.store
         return ""
 
-    def _speed(self, source, target):
-        """Below zero while a link was lately too slow to be worth a try."""
-        return (
-            -1 if self.links.get((source, target), -1e9) > asyncio.get_running_loop().time() else 0
+    def _best_peer(self, target: str, ask, depth_here: int):
+        """Return the listed worker that keeps most of a prompt over a usable link, or None."""
+        depths = {
+            name: self.index.depth(name, ask.chain) for name in self.index.kept if name != target
+        }
+        best = max(
+            depths, key=lambda name: (depths[name], self._is_usable(name, target)), default=None
         )
-
-    def slow(self, addr, target):
-        """A fetch over this link took too long."""
-        source = next((worker.name for worker in self.host.mine() if worker.addr == addr), addr)
-        self.links[(source, target)] = asyncio.get_running_loop().time() + SLOW_S
+        if best is None or depths[best] <= depth_here or not self._is_usable(best, target):
+            return None
+        return self.workers.workers.get(best)
+
+    def _is_usable(self, source: str, target: str) -> bool:
+        """Whether a link was not too slow lately."""
+        until_s = self.avoided.get((source, target))
+        return until_s is None or until_s <= asyncio.get_running_loop().time()
+
+    def avoid(self, address: str, target: str):
+        """Avoid a link for a while, over which a fetch took too long."""
+        source = next(
+            (worker.name for worker in self.coordinator.listed_workers() if worker.addr == address),
+            address,
+        )
+        self.avoided[(source, target)] = asyncio.get_running_loop().time() + SLOW_S
--- a/swiftdeck/traffic/keeper.py
+++ b/swiftdeck/traffic/keeper.py
@@ -23,19 +23,24 @@
 from swiftdeck.traffic.takeover import Takeover
 from swiftdeck.wire.messages import GrantReturn, HoldReturn
 
+TICK_S = 0.1
 ADAPT_S = 30.0
+"""How often the caps follow what was measured."""
+LOAD_WEIGHTS_MS = 5000
+LOAD_AGAIN_S = 0.5
+"""The pause before a worker that did not load its weights is asked once more."""
 
 
 class Keeper:
-    """Held by one router at a time; composes the books and hands messages to their readers."""
+    """Held by one router at a time; composes the books and hands messages to their readers.
 
-    def __init__(self, model, router):
-        self.model, self.router, self.board, self.settings = (
-            model,
-            router,
-            router.board,
-            router.settings,
-        )
+    `term` is the term whose books are gathered or being gathered, 0 for none. `ready_term` equals
+    it once all routers were asked: only then are starts granted.
+    """
+
+    def __init__(self, model: str, router):
+        self.model, self.router = model, router
+        self.board, self.settings = router.board, router.settings
         self.duty = Duty(
             f"keeper/{model}",
             router.me,
@@ -47,24 +52,28 @@
             router.board,
         )
         self.term = self.ready_term = 0
-        self.loading, self.adapted_s = set(), 0.0
+        self.loading: set[tuple[str, str]] = set()
+        self.adapted_s = 0.0
 
     def start(self):
         """Stand for the duty, and keep the books while it is held."""
-        self.loop, router = asyncio.get_running_loop(), self.router
+        self.loop, router, settings = asyncio.get_running_loop(), self.router, self.settings
         self.index = PrefixIndex(self.board, self.on_workers)
-        self.books = Books(self, self.board, router.decisions, self.settings.holdLicenceMs)
+        self.books = Books(self, self.board, router.decisions, settings.holdLicenceMs)
         self.placement = Placement(
-            self, self.books, self.index, self.settings.virtualPlaces, self.settings.placesWeighed
+            self, self.books, self.index, settings.virtualPlaces, settings.placesWeighed
         )
-        self.fetches = FetchPlanner(self, self.index, router.workers, self.settings.store)
+        self.fetches = FetchPlanner(self, self.index, router.workers, settings.store)
         self.lines = Lines(self, self.books, self.placement, router, self._grant)
         self.moves = Moves(self.books, self.placement, router)
         self.takeover = Takeover(self, self.books, router, self.duty)
-        self.budget = Budget(self.settings.budgetShare, start_s=self.loop.time())
+        self.budget = self._new_budget()
         self.duty.start()
         router.workers.watchers.append(self.on_workers)
-        self.task = asyncio.ensure_future(self._keeping())
+        self.task = asyncio.ensure_future(self._coordinate())
+
+    def _new_budget(self) -> Budget:
+        return Budget(self.settings.budgetShare, start_s=self.loop.time())
 
     def stop(self):
         """Keep no books any more, for the model is gone."""
@@ -75,7 +84,7 @@
         self.router.workers.watchers.remove(self.on_workers)
 
     def config(self):
-        """The model's part of the configuration held, or None."""
+        """Return the model's part of the configuration held, or None."""
         held = self.router.lease.held
         return held.document.models.get(self.model) if held else None
 
@@ -83,22 +92,20 @@
         """Whether the duty is held and the books are gathered."""
         return self.duty.is_held() and self.ready_term == self.term == self.duty.term
 
-    def mine(self):
-        """The listed workers of the model."""
+    def listed_workers(self) -> list:
+        """Return the listed workers of the model."""
         return self.router.workers.of_model(self.model)
 
-    async def _keeping(self):
+    async def _coordinate(self):
         while True:
             if self.duty.is_held():
                 if self.duty.term != self.term:
                     await self._take_over()
                 elif self.ready_term == self.term:
                     self._tick()
-                await asyncio.sleep(0.1)
-            else:
-                if self.ready_term:
-                    self._resign()
-                await asyncio.sleep(0.1)
+            elif self.ready_term:
+                self._resign()
+            await asyncio.sleep(TICK_S)
 
     def _resign(self):
         self.lines.clear(NOT_KEEPER)
@@ -110,9 +117,9 @@
     async def _take_over(self):
         self._resign()
         term = self.term = self.duty.term
-        self.budget = Budget(self.settings.budgetShare, start_s=self.loop.time())
+        self.budget = self._new_budget()
         self.on_workers()
-        self.index.follow(self.mine())
+        self.index.follow(self.listed_workers())
         if await self.takeover.run(term):
             self.ready_term = term
             self.board.count["takeovers"] += 1
@@ -122,10 +129,10 @@
             )
 
     def on_workers(self):
-        """The workers or their reports have changed: place anew who waits, follow whom we have."""
+        """Follow a change of the workers or their reports, and place anew who waits."""
         if not self.duty.is_held() or self.duty.term != self.term:
             return
-        workers = self.mine()
+        workers = self.listed_workers()
         serving = [worker.name for worker in workers if not worker.draining]
         self.placement.follow(serving)
         self.index.follow(workers)
@@ -135,23 +142,26 @@
             self._load_weights(workers)
 
     def _load_weights(self, workers):
+        """Ask each worker that reports other weights to load those of the configuration."""
         config = self.config()
+        if config is None:
+            return
         for worker in workers:
-            said = self.index.weights(worker.name)
-            is_due = config and said and said != config.weights and not worker.draining
-            if is_due and (worker.name, config.weights) not in self.loading:
-                self.loading.add((worker.name, config.weights))
+            is_due = self.placement.has_other_weights(worker.name, config.weights)
+            load = (worker.name, config.weights)
+            if is_due and not worker.draining and load not in self.loading:
+                self.loading.add(load)
                 asyncio.ensure_future(self._load_one(worker, config.weights))
 
-    async def _load_one(self, worker, weights):
-        got = await fetch_json(
-            worker.addr, "POST", "/v1/weights", {"weights": weights}, timeoutMs=5000
+    async def _load_one(self, worker, weights: str):
+        answer = await fetch_json(
+            worker.addr, "POST", "/v1/weights", {"weights": weights}, timeoutMs=LOAD_WEIGHTS_MS
         )
         self.board.count["weightsAsked"] += 1
         self.router.decisions.add(
-            "weights", worker=worker.name, weights=weights, taken=not is_fault(got)
+            "weights", worker=worker.name, weights=weights, taken=not is_fault(answer)
         )
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(LOAD_AGAIN_S)
         self.loading.discard((worker.name, weights))
 
     def _tick(self):
@@ -162,15 +172,20 @@
         for book in self.books.all():
             self.books.end_idle(book, config)
             self.lines.pump(book)
-        self._load_weights(self.mine())
+        workers = self.listed_workers()
+        self._load_weights(workers)
         if self.loop.time() - self.adapted_s > ADAPT_S:
             self.adapted_s = self.loop.time()
             for book in self.books.all():
                 book.adapt(config)
-        self.books.drop({worker.name for worker in self.mine()})
+        self.books.drop_unlisted({worker.name for worker in workers})
+
+    async def on_grant_ask(self, ask, sender: str):
+        """Answer a GrantAsk: a GrantReturn now or after a wait in line, or a fault.
 
-    async def on_grant_ask(self, ask, sender):
-        """Grant a attempt now, after a wait in line, or not at all."""
+        A coordinator that still gathers lets the question wait for it; one that holds another
+        configuration than the router answers NO_LEASE, for one of the two is behind.
+        """
         start_s = self.loop.time()
         if not self.is_ready() and not await self.takeover.gathered(
             start_s - ask.waitedMs / 1000, ask.waitMs / 1000
@@ -181,20 +196,21 @@
             self.router.lease.kick.set()
             return NO_LEASE.because("keeper and router hold different configurations", 200)
         conversation = self.books.conversations.get(ask.conversation) or self.books.continued(ask)
-        if conversation is not None:
-            fault = self.moves.settle(conversation, ask)
-            return self._grant(conversation, ask, sender, False) if fault is None else fault
-        return await self.lines.wait(ask, sender, start_s)
+        if conversation is None:
+            return await self.lines.wait(ask, sender, start_s)
+        fault = self.moves.settle(conversation, ask)
+        return self._grant(conversation, ask, sender, False) if fault is None else fault
 
-    def _grant(self, conversation, ask, sender, is_start):
+    def _grant(self, conversation, ask, sender: str, is_start: bool):
+        """Grant an attempt of an open conversation; returns a GrantReturn or a fault."""
         worker = self.router.workers.workers.get(conversation.worker)
         if worker is None or not self.is_ready():
             return NO_WORKER if worker is None else NOT_KEEPER
         if ask.attempt > 1 and not self.budget.draw(self.loop.time(), self._allowance()):
             self.board.count["budgetRefusals"] += 1
             return BUDGET_SPENT
-        earlier = conversation.parts if conversation.weights == ask.weights else 0
-        if self.books.run(conversation, ask, sender):
+        earlier_parts = conversation.parts if conversation.weights == ask.weights else 0
+        if self.books.attempt_granted(conversation, ask, sender):
             self.budget.call(self.loop.time())
         self.board.count["grants"] += 1
         source = self.fetches.source(conversation.worker, ask)
@@ -206,44 +222,47 @@
             is_start=is_start,
             fetch_from=source,
             fetchMs=self.config().fetchMs if source else 0,
-            earlier=earlier,
+            earlier=earlier_parts,
         )
 
-    def _allowance(self):
-        """This model's part of the site's allowance of extra attempts."""
+    def _allowance(self) -> int:
+        """Return the model's part of the site's allowance of extra attempts."""
         models = sorted(self.router.lease.held.document.models)
         share, rest = divmod(self.settings.budgetExtra, len(models))
         return share + (models.index(self.model) < rest)
 
-    def on_attempt_end(self, end, sender):
-        """A attempt is over at its router."""
+    def on_attempt_end(self, end, sender: str):
+        """Take in that an attempt is over at its router."""
         conversation = self.books.conversations.get(end.conversation) if self.is_ready() else None
         if conversation is None:
             return
         if end.slow_from:
-            self.fetches.slow(end.slow_from, conversation.worker)
+            self.fetches.avoid(end.slow_from, conversation.worker)
         self.lines.pump(self.books.attempt_ended(conversation, end))
 
-    def on_grant_drop(self, drop, sender):
-        """A caller went away while its agent waited."""
+    def on_grant_drop(self, drop, sender: str):
+        """Take a call out of its line, for its caller went away."""
         self.lines.leave(drop.call)
 
-    async def on_hold(self, hold, sender):
-        """A router says which attempts it runs; what was lost between us is mended by it."""
+    async def on_hold(self, hold, sender: str):
+        """Renew what a router holds, and reconcile the books with the attempts that it runs.
+
+        Returns a HoldReturn with the calls that are unknown here even after the router was asked
+        for its conversations, or a fault.
+        """
         if not self.is_ready():
             return NOT_KEEPER
         if hold.term > self.term:
             return OLD_VIEW.because("router knows a newer keeper")
-        self.books.seen(sender)
-        lost = self.books.mend(
-            sender, set(hold.calls), self.loop.time() - 2 * self.settings.grantMs / 1000
-        )
+        self.books.renew_router(sender)
+        settled_s = self.loop.time() - 2 * self.settings.grantMs / 1000
+        lost = self.books.reconcile(sender, set(hold.calls), settled_s)
         if lost:
             await self.takeover.gather(sender, self.term)
         return HoldReturn(lost=sorted(lost))
 
-    def status(self):
-        """The books in their outward form."""
+    def status(self) -> dict:
+        """Return the coordinator's state in its outward form."""
         config = self.config()
         return {
             "model": self.model,
--- a/swiftdeck/traffic/ledger.py
+++ b/swiftdeck/traffic/ledger.py
@@ -23,9 +23,11 @@
     Fault,
 )
 
-AGAIN = {
-    each.code
-    for each in (
+RETRY_MS = 1000
+"""When a caller may come back after a call that reached no worker."""
+RETRYABLE = {
+    fault.code
+    for fault in (
         WAITED_OUT,
         NO_WORKER,
         NO_LEASE,
@@ -55,7 +57,11 @@
 
 @attrs.define
 class Attempt:
-    """One try: a grant, and what became of it at the worker."""
+    """One try: a grant, and what became of it at the worker.
+
+    An attempt without a grant has the fault that refused it. `delivered` counts the pieces that the
+    caller was given, `is_whole` says that it was given all.
+    """
 
     number: int
     grant: object = None
@@ -67,7 +73,12 @@
 
 @attrs.define
 class Ledger:
-    """What was done for one call so far."""
+    """What was done for one call so far.
+
+    `waitUntilMs` ends the wait for a grant, `horizonMs` the whole call: both by the clock of the
+    loop. `claim` is None while the key isn't claimed, true once it is, or the fault that says why
+    it never will be. A call that is `repeatable` may be sent again after it was sent once.
+    """
 
     repeatable: bool
     needsClaim: bool
@@ -77,46 +88,60 @@
     attempts: list[Attempt] = attrs.Factory(list)
 
     def sent(self):
-        """Attempts of which a byte may have reached a worker."""
+        """Return the attempts of which a byte may have reached a worker."""
         return [attempt for attempt in self.attempts if attempt.was_sent]
 
     def verdict(self, fault: Fault) -> Fault:
-        """The final fault: one that promises "not run" only if nothing was ever sent."""
+        """Return the final fault: it promises "not run" only if nothing was ever sent.
+
+        Then it is `fault`, or UNREACHED where that promises nothing. Otherwise it is the fault of
+        the last attempt that was sent, or WORKER_LOST where that one promises "not run".
+        """
         sent = self.sent()
         if not sent:
-            return (
-                fault
-                if fault.notRun
-                else UNREACHED.because(fault.reason or fault.name, fault.retry_ms or 1000)
-            )
-        known = next(
-            (attempt.fault for attempt in reversed(sent) if attempt.fault is not None), None
-        )
-        return (
-            known if known is not None and not known.notRun else WORKER_LOST.because(fault.reason)
-        )
-
-
-def next_move(ledger: Ledger, now_ms: float):
-    """The next move and, when it ends the call, the fault to give; a pure function of the ledger and the time."""
+            if fault.notRun:
+                return fault
+            return UNREACHED.because(fault.reason or fault.name, fault.retry_ms or RETRY_MS)
+        faults = [attempt.fault for attempt in sent if attempt.fault is not None]
+        if faults and not faults[-1].notRun:
+            return faults[-1]
+        return WORKER_LOST.because(fault.reason)
+
+
+def next_move(ledger: Ledger, now_ms: float) -> tuple[Move, Fault | None]:
+    """Return the next move and, when it ends the call, the fault to give.
+
+    A pure function of the ledger and the time.
+    """
     if isinstance(ledger.claim, Fault):
         return Move.GIVE_UP, ledger.claim
-    last = ledger.attempts[-1] if ledger.attempts else None
-    if last and last.is_whole:
+    if not ledger.attempts:
+        return Move.NOMINATE, None
+    last = ledger.attempts[-1]
+    if last.is_whole:
         return Move.FINISH, None
-    if last and last.delivered:
+    if last.delivered:
         return Move.BREAK, last.fault
-    if last and last.grant is not None and last.fault is None and not last.was_sent:
-        if now_ms >= ledger.horizonMs:
-            return Move.GIVE_UP, ledger.verdict(WAITED_OUT)
-        return (Move.CLAIM if ledger.needsClaim and ledger.claim is None else Move.SEND), None
-    if last is None:
-        return Move.NOMINATE, None
-    if last.grant is None and last.fault.code not in AGAIN:
-        return Move.GIVE_UP, ledger.verdict(last.fault)
-    if last.was_sent and not ledger.repeatable:
+    if last.grant is not None and last.fault is None and not last.was_sent:
+        return _move_with_grant(ledger, now_ms)
+    return _move_after_fault(ledger, last, now_ms)
+
+
+def _move_with_grant(ledger: Ledger, now_ms: float):
+    """Return the move of a call that holds a grant: claim its key, then send."""
+    if now_ms >= ledger.horizonMs:
+        return Move.GIVE_UP, ledger.verdict(WAITED_OUT)
+    is_claim_due = ledger.needsClaim and ledger.claim is None
+    return (Move.CLAIM if is_claim_due else Move.SEND), None
+
+
+def _move_after_fault(ledger: Ledger, last: Attempt, now_ms: float):
+    """Return the move after an attempt that was refused or failed: try again, or give up."""
+    is_refused_for_good = last.grant is None and last.fault.code not in RETRYABLE
+    if is_refused_for_good or (last.was_sent and not ledger.repeatable):
         return Move.GIVE_UP, ledger.verdict(last.fault)
-    is_wait_over = now_ms >= ledger.waitUntilMs and (last.grant is None or not last.was_sent)
+    is_waiting = last.grant is None or not last.was_sent
+    is_wait_over = is_waiting and now_ms >= ledger.waitUntilMs
     if now_ms >= ledger.horizonMs or is_wait_over:
         return Move.GIVE_UP, ledger.verdict(HORIZON if ledger.sent() else last.fault)
     return Move.NOMINATE, None
--- a/swiftdeck/traffic/line.py
+++ b/swiftdeck/traffic/line.py
@@ -1,13 +1,18 @@
 """A waiting line that serves tenants in turn, first come first served within each."""
 
 from collections import deque
+from collections.abc import Iterator
 
 import attrs
 
 
 @attrs.define(eq=False)
 class Waiting:
-    """An agent that waits to begin a conversation."""
+    """A call that waits to begin a conversation.
+
+    `ask` is the newest message that asked for it, `done` the future that takes the answer to it,
+    `since_s` when the wait began, and `sender` and `seen_s` say who asked last, and when.
+    """
 
     tenant: str
     ask: object
@@ -22,54 +27,55 @@
 
 
 class Line:
-    """Agents waiting for one worker."""
+    """Calls that wait for one worker."""
 
     def __init__(self):
-        self.tenants: dict[str, deque] = {}
+        self.tenants: dict[str, deque[Waiting]] = {}
 
-    def __len__(self):
-        return sum(len(each) for each in self.tenants.values())
+    def __len__(self) -> int:
+        return sum(len(queue) for queue in self.tenants.values())
 
-    def __iter__(self):
-        return (each for line in list(self.tenants.values()) for each in list(line))
+    def __iter__(self) -> Iterator[Waiting]:
+        return (waiting for queue in list(self.tenants.values()) for waiting in list(queue))
 
     def add(self, waiting: Waiting):
-        """Stand in the tenant's line, behind all that have waited as long."""
-        line = self.tenants.get(waiting.tenant)
-        if line is None:
+        """Stand in the tenant's queue, behind all that have waited as long."""
+        queue = self.tenants.get(waiting.tenant)
+        if queue is None:
             return self._add_tenant(waiting)
-        line.append(waiting)
-        if line[-2].since_s > waiting.since_s:
-            self.tenants[waiting.tenant] = deque(sorted(line, key=lambda each: each.since_s))
+        queue.append(waiting)
+        if queue[-2].since_s > waiting.since_s:
+            in_order = sorted(queue, key=lambda other: other.since_s)
+            self.tenants[waiting.tenant] = deque(in_order)
 
     def _add_tenant(self, waiting: Waiting):
         """Put a tenant before those whose first has waited less, as after a change of coordinator.
 
-        There agents ask again in any order; who came early then must not pass who waited longer.
+        There calls ask again in any order; who came early then must not pass who waited longer.
         """
         order = list(self.tenants.items())
-        later = (at for at, (_, line) in enumerate(order) if line[0].since_s > waiting.since_s)
+        later = (at for at, (_, queue) in enumerate(order) if queue[0].since_s > waiting.since_s)
         place = next(later, len(order))
         order.insert(place, (waiting.tenant, deque([waiting])))
         self.tenants = dict(order)
 
-    def first(self):
-        """The next to begin, or None."""
-        return next((line[0] for line in self.tenants.values()), None)
+    def first(self) -> Waiting | None:
+        """Return the next to begin, or None."""
+        return next((queue[0] for queue in self.tenants.values()), None)
 
-    def take(self):
+    def take(self) -> Waiting:
         """Take the next out; its tenant then goes behind the others."""
         tenant = next(iter(self.tenants))
-        line = self.tenants.pop(tenant)
-        first = line.popleft()
-        if line:
-            self.tenants[tenant] = line
+        queue = self.tenants.pop(tenant)
+        first = queue.popleft()
+        if queue:
+            self.tenants[tenant] = queue
         return first
 
     def remove(self, waiting: Waiting):
         """Leave the line."""
-        line = self.tenants.get(waiting.tenant)
-        if line and waiting in line:
-            line.remove(waiting)
-            if not line:
+        queue = self.tenants.get(waiting.tenant)
+        if queue and waiting in queue:
+            queue.remove(waiting)
+            if not queue:
                 del self.tenants[waiting.tenant]
--- a/swiftdeck/traffic/lines.py
+++ b/swiftdeck/traffic/lines.py
@@ -3,60 +3,69 @@
 import asyncio
 
 from swiftdeck.fault import LINE_FULL, NO_WORKER, WAITED_OUT, is_fault
-from swiftdeck.traffic.book import Conversation
+from swiftdeck.traffic.book import Book, Conversation
 from swiftdeck.traffic.line import Waiting
 
 FORGOTTEN_S = 2.0
+"""How long the first of a line keeps its place while its router asks nothing."""
 
 
 class Lines:
-    """Owner of the places in line; it begins conversations by commands to the books."""
-
-    def __init__(self, host, books, placement, router, grant):
-        self.host, self.books, self.placement, self.router, self.grant = (
-            host,
-            books,
-            placement,
-            router,
-            grant,
-        )
+    """Owner of the places in line; it begins conversations by commands to the books.
+
+    `waits` has who waits by the id of the call. `grant(conversation, ask, sender, is_start)` makes
+    the grant of a conversation that begins.
+    """
+
+    def __init__(self, coordinator, books, placement, router, grant):
+        self.coordinator, self.books, self.placement = coordinator, books, placement
+        self.router, self.grant = router, grant
         self.board, self.loop = router.board, asyncio.get_running_loop()
-        self.waits = {}
+        self.waits: dict[str, Waiting] = {}
 
     def clear(self, fault):
-        """Tell all who wait that this is no longer the place."""
+        """Answer all who wait with a fault, for the lines are kept elsewhere from now on."""
         for book in self.books.table.values():
-            for each in book.line:
-                self._give(each, fault)
+            for waiting in book.line:
+                self._answer(waiting, fault)
         self.waits = {}
 
-    async def wait(self, ask, sender, start_s):
-        """A grant for a start, now or within the question's slice of the wait."""
+    async def wait(self, ask, sender: str, start_s: float):
+        """Return a grant for a start, now or within the question's slice of the wait, or a fault.
+
+        A call asks again and again while it waits; it keeps the place of its first question.
+        """
         waiting = self.waits.get(ask.call)
         if waiting is None:
-            waiting = self.waits[ask.call] = Waiting(
-                ask.tenant,
-                ask,
-                self.loop.create_future(),
-                start_s - ask.waitedMs / 1000,
-                sender,
-                start_s,
-            )
-            self.place(waiting)
+            waiting = self._enter(ask, sender, start_s)
         else:
-            waiting.ask, waiting.done, waiting.sender, waiting.seen_s = (
-                ask,
-                self.loop.create_future(),
-                sender,
-                start_s,
-            )
-            for book in self.books.all():
-                if book.line.first() is waiting:
-                    self.pump(book)
-        return await self._waited(waiting, waiting.done, start_s + ask.waitMs / 1000)
-
-    async def _waited(self, waiting, done, end_s):
-        """One slice of a wait; its place in line outlasts it, so that no grant is too old."""
+            self._ask_again(waiting, ask, sender, start_s)
+        return await self._answered(waiting, waiting.done, start_s + ask.waitMs / 1000)
+
+    def _enter(self, ask, sender: str, now_s: float) -> Waiting:
+        """Place a call that asks for the first time."""
+        waiting = Waiting(
+            tenant=ask.tenant,
+            ask=ask,
+            done=self.loop.create_future(),
+            since_s=now_s - ask.waitedMs / 1000,
+            sender=sender,
+            seen_s=now_s,
+        )
+        self.waits[ask.call] = waiting
+        self.place(waiting)
+        return waiting
+
+    def _ask_again(self, waiting: Waiting, ask, sender: str, now_s: float):
+        """Take a new question of a call that has a place, which may be the first of its line."""
+        waiting.ask, waiting.done = ask, self.loop.create_future()
+        waiting.sender, waiting.seen_s = sender, now_s
+        for book in self.books.all():
+            if book.line.first() is waiting:
+                self.pump(book)
+
+    async def _answered(self, waiting: Waiting, done: asyncio.Future, end_s: float):
+        """Wait for one slice; the place in line outlasts it, so that no grant is too old."""
         try:
             await asyncio.wait([done], timeout=max(0, end_s - self.loop.time()))
         finally:
@@ -70,39 +79,46 @@
 
     def place(self, waiting: Waiting):
         """Begin at the worker that placement nominates, or stand in its line."""
-        ask, config = waiting.ask, self.host.config()
-        name = self.placement.nominate(ask)
+        name = self.placement.nominate(waiting.ask)
         if name is None:
-            return self._give(waiting, NO_WORKER)
+            return self._answer(waiting, NO_WORKER)
         book = self.books.of(name)
         if book.has_room() and not len(book.line) and waiting.is_asking():
             return self._begin(book, waiting)
-        if len(book.line) >= config.lineMax:
-            self.board.count["lineFull"] += 1
-            self.router.decisions.add(
-                "refuse", call=ask.call, tenant=ask.tenant, worker=name, why="line full"
-            )
-            return self._give(waiting, LINE_FULL)
+        if len(book.line) >= self.coordinator.config().lineMax:
+            return self._refuse(book, waiting)
+        self._stand(book, waiting)
+        self.pump(book)
+
+    def _refuse(self, book: Book, waiting: Waiting):
+        """Answer that the line is full."""
+        self.board.count["lineFull"] += 1
+        self.router.decisions.add(
+            "refuse",
+            call=waiting.ask.call,
+            tenant=waiting.ask.tenant,
+            worker=book.worker,
+            why="line full",
+        )
+        self._answer(waiting, LINE_FULL)
+
+    def _stand(self, book: Book, waiting: Waiting):
+        """Put a call into a line."""
         book.line.add(waiting)
         self.board.count["waits"] += 1
         self.router.decisions.add(
             "wait",
-            call=ask.call,
-            tenant=ask.tenant,
-            worker=name,
+            call=waiting.ask.call,
+            tenant=waiting.ask.tenant,
+            worker=book.worker,
             line=len(book.line),
             open=len(book.open),
             cap=book.cap,
         )
-        self.pump(book)
 
-    def pump(self, book):
+    def pump(self, book: Book):
         """Let the next ones begin while there is room."""
-        if (
-            not self.host.is_ready()
-            or self.host.config() is None
-            or not self.router.workers.may_take(book.worker)
-        ):
+        if not self._may_begin(book):
             return
         while len(book.line):
             first = book.line.first()
@@ -111,51 +127,59 @@
                     return
                 self._forget(book.line.take())
                 continue
-            if not book.has_room():
-                paused = book.longest_paused(self.loop.time(), self.host.config().pauseMs)
-                if paused is None or len(book.open) > book.cap:
-                    return
-                self.board.count["slotsReclaimed"] += 1
-                self.books.close(paused, "paused while others wait")
+            if not book.has_room() and not self._make_room(book):
+                return
             self._begin(book, book.line.take())
 
+    def _may_begin(self, book: Book) -> bool:
+        """Whether conversations may begin at a worker at all."""
+        return (
+            self.coordinator.is_ready()
+            and self.coordinator.config() is not None
+            and self.router.workers.may_take(book.worker)
+        )
+
+    def _make_room(self, book: Book) -> bool:
+        """End the longest paused conversation; false if there is none, or one is not enough."""
+        paused = book.longest_paused(self.loop.time(), self.coordinator.config().pauseMs)
+        if paused is None or len(book.open) > book.cap:
+            return False
+        self.board.count["slotsReclaimed"] += 1
+        self.books.close(paused, "paused while others wait")
+        return True
+
     def pump_all(self):
         """Look at every line."""
         for book in self.books.all():
             self.pump(book)
 
-    def replace(self, serving):
+    def replace(self, serving: list[str]):
         """Place anew who waits for a worker that no longer serves."""
-        lost = [
-            (book, each)
+        stranded = [
+            (book, waiting)
             for name, book in self.books.table.items()
             if name not in serving
-            for each in book.line
+            for waiting in book.line
         ]
-        for book, each in lost:
-            book.line.remove(each)
-            self.place(each)
-
-    def leave(self, call):
-        """A caller went away while its agent waited."""
-        found = next(
-            (
-                (book, each)
-                for book in self.books.table.values()
-                for each in book.line
-                if each.ask.call == call
-            ),
-            None,
-        )
-        if found:
-            found[0].line.remove(found[1])
-            self._forget(found[1])
-            self._give(found[1], WAITED_OUT.because("caller went away"))
+        for book, waiting in stranded:
+            book.line.remove(waiting)
+            self.place(waiting)
+
+    def leave(self, call: str):
+        """Take a call out of its line, for its caller went away."""
+        for book in self.books.all():
+            for waiting in book.line:
+                if waiting.ask.call == call:
+                    book.line.remove(waiting)
+                    self._forget(waiting)
+                    self._answer(waiting, WAITED_OUT.because("caller went away"))
+                    return
 
-    def _forget(self, waiting):
+    def _forget(self, waiting: Waiting):
         self.waits.pop(waiting.ask.call, None)
 
-    def _begin(self, book, waiting):
+    def _begin(self, book: Book, waiting: Waiting):
+        """Open a conversation at a worker and answer with its first grant."""
         ask = waiting.ask
         name = f"{self.router.random.getrandbits(64):016x}"
         conversation = Conversation(name, ask.tenant, ask.group, book.worker, ask.weights)
@@ -172,13 +196,14 @@
             open=len(book.open),
             cap=book.cap,
         )
-        got = self.grant(conversation, ask, waiting.sender, True)
-        if not is_fault(got):
-            got.waitedMs = waited_ms
-        self._give(waiting, got)
+        grant = self.grant(conversation, ask, waiting.sender, True)
+        if not is_fault(grant):
+            grant.waitedMs = waited_ms
+        self._answer(waiting, grant)
 
-    def _give(self, waiting, got):
+    def _answer(self, waiting: Waiting, answer):
+        """Answer the open question of a call; one that asks nothing now loses its place."""
         if waiting.is_asking():
-            waiting.done.set_result(got)
+            waiting.done.set_result(answer)
         else:
             self._forget(waiting)
--- a/swiftdeck/traffic/moves.py
+++ b/swiftdeck/traffic/moves.py
@@ -12,26 +12,35 @@
         self.books, self.placement, self.router = books, placement, router
 
     def settle(self, conversation, ask):
-        """Move the conversation if it must; a fault when it must and can't."""
-        worker, now_s = conversation.worker, asyncio.get_running_loop().time()
-        book = self.books.of(worker)
-        listed = self.router.workers.workers.get(worker)
-        is_lost = listed is None or listed.draining or worker in ask.avoid
-        if (
-            not is_lost
-            and book.shunned_until_s <= now_s
-            and not self.placement.other_weights(worker, ask.weights)
-        ):
+        """Move the conversation if it must; returns a fault when it must and can't, or None."""
+        is_lost = self._is_lost(conversation.worker, ask)
+        if not is_lost and self._is_good(conversation.worker, ask):
             return None
-        target = next((name for name in self.placement.candidates(ask) if name != worker), None)
+        others = (name for name in self.placement.candidates(ask) if name != conversation.worker)
+        target = next(others, None)
         if target is None:
             return NO_WORKER if is_lost else None
+        self._move(conversation, target)
+        return None
+
+    def _is_lost(self, worker: str, ask) -> bool:
+        """Whether a worker can't be used: it is gone, drains, or has failed this call."""
+        listed = self.router.workers.workers.get(worker)
+        return listed is None or listed.draining or worker in ask.avoid
+
+    def _is_good(self, worker: str, ask) -> bool:
+        """Whether a worker that can be used is no worse than others."""
+        now_s = asyncio.get_running_loop().time()
+        is_shunned = self.books.of(worker).shunned_until_s > now_s
+        return not is_shunned and not self.placement.has_other_weights(worker, ask.weights)
+
+    def _move(self, conversation, target: str):
+        old = conversation.worker
         self.books.move(conversation, target)
-        fresh = self.books.of(target)
-        over = len(fresh.open) > fresh.cap
+        book = self.books.of(target)
+        is_over_cap = len(book.open) > book.cap
         self.router.board.count["moves"] += 1
-        self.router.board.count["movesOverCap"] += over
+        self.router.board.count["movesOverCap"] += is_over_cap
         self.router.decisions.add(
-            "move", conversation=conversation.name, old=worker, new=target, overCap=over
+            "move", conversation=conversation.name, old=old, new=target, overCap=is_over_cap
         )
-        return None
--- a/swiftdeck/traffic/placement.py
+++ b/swiftdeck/traffic/placement.py
@@ -6,10 +6,13 @@
 
 
 class Placement:
-    """Reads the books and the index, and changes neither."""
+    """Reads the books and the index, and changes neither.
 
-    def __init__(self, host, books, index, virtual_places=128, places_weighed=3):
-        self.host, self.books, self.index = host, books, index
+    `places_weighed` is how many of the first places of the ring are compared by what they keep.
+    """
+
+    def __init__(self, coordinator, books, index, virtual_places=128, places_weighed=3):
+        self.coordinator, self.books, self.index = coordinator, books, index
         self.virtual_places, self.places_weighed = virtual_places, places_weighed
         self.ring = Ring([])
 
@@ -17,25 +20,27 @@
         """Place nothing yet."""
         self.ring = Ring([])
 
-    def follow(self, serving):
+    def follow(self, serving: list[str]):
         """Make the ring of these workers."""
         if serving != self.ring.workers:
             self.ring = Ring(serving, self.virtual_places)
 
-    def other_weights(self, worker, weights) -> bool:
-        """Whether a worker said that it has other weights loaded."""
-        said = self.index.weights(worker)
-        return bool(said) and said != weights
+    def has_other_weights(self, worker: str, weights: str) -> bool:
+        """Whether a worker reported that it has other weights loaded."""
+        reported = self.index.weights(worker)
+        return bool(reported) and reported != weights
+
+    def candidates(self, ask) -> list[str]:
+        """Return workers in the order in which a start would take them.
 
-    def candidates(self, ask):
-        """Workers in the order in which a start would take them."""
+        Those that are shunned or whose reports don't come in count only when there are no others.
+        """
         now_s = asyncio.get_running_loop().time()
-        places = [
+        fit = [
             name
             for name in self.ring.walk(ask.chain[-1] + ask.group.encode())
-            if name not in ask.avoid
+            if name not in ask.avoid and not self.has_other_weights(name, ask.weights)
         ]
-        fit = [name for name in places if self.index.weights(name) in ("", ask.weights)]
         good = [
             name
             for name in fit
@@ -43,20 +48,22 @@
         ]
         return good or fit
 
-    def nominate(self, ask):
-        """The worker for a start: the warmest of the first places that have room, if any has."""
-        few = self.candidates(ask)[: self.places_weighed]
-        if not few:
-            return None
-        roomy = [
-            name
-            for name in few
-            if self.books.of(name).has_room() and not len(self.books.of(name).line)
-        ]
+    def nominate(self, ask) -> str | None:
+        """Return the worker for a start: the one of the first places that keeps most of the prompt.
+
+        Places that have room go before those whose line is not full, and those before the others.
+        """
+        first_places = self.candidates(ask)[: self.places_weighed]
         places = (
-            roomy
-            or [name for name in few if len(self.books.of(name).line) < self.host.config().lineMax]
-            or few
+            [name for name in first_places if self._is_free(name)]
+            or [name for name in first_places if self._may_queue(name)]
+            or first_places
         )
-        best = max(self.index.depth(name, ask.chain) for name in places)
-        return next(name for name in places if self.index.depth(name, ask.chain) == best)
+        return max(places, key=lambda name: self.index.depth(name, ask.chain), default=None)
+
+    def _is_free(self, worker: str) -> bool:
+        book = self.books.of(worker)
+        return book.has_room() and not len(book.line)
+
+    def _may_queue(self, worker: str) -> bool:
+        return len(self.books.of(worker).line) < self.coordinator.config().lineMax
--- a/swiftdeck/traffic/takeover.py
+++ b/swiftdeck/traffic/takeover.py
@@ -1,71 +1,106 @@
-"""How a new keeper learns what is open before it grants a start."""
+"""How a new coordinator learns what is open before it grants a start."""
 
 import asyncio
 
+import attrs
+
 from swiftdeck.fault import is_fault
 from swiftdeck.wire.messages import OpenAsk
 
 GRACE_S = 1.5
+"""How long a reported conversation stays open at least, so that its next call can come."""
+REPORT_MS = 800
+ASK_AGAIN_S = 0.1
+NO_FLOOR_S = -1e9
+
+
+@attrs.frozen(eq=False)
+class Arrival:
+    """A question that came while the books were gathered.
+
+    `since_s` is when its call began to wait.
+    """
+
+    since_s: float
+    is_released: asyncio.Future
 
 
 class Takeover:
-    """Asks every router; who asks meanwhile waits, and is taken in the order of waiting."""
+    """Asks every router; who asks meanwhile waits, and is taken in the order of waiting.
+
+    No reported conversation counts as idle since before `idle_floor_s`.
+    """
 
-    def __init__(self, host, books, router, duty):
-        self.host, self.books, self.router, self.duty = host, books, router, duty
-        self.loop, self.arrivals = asyncio.get_running_loop(), []
+    def __init__(self, coordinator, books, router, duty):
+        self.coordinator, self.books, self.router, self.duty = coordinator, books, router, duty
+        self.loop = asyncio.get_running_loop()
+        self.arrivals: list[Arrival] = []
         self.clear()
 
     def clear(self):
-        """No grace is being given."""
-        self.grace_s = -1e9
-
-    async def run(self, term) -> bool:
-        """Gather until all answered or their leases ran out; whether the duty is still held."""
-        now_s, config = self.loop.time(), self.host.config()
-        self.grace_s = (
-            now_s + GRACE_S - (min(config.idleMs, config.pauseMs) / 1000 if config else 0)
-        )
-        end_s, heard = now_s + self.router.settings.holdLicenceMs / 1000, set()
+        """Give no conversation a grace."""
+        self.idle_floor_s = NO_FLOOR_S
+
+    async def run(self, term: int) -> bool:
+        """Gather until all answered or their leases ran out; returns whether the duty is held.
+
+        False means that the duty was lost, or won anew under another term, and all begins again.
+        """
+        now_s = self.loop.time()
+        self.idle_floor_s = self._first_idle_floor_s(now_s)
+        end_s = now_s + self.router.settings.holdLicenceMs / 1000
+        heard: set[str] = set()
         while self.duty.is_held() and self.duty.term == term:
-            wanted = {
-                each.addr for each in [self.router.me, *self.router.membership.alive("router")]
-            } - heard
-            got = await asyncio.gather(*(self.gather(addr, term) for addr in sorted(wanted)))
-            heard |= {addr for addr, ok in zip(sorted(wanted), got, strict=False) if ok}
-            if all(got) or self.loop.time() > end_s:
-                self.grace_s = -1e9
+            missing = sorted(self._routers() - heard)
+            answered = await asyncio.gather(*(self.gather(addr, term) for addr in missing))
+            heard.update(addr for addr, ok in zip(missing, answered, strict=True) if ok)
+            if all(answered) or self.loop.time() > end_s:
+                self.clear()
                 return True
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(ASK_AGAIN_S)
         return False
 
-    async def gather(self, addr, term) -> bool:
-        """Take in what one router serves and served."""
-        ask = OpenAsk(term=term, model=self.host.model, keeper=self.router.me.addr)
-        is_own = addr == self.router.me.addr
-        got = (
-            self.router.on_open_ask(ask, addr)
-            if is_own
-            else await self.router.mesh.ask(addr, ask, 800)
-        )
-        if is_fault(got):
+    def _first_idle_floor_s(self, now_s: float) -> float:
+        """Return a time since which idle conversations have the grace left before they end."""
+        config = self.coordinator.config()
+        shortest_ms = min(config.idleMs, config.pauseMs) if config else 0
+        return now_s + GRACE_S - shortest_ms / 1000
+
+    def _routers(self) -> set[str]:
+        """Return the addresses of all routers that are alive, with this one."""
+        return {router.addr for router in [self.router.me, *self.router.membership.alive("router")]}
+
+    async def gather(self, addr: str, term: int) -> bool:
+        """Take in what one router serves and served; returns whether it answered."""
+        me = self.router.me.addr
+        ask = OpenAsk(term=term, model=self.coordinator.model, keeper=me)
+        if addr == me:
+            report = self.router.on_open_ask(ask, addr)
+        else:
+            report = await self.router.mesh.ask(addr, ask, REPORT_MS)
+        if is_fault(report):
             return False
-        for each in got.conversations:
-            self.books.adopt(each, addr, self.grace_s)
+        for conversation in report.conversations:
+            self.books.adopt(conversation, addr, self.idle_floor_s)
         return True
 
     def release(self):
         """Let those who asked meanwhile go on, the longest waiting first."""
-        arrivals, self.arrivals = sorted(self.arrivals, key=lambda each: each[0]), []
-        for _, done in arrivals:
-            if not done.done():
-                done.set_result(None)
-
-    async def gathered(self, since_s, wait_s) -> bool:
-        """Wait until the books are gathered; who has waited longest then goes first."""
-        arrival = (since_s, self.loop.create_future())
+        arrivals = sorted(self.arrivals, key=lambda arrival: arrival.since_s)
+        self.arrivals = []
+        for arrival in arrivals:
+            if not arrival.is_released.done():
+                arrival.is_released.set_result(None)
+
+    async def gathered(self, since_s: float, wait_s: float) -> bool:
+        """Wait until the books are gathered; who has waited longest then goes first.
+
+        `since_s` is when the call began to wait, `wait_s` how long it waits here. Returns whether
+        starts may be granted now.
+        """
+        arrival = Arrival(since_s, self.loop.create_future())
         self.arrivals.append(arrival)
-        await asyncio.wait([arrival[1]], timeout=wait_s)
+        await asyncio.wait([arrival.is_released], timeout=wait_s)
         if arrival in self.arrivals:
             self.arrivals.remove(arrival)
-        return self.host.is_ready()
+        return self.coordinator.is_ready()
--- a/tests/cases/mutations.py
+++ b/tests/cases/mutations.py
@@ -394,7 +394,7 @@
         "silent routers' slots",
         admission.AdmissionCase,
         "test_slots_of_a_dead_router_come_back_once_its_lease_has_run_out",
-        [(Books, "seen", lambda self, addr: None)],
+        [(Books, "renew_router", lambda self, router: None)],
     ),
     (
         "budget",
