Model: cores cut into halves, closing faults, torn writes, reads at every core

The new terms of the platform let the cores be cut into two halves whatever may be lost at once, let losses overlap as long as no more disks are lost than that, and bind every read at any machine. The model had neither strike, skipped a lost disk beside any other loss, and read at one core after another.

New: the actions split (1|2 and 2|3) and closing (as many disks as may be lost, the power of all others and of the router), unsynced bytes that survive in part, reads at all cores side by side, and a check that a head and a tail serve within 12 s after all is back. Only lost disks count against each other now. Taken out and caught: the lease of the view in the smaller half of three and of five, and the sync under a closing fault (test_removals.py). The stall of the tail's disk comes at another event point, since the run before it is another one; what it shows is the same.

--- a/swiftdeck/sim/model/clients.py
+++ b/swiftdeck/sim/model/clients.py
@@ -30,7 +30,7 @@
 
     def __init__(self, history, doors, now):
         self.history, self.doors, self.now = history, doors, now
-        self.turn, self.held = 0, 0
+        self.turn, self.held, self.lives = 0, 0, 0
 
     def _next_door(self):
         doors = self.doors()
@@ -58,10 +58,11 @@
         self.history.attempts.append(attempt)
         return attempt
 
-    async def read(self, source=Source.READ) -> Observation | None:
-        """Read the configuration once."""
+    async def read(self, source=Source.READ, door="") -> Observation | None:
+        """Read the configuration once, at one core or at the next."""
         begin_s = self.now()
-        got = await fetch_json(self._next_door(), "GET", CONFIG_PATH, timeoutMs=ANSWER_MS)
+        door = door or self._next_door()
+        got = await fetch_json(door, "GET", CONFIG_PATH, timeoutMs=ANSWER_MS)
         if is_fault(got) or got[0] != ACKNOWLEDGED:
             return None
         return self._observed(source, begin_s, got[1])
@@ -90,14 +91,15 @@
         return await self.insist(Order(seen.number, seen.number + NUMBER_STEP, body), limit_s)
 
     async def reading(self):
-        """Read now and then, for ever."""
+        """Read at every core now and then, for ever."""
         while True:
-            await self.read()
+            await asyncio.gather(*(self.read(door=door) for door in self.doors()))
             await asyncio.sleep(READ_EVERY_S)
 
     async def renewing(self, addr: str, core_addrs):
-        """A router: renew the lease now and then, and at once when the tail nudges."""
+        """One life of a router: renew the lease now and then, and at once when the tail nudges."""
         mesh, nudged = Mesh(addr), asyncio.Event()
+        self.held, self.lives = 0, self.lives + 1
         mesh.on(Nudge, lambda nudge, sender: nudged.set())
         await mesh.start()
         while True:
@@ -111,7 +113,7 @@
 
     async def _renew(self, mesh, core_addr):
         begin_s = self.now()
-        ask = LeaseAsk(router="router1", addr=mesh.addr, held=self.held)
+        ask = LeaseAsk(router=f"router1/{self.lives}", addr=mesh.addr, held=self.held)
         got = await mesh.ask(core_addr, ask, LEASE_ASK_MS)
         if not is_fault(got):
             self.held = max(self.held, got.version)
--- a/swiftdeck/sim/model/cluster.py
+++ b/swiftdeck/sim/model/cluster.py
@@ -7,14 +7,16 @@
 from swiftdeck.config.settings import Settings
 from swiftdeck.control.core import Core
 from swiftdeck.platform.operator_door import OperatorDoor
-from swiftdeck.sim.model.invariants import AGREEMENT_LOG, Invariants
+from swiftdeck.sim.model.invariants import AGREEMENT_LOG, Invariant, Invariants
 from swiftdeck.sim.model.points import EventPoints, PointFolder, PointWorld
-from swiftdeck.sim.model.schedule import LOSES_DISK, Action, Schedule
+from swiftdeck.sim.model.schedule import LOSES_DISK, Action, Kind, Schedule
 
 INNER_PORT, DOOR_PORT = 7000, 8080
 VIEW_LEASE_MS, CONFIG_LEASE_MS, ACK_WAIT_MS = 1500, 2500, 400
-CATCH_UP_S = 4.0
+CATCH_UP_S, RECOVERY_S, LOOK_S = 4.0, 12.0, 0.25
 SEEDS_TOLD = 3
+TORN_BYTES = (0, 0, 3, 40)
+"""How many bytes of an unsynced write a loss of power may keep."""
 CLIENTS = {"operators": "10.9.0.1", "reader": "10.9.0.2", "router": "10.9.0.3"}
 
 
@@ -61,7 +63,8 @@
         self.net, self.names = self.world.net, names
         self.folders, self.up, self.gone = {}, {}, set()
         self.healing, self.applied, self.skipped = 0, [], []
-        self.disk_losses_s, self.lost_until_s = [], {}
+        self.disk_losses_s, self.empty, self.last_change_s = [], set(), 0.0
+        self.served_s, self.on_power_cut = 0.0, lambda for_s: None
         self.is_first_start, self.acknowledged = True, Acknowledged(self)
         self.invariants = Invariants(self)
         self.points.on_promise = self.invariants.on_promise
@@ -156,6 +159,24 @@
             for core in cores.values()
         )
 
+    def is_serving(self):
+        """Whether a head takes changes and a tail tells of them."""
+        chains = [core.chain for core in self.running().values()]
+        return any(each._may_write() and each._has_copies() for each in chains) and any(
+            each.may_tell() for each in chains
+        )
+
+    def watch_service(self):
+        """Look now and then whether service is back in time once all is well."""
+        now_s = self.world.now
+        if self.healing or self.is_serving():
+            self.served_s = now_s
+        elif now_s - max(self.served_s, self.last_change_s) > RECOVERY_S:
+            detail = f"no service at {now_s:.1f}, all well since {self.last_change_s:.1f}"
+            self.invariants.broke(Invariant.RECOVERS, detail)
+            return
+        self.world.at(LOOK_S, self.watch_service)
+
     def step(self):
         """After each event: strike where that is due, and look at the invariants."""
         if self.points.due:
@@ -172,29 +193,43 @@
 
     def apply(self, action: Action):
         """Let a fault strike, unless it would lose more at once than the cores have to bear."""
-        if not self._is_bearable(action) or action.core not in self.present():
+        if action.core not in self.present() or not self._is_bearable(action):
             self.skipped.append(action)
             return
         self.applied.append(action)
         getattr(self, f"_{action.kind.value}")(action)
 
     def _is_bearable(self, action):
-        """Whether no more disks are lost at once than may be: a core is lost until it has been back for a while."""
-        now_s = self.world.now
-        lost = {name for name, until_s in self.lost_until_s.items() if until_s > now_s}
-        is_bearable = len(lost | {action.core}) <= self.losses_borne
-        if action.kind in LOSES_DISK and not is_bearable:
-            return False
-        self.lost_until_s[action.core] = max(
-            self.lost_until_s.get(action.core, 0.0), now_s + action.for_s + CATCH_UP_S
-        )
-        return True
+        """Whether no more disks are lost at once than may be; other losses may overlap beyond that."""
+        is_calm = not self.healing and self.world.now > self.last_change_s + CATCH_UP_S
+        if is_calm:
+            self.empty.clear()
+        wiped = set(self._wiped_by(action))
+        is_bearable = not wiped or len(self.empty | wiped) <= self.losses_borne
+        if is_bearable:
+            self.empty |= wiped
+            self.last_change_s = self.world.now
+        return is_bearable
+
+    def _wiped_by(self, action):
+        """The cores whose disks an action empties."""
+        if action.kind not in LOSES_DISK:
+            return []
+        count = self.losses_borne if action.kind is Kind.CLOSING else 1
+        return self._from(action.core)[:count]
+
+    def _from(self, name):
+        """The present cores, from one of them on."""
+        present = self.present()
+        at = present.index(name) if name in present else 0
+        return present[at:] + present[:at]
 
     def _later(self, delay_s, work):
         self.healing += 1
 
         def act():
             self.healing -= 1
+            self.last_change_s = self.world.now
             work()
 
         self.world.at(delay_s, act)
@@ -205,7 +240,7 @@
         if folder is None:
             return
         if is_power:
-            folder.lose_power()
+            folder.lose_power(torn=self.world.random.choice(TORN_BYTES))
         if is_wiped:
             folder.wipe()
             self.invariants.forget(name)
@@ -238,14 +273,19 @@
         self._later(action.for_s, lambda: self.start(action.core))
 
     def _outage(self, action):
-        self._all_lose_power(action, wiped="")
+        self._all_lose_power(action)
 
     def _blackout(self, action):
-        self._all_lose_power(action, wiped=action.core)
+        self._all_lose_power(action)
 
-    def _all_lose_power(self, action, wiped):
+    def _closing(self, action):
+        self._all_lose_power(action)
+        self.on_power_cut(action.for_s)
+
+    def _all_lose_power(self, action):
+        wiped = self._wiped_by(action)
         for name in self.present():
-            self._lose(name, True, name == wiped)
+            self._lose(name, True, name in wiped)
             self._later(action.for_s, lambda name=name: self.start(name))
 
     def _replace(self, action):
@@ -274,6 +314,14 @@
         after = present[(present.index(action.core) + 1) % len(present)]
         self._cut_off(action, True, [self.ips[after]])
 
+    def _split(self, action):
+        """The smaller half is this core and those after it."""
+        names = self._from(action.core)
+        half = len(names) // 2
+        ips = [self.ips[name] for name in names]
+        pairs = self.net.cut(ips[:half], ips[half:], True)
+        self._later(action.for_s, lambda: self.net.heal(pairs))
+
     def _mute(self, action):
         self._cut_off(action, False)
 
--- a/swiftdeck/sim/model/run.py
+++ b/swiftdeck/sim/model/run.py
@@ -57,14 +57,24 @@
         self._demand(first.done() and first.result() == ACKNOWLEDGED, "the first configuration")
         cluster.begin("reader", self.clients.reading)
         if self.schedule.has_router:
-            addr = f"{CLIENTS['router']}:{INNER_PORT}"
-            cluster.begin("router", lambda: self.clients.renewing(addr, cluster.core_addrs))
+            self._start_router()
+            cluster.on_power_cut = self._restart_router
+        cluster.watch_service()
         self._demand(cluster.run(until=cluster.is_settled, limit_s=SETTLE_S), "at the start")
         if not self.cluster.invariants.breaches:
             self._strike_and_settle()
             self._close()
         return self._outcome()
 
+    def _start_router(self):
+        addr = f"{CLIENTS['router']}:{INNER_PORT}"
+        self.cluster.begin("router", lambda: self.clients.renewing(addr, self.cluster.core_addrs))
+
+    def _restart_router(self, after_s):
+        """The router loses power with what it held."""
+        self.cluster.world.kill("router", silent=True)
+        self.cluster.world.at(after_s, self._start_router)
+
     async def _order(self, order):
         return await self.clients.insist(order, ORDER_S)
 
--- a/swiftdeck/sim/model/schedule.py
+++ b/swiftdeck/sim/model/schedule.py
@@ -16,19 +16,31 @@
     WIPE = "wipe"
     REPLACE = "replace"
     BLACKOUT = "blackout"
+    CLOSING = "closing"
     OUTAGE = "outage"
     CUT = "cut"
     LINK = "link"
+    SPLIT = "split"
     MUTE = "mute"
     RESET = "reset"
     FREEZE = "freeze"
     STALL = "stall"
 
 
-LOSES_DISK = frozenset({Kind.WIPE, Kind.REPLACE, Kind.BLACKOUT})
-ON_THE_NETWORK = frozenset({Kind.CUT, Kind.LINK, Kind.MUTE})
-LASTING = frozenset({Kind.CUT, Kind.LINK, Kind.MUTE, Kind.FREEZE, Kind.STALL})
-CRASHES = frozenset({Kind.KILL, Kind.LEAVE, Kind.POWER, Kind.WIPE, Kind.BLACKOUT, Kind.OUTAGE})
+LOSES_DISK = frozenset({Kind.WIPE, Kind.REPLACE, Kind.BLACKOUT, Kind.CLOSING})
+ON_THE_NETWORK = frozenset({Kind.CUT, Kind.LINK, Kind.SPLIT, Kind.MUTE})
+LASTING = frozenset({Kind.CUT, Kind.LINK, Kind.SPLIT, Kind.MUTE, Kind.FREEZE, Kind.STALL})
+CRASHES = frozenset(
+    {
+        Kind.KILL,
+        Kind.LEAVE,
+        Kind.POWER,
+        Kind.WIPE,
+        Kind.BLACKOUT,
+        Kind.CLOSING,
+        Kind.OUTAGE,
+    }
+)
 REPLACEMENTS = frozenset({Kind.REPLACE})
 
 
@@ -36,8 +48,9 @@
 class Action:
     """One fault of one core, and how long until the core is back or well.
 
-    A blackout takes the power of all cores and the disk of this one, an outage only the power. A cut parts the core from all
-    others, a link from the next one alone; a mute core hears the others, who don't hear it.
+    A blackout takes the power of all cores and the disk of this one, an outage only the power. A closing fault takes the power of
+    the router too, and the disks of as many cores as may be lost, from this one on. A cut parts the core from all others, a link
+    from the next one alone, a split this one and its followers from the other half; a mute core hears the others, who don't hear it.
     """
 
     kind: Kind
--- a/tests/sim/model/test_removals.py
+++ b/tests/sim/model/test_removals.py
@@ -16,9 +16,9 @@
 ONE_ORDER = (0.0,)
 
 
-def schedule(*strikes, orders=ONE_ORDER, seed=1):
-    """A schedule for three cores."""
-    return Schedule(seed=seed, orders=orders, strikes=tuple(read_strike(each) for each in strikes))
+def schedule(*strikes, orders=ONE_ORDER, seed=1, cores=3):
+    """A schedule, for three cores if no other count is told."""
+    return Schedule(cores, seed, orders, tuple(read_strike(each) for each in strikes))
 
 
 def broken(found):
@@ -51,10 +51,24 @@
             Invariant.COPIES,
         )
 
+    def test_an_acknowledgement_before_the_sync_and_a_closing_fault(self):
+        """Two of five cores lose their disks, all others and the router their power."""
+
+        async def unsynced(self):
+            self._mark_synced(self.serial)
+            return True
+
+        found = [schedule(f"{at}:closing:core2:0.3", cores=5) for at in (20, 30, 40)]
+        for each in found:
+            self.assertEqual(broken(each), set(), each.command())
+        with mock.patch.object(Chain, "_sync", unsynced):
+            caught = set().union(*map(broken, found))
+        self.assertIn(Clause.LOST, caught)
+
     def test_an_acknowledgement_before_the_tails_own_sync(self):
         """With two members left and no router, whose confirmation would come after the sync."""
         found = attrs.evolve(
-            schedule("0:power:core2:9", "102:stall:core3:0.8", orders=(5.0,)), has_router=False
+            schedule("0:power:core2:9", "128:stall:core3:0.8", orders=(5.0,)), has_router=False
         )
         self.assert_caught(
             mock.patch.object(Chain, "_is_synced", lambda self, serial: True),
@@ -81,6 +95,14 @@
                 Invariant.ONE_SERVES,
             )
 
+    def test_serving_without_a_view_lease_in_the_smaller_half(self):
+        """Three and five cores are cut into halves; the smaller one holds the tail."""
+        removal = mock.patch.object(Agreement, "mayServe", lambda self: self.decided.number > 0)
+        for cores, strike in ((3, "5:split:core3:8"), (5, "5:split:core3:8")):
+            found = schedule(strike, orders=(0.0, 2.5), cores=cores)
+            self.assert_caught(removal, found, Invariant.ONE_SERVES)
+            self.assert_caught(removal, found, Clause.STALE_READ, Clause.STALE_LEASE)
+
     def test_a_new_view_that_does_not_wait_out_the_old_lease(self):
         """The tail's disk hangs, so that it hears of the next view late."""
         self.assert_caught(
