Own interface and cores: no exchange is cut by a process that stops

The same class as the gateway's: a stopping router of the own interface closed its listener and connections, and cut calls that were open after stopMs without a word, also those that waited for a place; a stream of decisions was cut with the process; a core cut streams of changes and, after 2 s, operators' exchanges under way; both dropped requests of which a part had come.

OpenRequests (http/drain.py) holds what a server works on and interrupts it at the end of the work; gateway and router share it. A call then ends by its ledger, as 117 where nothing was sent. A stream of decisions ends whole at once, one of changes after the change under way; a change that a core can't settle is answered as undecided (202, no promise). What a handler has not answered even then is answered by the server; only answers that have begun can be cut, counted as invariant.requestsCut.

--- a/swiftdeck/control/core.py
+++ b/swiftdeck/control/core.py
@@ -1,6 +1,7 @@
 """A core process: a member of the chain, a voter, and a door for operators."""
 
 import asyncio
+from collections import Counter
 
 from swiftdeck.chain.agreement import Agreement
 from swiftdeck.chain.chain import Chain
@@ -12,9 +13,12 @@
 from swiftdeck.control.node import Node
 from swiftdeck.control.operators import Operators
 from swiftdeck.duty.ballots import Ballots
-from swiftdeck.fault import DAMAGED, is_fault
+from swiftdeck.fault import DAMAGED, UNDECIDED, is_fault
 from swiftdeck.http.server import HttpServer
 
+EXCHANGES_S = 2.0
+"""How long exchanges with operators may go on after the order to stop."""
+
 
 class Core(Node):
     """One of the machines with a disk that keep the control state."""
@@ -115,15 +119,15 @@
         """Finish what operators asked, hand place and vote over, then leave."""
         self.http.stop()
         await asyncio.gather(
-            self._finish_exchanges(), self.departure.leave(self.settings.stopMs / 1000)
+            self.http.finish(EXCHANGES_S, UNDECIDED),
+            self.departure.leave(self.settings.stopMs / 1000),
         )
         self.membership.leave()
         self.mesh.close()
 
-    async def _finish_exchanges(self):
-        end_s = asyncio.get_running_loop().time() + 2
-        while self.http.open and asyncio.get_running_loop().time() < end_s:
-            await asyncio.sleep(0.05)
+    def counters(self):
+        """All counters of the process by name."""
+        return dict(Counter(super().counters()) + self.http.count)
 
     def status(self):
         """What doctor and operators want to know of this process."""
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -14,6 +14,7 @@
     NOT_FOUND,
     STOPPING,
     UNKNOWN_KEY,
+    WORKER_LOST,
     is_fault,
 )
 from swiftdeck.gateway.admission import Admission
@@ -28,7 +29,7 @@
 from swiftdeck.gateway.routes import RouteTable
 from swiftdeck.gateway.share import BudgetShare
 from swiftdeck.gateway.worker_registry import WorkerRegistry
-from swiftdeck.http.drain import Drain, DrainTimes
+from swiftdeck.http.drain import Drain, DrainTimes, OpenRequests
 from swiftdeck.http.server import HttpServer
 from swiftdeck.traffic.lease import ConfigLease
 from swiftdeck.wire.messages import SwapNews, WorkerNews
@@ -93,7 +94,7 @@
         )
         self.ops = HttpServer(self.operate, note=self.board.note) if settings.opsHttp else None
         self.routes, self.named_s, self.tenants = None, {}, {}
-        self.requests, self.unsettled_s = set(), -1e9
+        self.requests, self.unsettled_s = OpenRequests(self.drain), -1e9
         self.worker_registry.watchers.append(lambda: self.pool.follow(self.worker_registry.workers))
         self.broadcast.on(WorkerNews, self.on_worker_news)
         self.mesh.on(SwapNews, self.on_swap_news)
@@ -115,10 +116,8 @@
 
     async def stop(self):
         """Turn unready, take requests a little longer, finish what was taken, answer the rest, hand back, leave."""
-        self.drain.begin(self.loop.time())
+        self.requests.begin_drain(self.loop.time())
         self.board.note("gateway stops", open=self.open)
-        for request in self.requests:
-            request.end_by(self.drain.work_end_s)
         await asyncio.sleep(self.drain.admission_end_s - self.loop.time())
         self.http.close_resting()
         self.board.note("admission ended", open=self.open)
@@ -126,7 +125,7 @@
         while self.open and self.loop.time() < self.drain.work_end_s + answers_s:
             await asyncio.sleep(LOOK_S)
         self.http.stop()
-        await self.http.finish(answers_s)
+        await self.http.finish(answers_s, WORKER_LOST)
         await self.lease.hand_back(self._hand_back_ms())
         self.membership.leave()
         await asyncio.sleep(LOOK_S)
@@ -298,11 +297,7 @@
             return await self.refuse(exchange, UNKNOWN_KEY, request)
         proxied_request = ProxiedRequest(self, exchange, request, route, tenant, start_s)
         self.budget.call(proxied_request.service)
-        self.requests.add(proxied_request)
-        try:
-            return await proxied_request.serve()
-        finally:
-            self.requests.discard(proxied_request)
+        return await proxied_request.serve()
 
     async def operate(self, exchange):
         """One request of an operator."""
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -70,7 +70,6 @@
         self.aim_s = (path.target_ms or 1000) / 1000
         self.salt = self.version = ""
         self.is_passing_on = False
-        self.work_limit = None
 
     def _left_s(self):
         return self.ledger.deadline_s - self.loop.time()
@@ -78,25 +77,10 @@
     async def serve(self):
         """Make moves until the request has its final answer, which comes at the end of the work at the latest."""
         try:
-            async with asyncio.timeout_at(self._work_end_s()) as self.work_limit:
-                await self._move_on()
-        except TimeoutError:
-            if not self.work_limit.expired():
-                raise
-            await self._end_with_work()
+            await self.gateway.requests.run(self._move_on, self._end_with_work)
         finally:
-            self.work_limit = None
             self._leave()
 
-    def _work_end_s(self):
-        drain = self.gateway.drain
-        return drain.work_end_s if drain.has_begun() else None
-
-    def end_by(self, work_end_s):
-        """Have the final answer given at a time, whatever is under way."""
-        if self.work_limit is not None and not self.work_limit.expired():
-            self.work_limit.reschedule(work_end_s)
-
     async def _move_on(self):
         acts = {Move.PLACE: self._place, Move.SEND: self._send}
         while True:
--- a/swiftdeck/http/drain.py
+++ b/swiftdeck/http/drain.py
@@ -1,5 +1,6 @@
 """How a server that is told to stop takes itself out of service: phases that the clock alone ends."""
 
+import asyncio
 import enum
 import math
 
@@ -69,3 +70,34 @@
         if self.admits(now_s):
             return Phase.DRAINING
         return Phase.REFUSING if now_s < self.work_end_s else Phase.CLOSED
+
+
+class OpenRequests:
+    """The requests that a server works on, each of which is interrupted at the end of the work to get its final answer."""
+
+    def __init__(self, drain: Drain):
+        self.drain, self.limits = drain, set()
+
+    def __len__(self):
+        return len(self.limits)
+
+    def begin_drain(self, now_s: float):
+        """Take the order to stop, for what is open and for what still comes."""
+        self.drain.begin(now_s)
+        for limit in self.limits:
+            if not limit.expired():
+                limit.reschedule(self.drain.work_end_s)
+
+    async def run(self, work, give_final_answer):
+        """Await `work()`; where the work ends before it, `give_final_answer()` instead."""
+        limit = asyncio.timeout_at(self.drain.work_end_s if self.drain.has_begun() else None)
+        self.limits.add(limit)
+        try:
+            async with limit:
+                return await work()
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return await give_final_answer()
+        finally:
+            self.limits.discard(limit)
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -181,8 +181,9 @@
         return self.task is None and self.request is None and not self.conn.trailing_data[0]
 
     def closes_after_this(self) -> bool:
-        """Whether the answer that begins now is to be the last: a server drains, and no further request is here."""
-        return self.server.drain.has_begun() and not self.conn.trailing_data[0]
+        """Whether the answer that begins now is to be the last: the server stops, and no further request is here."""
+        stops = self.server.is_stopped or self.server.drain.has_begun()
+        return stops and not self.conn.trailing_data[0]
 
     def data_received(self, data):
         if self.dropping:
@@ -282,7 +283,8 @@
             if is_fault(fault):
                 await exchange.give_fault(fault)
         except asyncio.CancelledError:
-            self.abort(CutReason.UNANSWERED)
+            if exchange is None or not exchange.finished:
+                self.abort(CutReason.UNANSWERED)
             return
         except ConnectionError:
             self.abort(CutReason.CLIENT_LEFT)
@@ -332,6 +334,20 @@
             self.transport.close()
         elif self.task is None and not self.transport.is_closing():
             self.drop(STOPPING)
+        elif self.feed is not None:
+            self.feed.put_nowait(None)
+            self.feed = None
+
+    async def give_up(self, fault):
+        """Answer in the place of a handler that has not come to its end; an answer that has begun can only be cut."""
+        if self.task is None:
+            return
+        exchange, task = self.exchange, self.task
+        if exchange is None or exchange.begun:
+            return self.abort(CutReason.UNANSWERED)
+        await exchange.give_fault(fault)
+        task.cancel()
+        self.transport.close()
 
     def drop(self, fault, status=None):
         """Answer a request that cannot be read, and close."""
@@ -455,16 +471,16 @@
         for each in list(self.open):
             each.stop()
 
-    async def finish(self, limit_s: float):
-        """Let the answers that are under way come to their end; cut off what is left after so long."""
+    async def finish(self, limit_s: float, fault: Fault):
+        """Let the answers that are under way come to their end; what is left after so long gets a fault."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + limit_s
         while self.open and loop.time() < end_s:
             await asyncio.sleep(LOOK_S)
         for each in list(self.open):
-            each.abort(CutReason.UNANSWERED)
+            await each.give_up(fault)
         if self.open:
-            await asyncio.sleep(0)
+            await asyncio.sleep(LOOK_S)
 
     def note_cut(self, exchange, reason: CutReason):
         """Account for a request that was read whole and whose connection ended without a complete answer."""
--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -17,6 +17,7 @@
     NO_WORKER,
     OTHER_WEIGHTS,
     STALE_LIST,
+    STOPPING,
     UNKNOWN_KEY,
     UNREACHED,
     WAITED_OUT,
@@ -422,6 +423,10 @@
             else CLAIM_LEFT.because(fault.reason or fault.name, fault.retry_ms or None)
         )
 
+    async def end_with_work(self):
+        """Give the final return that what was done allows, as the router has no more time."""
+        return await self._end(Move.GIVE_UP, self.ledger.verdict(STOPPING))
+
     async def _end(self, move, fault):
         attempt = self.ledger.attempts[-1] if self.ledger.attempts else None
         self._close_attempt()
--- a/swiftdeck/traffic/decisions.py
+++ b/swiftdeck/traffic/decisions.py
@@ -18,6 +18,10 @@
         if len(self.items) > self.keep:
             self.items.popleft()
             self.first += 1
+        self.wake()
+
+    def wake(self):
+        """Let all that wait for more look again."""
         waiting, self.waiting = self.waiting, []
         for done in waiting:
             if not done.done():
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections import Counter
 
 import attrs
 import msgspec
@@ -24,8 +25,10 @@
     TOO_LARGE,
     UNKNOWN_KEY,
     UNREACHED,
+    WORKER_LOST,
     is_fault,
 )
+from swiftdeck.http.drain import Drain, DrainTimes, OpenRequests
 from swiftdeck.http.server import HttpServer
 from swiftdeck.traffic.call import Call, CallBody
 from swiftdeck.traffic.claims import Claims
@@ -45,6 +48,8 @@
 )
 
 OUTAGE_S = 15.0
+LOOK_S, ANSWERS_S = 0.05, 0.6
+"""How often a router that stops looks whether all calls are answered, and how long the last answers may take."""
 
 
 @attrs.define
@@ -84,9 +89,12 @@
             settings.listOldMs,
         )
         self.claims = Claims(self.me.name, self.change_writer, random, self.board)
-        self.http = HttpServer(self.handle, settings.bodyBytes, note=self.board.note)
+        self.drain = Drain(DrainTimes(0.0, settings.stopMs / 1000))
+        self.calls = OpenRequests(self.drain)
+        self.http = HttpServer(
+            self.handle, settings.bodyBytes, note=self.board.note, drain=self.drain
+        )
         self.keepers, self.known, self.running, self.served = {}, {}, {}, {}
-        self.stopping, self.open = False, 0
         self.news.watch("duty/keeper/", self.on_keeper_news)
         for kind, handler, is_bound in (
             (GrantAsk, self.on_grant_ask, True),
@@ -112,17 +120,33 @@
 
     async def stop(self):
         """Take no more calls, finish open ones within the bound, hand leases and duties back."""
-        self.stopping = True
+        self.calls.begin_drain(self.loop.time())
+        self.decisions.wake()
+        self.http.close_resting()
+        while self.open and self.loop.time() < self.drain.work_end_s + ANSWERS_S:
+            await asyncio.sleep(LOOK_S)
         self.http.stop()
-        end_s = self.loop.time() + self.settings.stopMs / 1000
-        while self.open and self.loop.time() < end_s:
-            await asyncio.sleep(0.05)
+        await self.http.finish(ANSWERS_S, WORKER_LOST)
         await asyncio.gather(
             self.lease.hand_back(), *(keeper.duty.hand_back() for keeper in self.keepers.values())
         )
         self.board.note("router stopped", open=self.open)
         self.mesh.close()
 
+    @property
+    def open(self) -> int:
+        """How many calls have no final answer yet."""
+        return len(self.calls)
+
+    @property
+    def stopping(self) -> bool:
+        """Whether this process was told to stop."""
+        return self.drain.has_begun()
+
+    def counters(self):
+        """All counters of the process by name."""
+        return dict(Counter(super().counters()) + self.http.count)
+
     def on_config(self, held):
         """Keep, or stand for keeping, exactly the models of the configuration."""
         models = held.document.models
@@ -342,12 +366,17 @@
             return self._refuse(STOPPING)
         if self.open >= self.settings.callsOpen:
             return self._refuse(BUSY)
-        self.open += 1
-        try:
+        call = None
+
+        async def serve():
+            nonlocal call
             call = await self._call_of(exchange)
             return self._refuse(call) if is_fault(call) else await call.serve()
-        finally:
-            self.open -= 1
+
+        async def end():
+            return await call.end_with_work() if isinstance(call, Call) else self._refuse(STOPPING)
+
+        return await self.calls.run(serve, end)
 
     def _refuse(self, fault):
         self.board.count[f"faults.{fault.code}"] += 1
--- a/tests/gateway/cases/draining.py
+++ b/tests/gateway/cases/draining.py
@@ -4,8 +4,7 @@
 from unittest import mock
 
 from swiftdeck.gateway.admission import Admission
-from swiftdeck.gateway.proxied_request import ProxiedRequest
-from swiftdeck.http.drain import Drain
+from swiftdeck.http.drain import Drain, OpenRequests
 from tests.gateway.case import SiteCase
 from tests.gateway.raw import RawClient, request_bytes
 from tests.gateway.town import BOUNDS, MODEL, PlatformTown, document
@@ -32,6 +31,11 @@
     await asyncio.Event().wait()
 
 
+def begins_without_an_end(self, now_s):
+    """A drain that leaves what is open alone."""
+    self.drain.begin(now_s)
+
+
 class DrainingCase(SiteCase):
     def setUp(self):
         self.town = PlatformTown(61).start()
@@ -198,9 +202,9 @@
 
     def test_without_an_end_of_the_work_the_invariant_catches_it(self):
         self.route_timeouts()
-        with mock.patch.object(ProxiedRequest, "end_by", lambda self, work_end_s: None):
+        with mock.patch.object(OpenRequests, "begin_drain", begins_without_an_end):
             self.too_long()
-        self.assertEqual(self.town.breaches().get("invariant.requestsCut"), 2)
+        self.assertEqual(self.town.breaches().get("invariant.requestsCut"), 1)
 
     def test_a_request_that_is_still_being_placed_at_the_end_is_promised_not_to_have_run(self):
         self.route_timeouts()
