--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -78,7 +78,7 @@
             servers.append(HttpServer(handler, drain=Drain(DrainTimes(1.0, 2.0))))
             await servers[0].start("10.0.0.1", 80)
             await asyncio.sleep(0.2)
-            servers[0].drain.begin(world.now)
+            servers[0].drain.begin(asyncio.get_running_loop().time())
             servers[0].stop()
 
         async def call():
