--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -72,7 +72,7 @@
     budgetWindowMs: Ms = 10000
     oldWeightsMs: Ms = 5500
     orderLeaseMs: Ms = 3300
-    leaveMs: Ms = 2500
+    leaveMs: Ms = 2600
     partsMost: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 2000
 
     def shared(self):
--- a/swiftdeck/fault.py
+++ b/swiftdeck/fault.py
@@ -57,7 +57,7 @@
 STALE_LIST = _fault(114, "workers' list is too old", 503, notRun=True, retry_ms=2000)
 NO_KEEPER = _fault(115, "no keeper holds the duty", 503, notRun=True, retry_ms=2000)
 BUDGET_SPENT = _fault(116, "retry budget is spent", 503, notRun=True, retry_ms=5000)
-STOPPING = _fault(117, "router is stopping", 503, notRun=True, retry_ms=1000)
+STOPPING = _fault(117, "router is stopping", 503, notRun=True, retry_ms=50)
 NO_CLAIM = _fault(118, "once-only claim could not be made", 503, notRun=True, retry_ms=2000)
 UNREACHED = _fault(119, "worker could not be reached", 503, notRun=True, retry_ms=1000)
 BUSY = _fault(120, "router has too many calls open", 503, notRun=True, retry_ms=1000)
--- a/swiftdeck/http/drain.py
+++ b/swiftdeck/http/drain.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-ADMISSION_SHARE, ADMISSION_MOST_S = 0.3, 2.5
+ADMISSION_SHARE, ADMISSION_MOST_S = 1 / 3, 2.6
 WORK_SHARE = 31 / 36
 """Requests are worked on into the last sixth of the time that a process is given, and a sixth of that sixth longer."""
 
--- a/swiftdeck/traffic/lease.py
+++ b/swiftdeck/traffic/lease.py
@@ -190,5 +190,6 @@
     async def hand_back(self, within_ms=500):
         """Give the lease up, so that no acknowledgement waits for this router."""
         self.stopping, self.until_s = True, -1.0
+        self.task.cancel()
         if self.cluster_map.tail():
             await self.mesh.ask(self.cluster_map.tail(), self._ask(True), within_ms)
--- a/tests/gateway/cases/draining.py
+++ b/tests/gateway/cases/draining.py
@@ -16,7 +16,7 @@
 )
 TIME_LEFT_MS, LONG_TIME_LEFT_MS = 6000, 20000
 AT_REST = 3
-LATE_S = 3.95
+LATE_S, FROZEN_S = 3.95, 5.0
 NEXT_VERSION = 4
 GRACE_S = BOUNDS["grace_s"]
 
@@ -225,3 +225,53 @@
         put = self.town.operator.put
         self.assertEqual(self.town.operate(lambda: put(document(), NEXT_VERSION)), 200)
         self.assertLess(self.town.world.now - begun_s, 0.5)
+
+    def test_a_router_that_is_frozen_after_sigterm_refuses_what_came_meanwhile(self):
+        busy, *at_rest = self.connections(1 + AT_REST)
+        self.send(busy, "long", 300)
+        self.stop()
+        self.until(0.5)
+        self.town.freeze("router1", FROZEN_S)
+        self.until(LATE_S)
+        for at, client in enumerate(at_rest):
+            self.send(client, f"late{at}")
+        self.until(0.5 + FROZEN_S + 0.1)
+        results = self.account(*at_rest)
+        self.assert_refused(results, *(f"late{at}" for at in range(AT_REST)))
+        self.end()
+        self.assertEqual(self.town.breaches(), {})
+
+    def test_a_router_that_reaches_no_core_ends_within_its_grace(self):
+        cores = [ip for name, ip in self.town.machines.items() if name.startswith("core")]
+        others = [ip for name, ip in self.town.machines.items() if name != "router1"]
+        for cut_off in (cores, others):
+            self.setUp()
+            (client,) = self.connections(1)
+            self.town.trouble(
+                "router1",
+                lambda cut_off=cut_off: self.town.world.net.cut(
+                    [self.town.machines["router1"]], cut_off
+                ),
+                1e3,
+            )
+            self.town.world.run(1)
+            self.send(client, "open", 900)
+            self.stop()
+            self.end()
+            self.assertTrue(self.account(client)["open"]["complete"])
+            self.assertEqual(self.town.invariant_violations(), {})
+
+    def test_a_time_at_rest_that_grows_and_shrinks_under_load_cuts_nothing(self):
+        self.town.drive(12)
+        for turn in range(8):
+            limits = document()["limits"] | {"idle-ms": (400, 15000)[turn % 2]}
+            changed = document() | {"limits": limits}
+            put = self.town.operator.put
+            status = self.town.operate(
+                lambda changed=changed, turn=turn: put(changed, NEXT_VERSION + turn)
+            )
+            self.assertEqual(status, 200)
+            self.town.world.run(1.2)
+        self.assert_kept(self.town)
+        cut = [item for item in self.town.records if item["kind"] == "result" and item["sent"]]
+        self.assertEqual([item for item in cut if not item["complete"]], [])
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -72,6 +72,22 @@
         self.assertEqual(sum(self.open().values()), 0)
         self.assertTrue(self.ask("next")[0])
 
+    def test_who_waits_at_a_router_that_leaves_hears_of_it_at_once(self):
+        for at in range(2):
+            self.ask(f"c{at}")
+        late = self.wish("late", self.asker)
+        task = self.beside(
+            lambda: self.parts[self.asker].ask(late, 5000, SimpleNamespace(shared=lambda: []), ""),
+            self.asker,
+        )
+        self.world.run(0.5)
+        self.assertFalse(task.done())
+        far = self.parts[self.far]
+        self.within(lambda: (far.membership.leave(), far.mesh.close()), self.far)
+        self.world.run(0.05)
+        self.assertTrue(task.done())
+        self.assertNotEqual(self.parts[self.asker].owner("i-0"), self.far)
+
     def test_who_waits_at_another_router_is_let_in(self):
         _, first = self.ask("c0")
         self.ask("c1")
