--- /dev/null
+++ b/swiftdeck/bench/long_day_shapes.py
@@ -0,0 +1,396 @@
+"""Shapes of long days: what goes on beside the changes, SIGTERMs and weights that all have."""
+
+from collections.abc import Callable
+
+from swiftdeck.bench.timetable import Timetable
+
+LEAST_CHANGES, MOST_CHANGES, CHANGES_PER_S = 300, 600, 4.0
+CHANGES = ["route", "weights", "timeout", "tenant", "quota", "quota down", "topup", "idle"]
+BAD_CONFIGS = [
+    "cut_short",
+    "unknown_service",
+    "same_place",
+    "no_weight",
+    "no_timeout",
+    "old_version",
+    "same_version",
+    "stale_match",
+    "shared_key",
+]
+WORKER_ILLS = ["hang", "mute", "slow", "errors", "shed", "busy", "reset"]
+LEADER_CUTS = [
+    "leader",
+    "split",
+    "both",
+    "relieve",
+    "lure",
+    "oldest",
+    "leader one_way",
+    "leader race",
+]
+CALM_END_S = 4.0
+FIRST_CHANGE_S, LAST_CHANGE_S = 1.0, 3.0
+LEAST_BUMP_GAP_S, MOST_BUMP_GAP_S = 3.0, 15.0
+BURST_ODDS, BURST_BUMPS, BURST_S = 0.2, 3, 2.0
+ADAPTER_ODDS = 0.15
+
+
+def changes(day: Timetable) -> None:
+    """Changes of every kind, evenly through the day."""
+    count = int(min(MOST_CHANGES, max(LEAST_CHANGES, CHANGES_PER_S * day.length_s)))
+    gap_s = (day.length_s - FIRST_CHANGE_S - LAST_CHANGE_S) / count
+    for number in range(count):
+        how = CHANGES[number % len(CHANGES)]
+        day.plan(FIRST_CHANGE_S + number * gap_s, "config_change", how=how)
+
+
+def bump(day: Timetable, at_s: float) -> None:
+    """Name new weights once, or a few times in quick succession."""
+    times = [at_s]
+    if day.chance.random() < BURST_ODDS:
+        times += sorted(at_s + day.chance.uniform(0.0, BURST_S) for _ in range(BURST_BUMPS - 1))
+    for each_s in times:
+        if day.chance.random() < ADAPTER_ODDS:
+            day.plan(each_s, "version_bump", count=0, how="adapter", x=0)
+        else:
+            day.plan(each_s, "version_bump", count=0)
+
+
+def bumps(day: Timetable) -> list[float]:
+    """New weights all day; returns when they are named."""
+    named = list(day.times(2.0, day.length_s - 2.0, LEAST_BUMP_GAP_S, MOST_BUMP_GAP_S))
+    for at_s in named:
+        bump(day, at_s)
+    return named
+
+
+def terminations(day: Timetable) -> None:
+    """Routers get SIGTERM in turn all day, in every way, one to three at a time."""
+    for at_s in day.times(3.0, day.length_s - 10.0, 12.0, 20.0):
+        day.plan(
+            at_s,
+            "roll_term",
+            share=1.0,
+            x=day.chance.choice([1.0, 1.0, 2.0, 3.0]),
+            gap_s=day.chance.choice([0.7, 1.0, 2.0, 3.0]),
+            how=day.chance.choice(["", "busy", "busy", "remove"]),
+        )
+
+
+def core_terminations(day: Timetable) -> None:
+    """Cores get SIGTERM in turn, now and then."""
+    for at_s in day.times(17.0, day.length_s - 12.0, 25.0, 40.0):
+        how = day.chance.choice(["", "busy"])
+        day.plan(at_s, "roll_term", on="core", share=1.0, x=1.0, gap_s=4.0, how=how)
+
+
+def routine(day: Timetable) -> list[float]:
+    """What every day has; returns when weights are named."""
+    changes(day)
+    terminations(day)
+    return bumps(day)
+
+
+def terms(day: Timetable) -> None:
+    """Planned work alone."""
+    routine(day)
+    core_terminations(day)
+    for at_s in day.times(8.0, day.length_s - 8.0, 9.0, 16.0):
+        day.plan(at_s, "hup", share=0.3, gap_s=1.0)
+    for at_s in day.times(11.0, day.length_s - 12.0, 20.0, 30.0):
+        day.plan(at_s, "release", share=0.4, x=1.0, gap_s=1.0)
+
+
+def mixed(day: Timetable) -> None:
+    """Troubles of all kinds, one at a time."""
+    routine(day)
+    core_terminations(day)
+    pool: list[Callable] = []
+    for at_s in day.times(6.0, day.length_s - 10.0, 6.0, 9.0):
+        if not pool:
+            pool = day.chance.sample(TROUBLES, len(TROUBLES))
+        pool.pop()(day, at_s, day.chance.uniform(2.0, 5.0))
+
+
+def overlap(day: Timetable) -> None:
+    """Two or three troubles of different kinds at a time."""
+    routine(day)
+    for at_s in day.times(6.0, day.length_s - 12.0, 9.0, 13.0):
+        for trouble in day.chance.sample(TROUBLES, day.chance.choice([2, 3])):
+            trouble(day, at_s + day.chance.uniform(0.0, 2.5), day.chance.uniform(3.0, 6.0))
+
+
+def slow_workers(day: Timetable) -> None:
+    """Half of the workers are slow, hang or fall mute, nearly all day."""
+    routine(day)
+    for at_s in day.times(4.0, day.length_s - 8.0, 7.0, 14.0):
+        for_s = day.chance.uniform(5.0, 12.0)
+        how = day.chance.choice(["", "hang", "mute", "slow"])
+        if how:
+            day.fault(at_s, "srv_grey", share=0.5, x=_strength(how), for_s=for_s, how=how)
+        else:
+            day.fault(at_s, "srv_slow", share=0.5, x=6.0, for_s=for_s)
+
+
+def core(day: Timetable) -> None:
+    """The core has trouble all day, so that views change while weights are named."""
+    routine(day)
+    for at_s in day.times(5.0, day.length_s - 10.0, 4.0, 8.0):
+        for_s = day.chance.uniform(1.5, 5.0)
+        day.chance.choice(CORE_TROUBLES)(day, at_s, for_s)
+
+
+def config(day: Timetable) -> None:
+    """Races, refused configurations, keys taken away and SIGHUP beside even more changes."""
+    routine(day)
+    for at_s in day.times(4.0, day.length_s - 8.0, 5.0, 9.0):
+        day.plan(at_s, "config_race", count=3, gap_s=0.5)
+    for at_s in day.times(5.0, day.length_s - 8.0, 4.0, 8.0):
+        day.plan(at_s, "bad_config", count=2, gap_s=0.7, how=day.chance.choice(BAD_CONFIGS))
+    for at_s in day.times(6.0, day.length_s - 8.0, 12.0, 20.0):
+        day.plan(at_s, "revoke", count=1, gap_s=1.0)
+    for at_s in day.times(7.0, day.length_s - 8.0, 4.0, 9.0):
+        day.plan(at_s, "hup", share=0.5, gap_s=0.5)
+    for at_s in day.times(9.0, day.length_s - 8.0, 8.0, 14.0):
+        for number in range(12):
+            day.plan(at_s + 0.1 * number, "config_change", how="idle")
+
+
+def restarts(day: Timetable) -> None:
+    """Routers and workers end and start right after weights are named."""
+    changes(day)
+    for at_s in bumps(day):
+        if at_s > day.length_s - 10.0:
+            continue
+        day.chance.choice(AFTER_BUMP)(day, at_s + day.chance.uniform(0.05, 5.0))
+        if day.chance.random() < 0.5:
+            day.chance.choice(AFTER_BUMP)(day, at_s + day.chance.uniform(0.05, 5.0))
+    for at_s in day.times(9.0, day.length_s - 10.0, 16.0, 26.0):
+        day.plan(at_s, "roll_term", share=1.0, x=3.0, gap_s=1.0, how="busy")
+
+
+def _strength(how: str) -> float:
+    """How strong an illness of workers is: a factor for slow ones, else a share of requests."""
+    return 8.0 if how == "slow" else 0.6
+
+
+def _grey_workers(day, at_s, for_s):
+    how = day.chance.choice(WORKER_ILLS)
+    share = day.chance.choice([0.2, 0.5])
+    day.fault(at_s, "srv_grey", share=share, x=_strength(how), for_s=for_s, how=how)
+
+
+def _slow_workers(day, at_s, for_s):
+    day.fault(at_s, "srv_slow", share=0.4, x=5.0, for_s=for_s)
+
+
+def _crashed_workers(day, at_s, for_s):
+    how = day.chance.choice(["", "dark", "gone", "across", "joined"])
+    day.fault(at_s, "srv_crash", share=0.2, for_s=for_s, how=how)
+
+
+def _cut_workers(day, at_s, for_s):
+    how = day.chance.choice(["", "fronts", "some", "one_way", "reset"])
+    day.fault(at_s, "srv_cut", share=0.2, for_s=for_s, how=how)
+
+
+def _reused_addresses(day, at_s, for_s):
+    how = day.chance.choice(["", "drain", "dark"])
+    day.fault(at_s, "replace_with_reuse", share=0.15, for_s=for_s, how=how)
+
+
+def _spoilt_answers(day, at_s, for_s):
+    how = day.chance.choice(["", "extra", "unframed", "early", "extra late"])
+    day.fault(at_s, "garble", share=0.5, x=0.03, for_s=for_s, how=how)
+
+
+def _lost_answers(day, at_s, for_s):
+    day.fault(
+        at_s, "answer_lost", share=0.5, x=0.04, for_s=for_s, how=day.chance.choice(["", "reset"])
+    )
+
+
+def _lost_events(day, at_s, for_s):
+    day.fault(at_s, "events_gap", share=0.5, for_s=for_s)
+
+
+def _slow_memory(day, at_s, for_s):
+    day.fault(at_s, "kv_slow", share=0.3, x=8.0, for_s=for_s)
+
+
+def _killed_routers(day, at_s, for_s):
+    how = day.chance.choice(["", "power", "reader", "giver", "drain"])
+    day.fault(at_s, "node_kill", share=0.2, for_s=for_s, how=how)
+
+
+def _frozen_routers(day, at_s, for_s):
+    day.fault(at_s, "node_freeze", share=0.15, for_s=for_s)
+
+
+def _slow_routers(day, at_s, for_s):
+    day.fault(at_s, "node_slow", share=0.15, x=5.0, for_s=for_s)
+
+
+def _cut_routers(day, at_s, for_s):
+    how = day.chance.choice(["", "all", "servers", "reset", "refuse"])
+    day.fault(at_s, "node_cut", share=0.2, for_s=for_s, how=how)
+
+
+def _herd_killed(day, at_s, for_s):
+    day.fault(
+        at_s, "herd_kill", share=0.5, for_s=min(for_s, 2.0), how=day.chance.choice(["", "power"])
+    )
+
+
+def _reset_connections(day, at_s, for_s):
+    day.fault(at_s, "reset_conns", share=0.3, x=0.5, for_s=for_s)
+
+
+def _stepped_clocks(day, at_s, for_s):
+    how = day.chance.choice(["back", "ahead", "leader"])
+    day.fault(at_s, "clock_step", share=0.3, x=2500.0, for_s=for_s, how=how)
+
+
+def _burst(day, at_s, for_s):
+    day.fault(at_s, "burst", x=1.6, for_s=for_s)
+
+
+def _lost_acks(day, at_s, for_s):
+    day.fault(at_s, "ack_lost", x=0.7, for_s=for_s)
+
+
+def _killed_core(day, at_s, for_s):
+    how = day.chance.choice(["leader", "power leader", "leader race", "seed", "meet drain"])
+    day.fault(at_s, "node_kill", on="core", count=1, for_s=min(for_s, 3.0), how=how)
+
+
+def _killed_all_cores(day, at_s, for_s):
+    how = day.chance.choice(["", "power", "off", "taken all"])
+    day.fault(at_s, "herd_kill", on="core", for_s=min(for_s, 2.0), how=how)
+
+
+def _frozen_core(day, at_s, for_s):
+    day.fault(at_s, "node_freeze", on="core", count=1, for_s=for_s, how="leader")
+
+
+def _cut_core(day, at_s, for_s):
+    day.fault(at_s, "core_cut", count=1, for_s=for_s, how=day.chance.choice(LEADER_CUTS))
+
+
+def _core_left_behind(day, at_s, for_s):
+    day.fault(at_s, "core_cut", count=1, for_s=for_s, how="behind")
+
+
+def _stalled_disk(day, at_s, for_s):
+    day.fault(at_s, "disk_stall", count=1, for_s=for_s, how=day.chance.choice(["leader", ""]))
+
+
+def _slow_disk(day, at_s, for_s):
+    day.fault(
+        at_s, "disk_slow", count=1, x=30.0, for_s=for_s, how=day.chance.choice(["leader", ""])
+    )
+
+
+def _full_disk(day, at_s, for_s):
+    day.fault(at_s, "disk_full", count=1, for_s=for_s)
+
+
+def _acknowledged_then_killed(day, at_s, for_s):
+    how = day.chance.choice(["kill", "timed", "taken", ""])
+    day.fault(at_s, "after_ack_kill", for_s=min(for_s, 3.0), how=how)
+
+
+def _acknowledged_then_wiped(day, at_s, for_s):
+    day.fault(at_s, "after_ack_wipe", for_s=for_s, how=day.chance.choice(["", "oldest"]))
+
+
+def _replaced_core(day, at_s, for_s):
+    how = day.chance.choice(["", "planned", "oldest"])
+    day.fault(at_s, "replace_core", x=1.0, for_s=for_s, how=how)
+
+
+def _released(day, at_s, for_s):
+    day.plan(at_s, "release", share=0.4, x=2.0, gap_s=1.0)
+
+
+def _more_workers(day, at_s, for_s):
+    day.plan(at_s, "scale_out", share=0.3, gap_s=1.0)
+
+
+def _fewer_workers(day, at_s, for_s):
+    day.plan(at_s, "scale_in", share=0.15, how=day.chance.choice(["", "spot"]))
+
+
+def _killed_after_bump(day, at_s):
+    day.fault(at_s, "node_kill", share=0.4, for_s=day.chance.uniform(0.3, 2.0))
+
+
+def _crashed_after_bump(day, at_s):
+    _crashed_workers(day, at_s, day.chance.uniform(0.5, 3.0))
+
+
+def _released_after_bump(day, at_s):
+    _released(day, at_s, 0.0)
+
+
+def _scaled_after_bump(day, at_s):
+    _more_workers(day, at_s, 0.0)
+    _fewer_workers(day, at_s + day.chance.uniform(4.0, 9.0), 0.0)
+
+
+CORE_TROUBLES = [
+    _killed_core,
+    _killed_core,
+    _killed_all_cores,
+    _frozen_core,
+    _cut_core,
+    _cut_core,
+    _core_left_behind,
+    _stalled_disk,
+    _slow_disk,
+    _full_disk,
+    _acknowledged_then_killed,
+    _acknowledged_then_wiped,
+    _replaced_core,
+]
+TROUBLES = [
+    *CORE_TROUBLES[1:5],
+    *CORE_TROUBLES[6:],
+    _grey_workers,
+    _slow_workers,
+    _crashed_workers,
+    _cut_workers,
+    _reused_addresses,
+    _spoilt_answers,
+    _lost_answers,
+    _lost_events,
+    _slow_memory,
+    _killed_routers,
+    _frozen_routers,
+    _slow_routers,
+    _cut_routers,
+    _herd_killed,
+    _reset_connections,
+    _stepped_clocks,
+    _burst,
+    _lost_acks,
+    _released,
+    _more_workers,
+    _fewer_workers,
+]
+AFTER_BUMP = [
+    _killed_after_bump,
+    _killed_after_bump,
+    _crashed_after_bump,
+    _released_after_bump,
+    _scaled_after_bump,
+]
+SHAPES: dict[str, Callable[[Timetable], None]] = {
+    "terms": terms,
+    "mixed": mixed,
+    "overlap": overlap,
+    "slow-workers": slow_workers,
+    "core": core,
+    "config": config,
+    "restarts": restarts,
+}
--- a/swiftdeck/programs/bench.py
+++ b/swiftdeck/programs/bench.py
@@ -14,6 +14,8 @@
 from swiftdeck.bench.caller import Caller
 from swiftdeck.bench.fleet import Fleet
 from swiftdeck.bench.growth import growth
+from swiftdeck.bench.long_day_shapes import SHAPES
+from swiftdeck.bench.long_days import shown, write_long_day
 from swiftdeck.bench.measure import MEASURES
 from swiftdeck.bench.platform import Platform
 from swiftdeck.bench.record import FileRecord
@@ -262,6 +264,21 @@
     return rows
 
 
+@app.command("long-day")
+def long_day(
+    site: Annotated[Path, typer.Argument(help="Site file of the users' bench.")],
+    out: Annotated[Path, typer.Option(help="Folder for the longer site and the day.")],
+    shape: Annotated[str, typer.Option(help=f"One of {', '.join(SHAPES)}.")] = "mixed",
+    seed: int = 1,
+    length: Annotated[float, typer.Option(help="Seconds of traffic.")] = 120.0,
+):
+    """Write a long day for the users' bench, with a copy of the site that lasts as long."""
+    if shape not in SHAPES:
+        typer.echo(f"shapes: {', '.join(SHAPES)}", err=True)
+        raise typer.Exit(2)
+    typer.echo(shown(write_long_day(site, out, shape, seed, length)))
+
+
 def main():
     """Entry of the program."""
     app()
