Soak: a site of real processes under overlapping troubles, judged by records

Change: swiftdeck/soak starts three cores and three routers as real processes on loopback addresses of its own, with the platform's stand-ins, a stream of changes, weights named again and again, planned stops in turn, kills, pauses, cuts and lost answers drawn from a seed; records go to the outer checker, invariants come from counters and logs. The platform's program takes its makers as an argument, so that the soak can put a filter before a mesh.

--- a/swiftdeck/bench/outer/balancer.py
+++ b/swiftdeck/bench/outer/balancer.py
@@ -21,11 +21,15 @@
         got = await fetch_json(addr, "GET", "/swiftdeck/ready", timeoutMs=800)
         self.misses[name] = 0 if got and got[0] == 200 else self.misses.get(name, 2) + 1
 
-    def doors(self):
-        """(Name, front address) of the nodes that are in; of all, where fewer than half are."""
-        ready = [
+    def ready(self):
+        """(Name, front address) of the nodes that are in."""
+        return [
             (name, front) for name, (front, _) in self.nodes.items() if self.misses.get(name, 2) < 2
         ]
+
+    def doors(self):
+        """(Name, front address) of the nodes that are in; of all, where fewer than half are."""
+        ready = self.ready()
         return (
             ready
             if 2 * len(ready) >= len(self.nodes)
--- a/swiftdeck/bench/outer/worker.py
+++ b/swiftdeck/bench/outer/worker.py
@@ -397,7 +397,7 @@
             ),
         )
         for number in range(max(1, after - 1) if quirk == "back" else after + 1, count + 1):
-            await asyncio.sleep(STEP_S * (1 + len(self.active) / 8))
+            await asyncio.sleep(self.plan.get("step_s", STEP_S) * (1 + len(self.active) / 8))
             if asyncio.get_running_loop().time() >= end_s:
                 exchange.abort()
                 return False
--- a/swiftdeck/platform/program.py
+++ b/swiftdeck/platform/program.py
@@ -107,17 +107,20 @@
     return node
 
 
-def main() -> int:
-    """Entry: the role is the first word."""
+MAKERS = {"router": router, "core": core}
+
+
+def main(makers=MAKERS) -> int:
+    """Entry: the role is the first word; a process is made by the maker of its role."""
     role = sys.argv[1] if len(sys.argv) > 1 else ""
-    if role not in ("router", "core"):
+    if role not in makers:
         print("fault 600 setting is invalid: say router or core", file=sys.stderr)
         return 2
     place = read_place(role)
     if is_fault(place):
         print(f"fault {place.code} {place.name}: {place.reason}", file=sys.stderr)
         return 2
-    return _run(role, place, {"router": router, "core": core}[role])
+    return _run(role, place, makers[role])
 
 
 if __name__ == "__main__":
--- a/swiftdeck/programs/bench.py
+++ b/swiftdeck/programs/bench.py
@@ -5,10 +5,12 @@
 import multiprocessing
 import random
 import signal
+import tempfile
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import Annotated
 
+import attrs
 import typer
 
 from swiftdeck.bench.caller import Caller
@@ -26,6 +28,8 @@
 from swiftdeck.programs.loop import BootLoop, run_until_signal
 from swiftdeck.sim.faults.scenarios import SCENARIOS
 from swiftdeck.sim.model.command import model
+from swiftdeck.soak.run import SHORT as SHORT_SOAK
+from swiftdeck.soak.run import Soak, SoakSize
 
 GROWTH_ROUTES = [0, 1000, 5000]
 FLEET_ROUTERS = [25, 50, 100, 200]
@@ -155,6 +159,32 @@
     return status or int(bool(breaches))
 
 
+@app.command()
+def soak(
+    seed: int = 1,
+    seconds: Annotated[float, typer.Option(help="How long the troubles go on.")] = 60.0,
+    short: Annotated[bool, typer.Option(help="The size that CI runs.")] = False,
+    routers: int = 3,
+    slack: Annotated[
+        float, typer.Option(help="By how much bounds of time are widened on a busy machine.")
+    ] = 1.0,
+    folder: Annotated[
+        str, typer.Option(help="Folder for logs and records; by default one that is removed.")
+    ] = "",
+):
+    """Run a site of real processes under overlapping troubles drawn from a seed, and judge it.
+
+    The status is 1 when a rule or an invariant was broken, or the site did not recover.
+    """
+    size = SHORT_SOAK if short else SoakSize(seconds=seconds, routers=routers, slack=slack)
+    with tempfile.TemporaryDirectory() as spare, asyncio.Runner(loop_factory=BootLoop) as runner:
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
+        verdict = runner.run(Soak(seed, folder or spare, size, say=typer.echo).run())
+    typer.echo(json.dumps(attrs.asdict(verdict), indent=1))
+    typer.echo(verdict.line())
+    raise typer.Exit(0 if verdict.is_clean() else 1)
+
+
 @app.command()
 def sim(
     scenario: Annotated[str, typer.Option(help="One of the scenarios, or all.")] = "mix",
--- /dev/null
+++ b/tests/soak/test_link_filter.py
@@ -0,0 +1,94 @@
+"""Tests of cuts between processes."""
+
+import msgspec
+
+from swiftdeck.fault import is_fault
+from swiftdeck.soak.addresses import FILTER_PORT
+from swiftdeck.soak.link_filter import EXPIRES_S, Cut, LinkFilter
+from swiftdeck.wire.mesh import Mesh
+from swiftdeck.wire.messages import ConfigAsk, Done
+from tests.gateway.parts import SimCase
+
+HERE, THERE = "10.0.0.1:7000", "10.0.0.2:7000"
+
+
+class LinkFilterTest(SimCase):
+    def setUp(self):
+        super().setUp()
+        self.heard = 0
+        self.here = self.within(lambda: Mesh(HERE), "here")
+        self.there = self.within(lambda: Mesh(THERE), "there")
+        self.there.on(ConfigAsk, self.on_ask)
+        self.filter = LinkFilter(self.there, ("10.0.0.2", FILTER_PORT)).install()
+        self.do(self.here.start, "here")
+        self.do(self.there.start, "there")
+        self.assertTrue(self.is_answered())
+
+    def on_ask(self, message, sender):
+        self.heard += 1
+        return Done()
+
+    def is_answered(self):
+        return not is_fault(self.do(lambda: self.here.ask(THERE, ConfigAsk(), 300)))
+
+    def cut(self, *senders, is_late=False):
+        self.within(lambda: self.filter.apply(Cut(list(senders), is_late)), "there")
+        self.world.run(0.1)
+
+    def send(self, action):
+        self.within(action)
+        self.world.run(0.1)
+
+    def test_nothing_is_heard_from_the_other_side_of_a_cut(self):
+        self.cut(HERE)
+        self.assertFalse(self.is_answered())
+        self.assertFalse(self.is_answered())
+        self.assertEqual(self.heard, 1)
+        self.cut()
+        self.assertTrue(self.is_answered())
+
+    def test_others_are_heard(self):
+        self.cut("10.0.0.3:7000")
+        self.assertTrue(self.is_answered())
+
+    def test_what_was_held_back_comes_late_and_in_order(self):
+        self.cut(HERE, is_late=True)
+        self.send(lambda: self.here.tell(THERE, ConfigAsk()))
+        self.send(lambda: self.here.tell(THERE, ConfigAsk()))
+        self.assertEqual(self.heard, 1)
+        self.cut()
+        self.assertEqual(self.heard, 3)
+        self.assertTrue(self.is_answered())
+
+    def test_where_it_is_lost_the_stream_ends(self):
+        self.cut(HERE)
+        self.send(lambda: self.here.tell(THERE, ConfigAsk()))
+        link = self.here.dialled[THERE]
+        self.cut()
+        self.assertTrue(link.gone)
+        self.assertEqual(self.heard, 1)
+        self.assertTrue(self.is_answered())
+
+    def test_datagrams_are_lost(self):
+        self.cut(HERE, is_late=True)
+        self.send(lambda: self.here.cast(THERE, ConfigAsk()))
+        self.cut()
+        self.assertEqual(self.heard, 1)
+        self.send(lambda: self.here.cast(THERE, ConfigAsk()))
+        self.assertEqual(self.heard, 2)
+
+    def test_a_cut_that_is_not_renewed_ends(self):
+        self.cut(HERE)
+        self.assertFalse(self.is_answered())
+        self.world.run(EXPIRES_S)
+        self.assertTrue(self.is_answered())
+
+    def test_a_cut_comes_as_a_datagram(self):
+        sent = msgspec.json.encode(Cut([HERE]))
+        self.send(lambda: self.here.datagrams.sendto(sent, ("10.0.0.2", FILTER_PORT)))
+        self.assertEqual(self.filter.cut.senders, [HERE])
+        self.assertFalse(self.is_answered())
+
+    def test_a_frame_without_a_sender_is_left_to_the_mesh(self):
+        self.cut(HERE)
+        self.assertFalse(self.within(lambda: self.there.take(b"\x00", None), "there"))
