Soak: its short form in the tests, and planted faults that it must find

A router that ends at SIGTERM at once breaks LOST, one that keeps its first configuration breaks CONFIG, a process that counts a broken invariant is reported; all in one run of real processes.

--- a/swiftdeck/soak/operators.py
+++ b/swiftdeck/soak/operators.py
@@ -11,7 +11,7 @@
 FIRST_VERSION, READ_MS, READ_PAUSE_S = 3, 1000, 0.3
 ROUTES_MOST, REMOVE_SHARE = 12, 0.45
 CHANGE_PAUSE_S, WEIGHTS_PAUSE_S = (0.05, 0.4), (1.0, 7.0)
-RECENT_ROUTES = 8
+RECENT_ROUTES = 24
 LOST_AFTER_MS, RETRY_PAUSE_S = (5, 30, 1000), 0.1
 
 
--- a/swiftdeck/soak/run.py
+++ b/swiftdeck/soak/run.py
@@ -13,17 +13,17 @@
 from swiftdeck.soak.invariants import InvariantWatch
 from swiftdeck.soak.operators import Operators
 from swiftdeck.soak.processes import PROGRAM, SiteProcesses
-from swiftdeck.soak.schedule import Schedule
-from swiftdeck.soak.site import GRACE_S, Site
+from swiftdeck.soak.schedule import draw
+from swiftdeck.soak.site import BOUNDS, Site
 from swiftdeck.soak.stalls import StallWatch
 from swiftdeck.soak.stand_ins import StandIns
 from swiftdeck.soak.traffic import Traffic, TrafficSize
 from swiftdeck.soak.troubles import Troubles
 from swiftdeck.soak.verdict import Verdict, judge
 
-READY_WITHIN_S, CALM_WITHIN_S, CALM_S, LOOK_S = 40.0, 30.0, 3.0, 0.5
+READY_WITHIN_S, CALM_WITHIN_S, CALM_S, LOOK_S = 40.0, 30.0, 2.0, 0.5
 WATCH_S, ASK_EVERY = 0.25, 8
-OPERATORS_WITHIN_S, STOP_WITHIN_S = 45.0, GRACE_S + 2
+OPERATORS_WITHIN_S, STOP_WITHIN_S = 45.0, 4.0
 
 
 @attrs.frozen
@@ -36,18 +36,19 @@
     slack: float = 1.0
 
 
-SHORT = SoakSize(seconds=14.0, traffic=TrafficSize(4.0, 4, 2), slack=2.0)
+SHORT = SoakSize(seconds=9.0, traffic=TrafficSize(4.0, 4, 2), slack=2.0)
 
 
 class Soak:
     """Starts everything, lets the troubles pass, and judges."""
 
-    def __init__(self, seed, folder, size=None, program=PROGRAM, say=print):
+    def __init__(self, seed, folder, size=None, program=PROGRAM, say=print, schedule=None):
         self.seed, self.folder, self.size, self.say = seed, Path(folder), size or SoakSize(), say
         self.folder.mkdir(parents=True, exist_ok=True)
         self.items, seeds = [], random.Random(seed)
         self.site = Site(LoopbackBlock(), routers=self.size.routers)
-        self.schedule = Schedule(seeds.random(), self.size.seconds, self.site)
+        drawn = draw(seeds.random(), self.size.seconds, self.site)
+        self.schedule = schedule or drawn
         self.processes = SiteProcesses(self.site, self.folder, program)
         self.stand_ins = StandIns(self.site, self._record, seeds.random())
         self.operators = Operators(self.site, self._record, seeds.random(), self.stand_ins.named)
@@ -118,10 +119,10 @@
             await self.stalls.sleep(WATCH_S)
 
     async def _calm_down(self):
-        """With the troubles over: some seconds of traffic alone, then none, then the final look."""
-        await asyncio.sleep(CALM_S)
+        """Traffic on the last configuration alone, then none, then the final look."""
         if not await self.operators.finish(OPERATORS_WITHIN_S):
             self.wrong.append("an operator had no answer for long")
+        await asyncio.sleep(self.size.slack * BOUNDS["apply-within-ms"] / 1000 + CALM_S)
         if not await self.traffic.finish():
             self.wrong.append("requests stayed open past their timeouts")
         look = FinalLook(self.site, self.stand_ins, self.operators, self.items)
--- a/swiftdeck/soak/schedule.py
+++ b/swiftdeck/soak/schedule.py
@@ -12,7 +12,10 @@
 REPLACED_S = {"router": 10.0, "core": 14.0}
 """How long a machine is away at most when it is stopped as planned: its grace and its start."""
 PLANNED_GAP_S, OUTER_GAP_S, MACHINE_GAP_S = (0.5, 3.0), (0.2, 1.5), (0.3, 1.5)
+OVERLAP_STEP_S = 0.25
 HANG_UP_GAP_S = (3.0, 9.0)
+OVERHANG_S = 3.0
+"""How far the last replacement may go beyond the time of the troubles."""
 BACK_S, RECOVERY_S = 5.0, 12.0
 """How long until one core, or all of them, serve again after they came back."""
 
@@ -72,7 +75,35 @@
         return f"{self.at_s:7.2f} {self.for_s:5.2f} {self.kind} {self.target}{against}{detail}"
 
 
+@attrs.frozen
 class Schedule:
+    """The troubles of a run, in the order of their times."""
+
+    seconds: float
+    troubles: list[Trouble]
+
+    def overlap(self) -> float:
+        """The share of the time in which two troubles or more are under way."""
+        return overlap(self.troubles, self.seconds)
+
+    def lines(self) -> list[str]:
+        """The schedule as lines of text."""
+        return [each.line() for each in self.troubles]
+
+
+def overlap(troubles, seconds) -> float:
+    """The share of some time in which two troubles or more are under way."""
+    times = [OVERLAP_STEP_S * at for at in range(int(seconds / OVERLAP_STEP_S))]
+    busy = [sum(each.at_s <= at < each.end_s for each in troubles) >= 2 for at in times]
+    return sum(busy) / max(1, len(busy))
+
+
+def draw(seed, seconds, site) -> Schedule:
+    """The schedule of a seed."""
+    return Schedule(seconds, Draw(seed, seconds, site).troubles)
+
+
+class Draw:
     """Sequences of troubles side by side: planned work, the site's surroundings, failing machines.
 
     Machines fail only in rough stretches of the run; the other troubles go on all the time. One
@@ -80,7 +111,8 @@
     """
 
     def __init__(self, seed, seconds, site):
-        self.random, self.seconds, self.site = random.Random(seed), seconds, site
+        self.random, self.site = random.Random(seed), site
+        self.seconds = seconds
         self.core_away, self.killed_until_s = [], 0.0
         self.rough = self._rough_stretches()
         found = [*self._replacements(site.routers), *self._replacements(site.cores)]
@@ -98,10 +130,10 @@
     def _replacements(self, machines):
         """Machines of one role stopped and started again, one after the other."""
         turn, at_s = self.random.randrange(len(machines)), self.random.uniform(*PLANNED_GAP_S)
-        while at_s < self.seconds:
+        for_s = REPLACED_S[machines[0].role]
+        while at_s + for_s <= self.seconds + OVERHANG_S:
             machine = machines[turn % len(machines)]
             turn += 1
-            for_s = REPLACED_S[machine.role]
             if machine.role == "core":
                 self.core_away.append((at_s, at_s + for_s, machine.name))
             rest_s = self.random.uniform(0.1, 2.0)
@@ -186,14 +218,3 @@
             return False
         self.core_away.append((begin_s, end_s, name))
         return True
-
-    def overlap(self) -> float:
-        """The share of the time in which two troubles or more are under way."""
-        step_s = 0.25
-        times = [step_s * at for at in range(int(self.seconds / step_s))]
-        busy = [sum(each.at_s <= at < each.end_s for each in self.troubles) >= 2 for at in times]
-        return sum(busy) / max(1, len(busy))
-
-    def lines(self):
-        """The schedule as lines of text."""
-        return [each.line() for each in self.troubles]
--- a/swiftdeck/soak/stand_ins.py
+++ b/swiftdeck/soak/stand_ins.py
@@ -113,8 +113,9 @@
             task.cancel()
         for worker in self.workers.values():
             end_worker(worker)
-        self.list.http.stop()
-        self.store.http.stop()
+        for part in (self.list, self.store):
+            if part.http.server:
+                part.http.stop()
 
 
 def end_worker(worker):
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -1,4 +1,4 @@
-"""The soak's programs with a fault planted: which one is said by a variable of the environment."""
+"""The soak's programs with faults planted: which ones is said by a variable of the environment."""
 
 import os
 import sys
@@ -6,7 +6,7 @@
 from swiftdeck.platform import program
 from swiftdeck.soak.program import MAKERS
 
-VARIABLE = "SOAK_PLANTED_FAULT"
+VARIABLE, SEPARATOR = "SOAK_PLANTED_FAULTS", ", "
 ENDS_AT_ONCE = "router ends at once"
 OLD_CONFIGURATION = "router keeps its first configuration"
 BROKEN_INVARIANT = "core counts a broken invariant"
@@ -22,12 +22,14 @@
 
 
 def keeps_first_configuration(node):
-    """A router that never takes another configuration than its first."""
-    take = node.on_config
+    """A router that never takes another configuration than the first that has routes."""
+    take, taken = node.on_config, []
 
     def once(held):
-        if node.routes is None:
+        if not taken:
             take(held)
+        if held.document.paths:
+            taken.append(held)
 
     node.on_config = once
 
@@ -45,13 +47,14 @@
 
 
 def planted(role, make):
-    """A maker whose nodes have the fault that is asked for, if it is one of this role."""
-    faulty_role, plant = FAULTS[os.environ[VARIABLE]]
+    """A maker whose nodes have those of the faults asked for that are faults of this role."""
+    asked = [FAULTS[name] for name in os.environ[VARIABLE].split(SEPARATOR)]
 
     def made(place, log):
         node = make(place, log)
-        if role == faulty_role:
-            plant(node)
+        for faulty_role, plant in asked:
+            if role == faulty_role:
+                plant(node)
         return node
 
     return made
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from swiftdeck.soak.schedule import MACHINE, REPLACED_S, Kind, Schedule
+from swiftdeck.soak.schedule import MACHINE, REPLACED_S, Draw, Kind, draw
 from swiftdeck.soak.site import Site
 
 SEEDS = range(1, 41)
@@ -14,7 +14,7 @@
 
 
 def schedule(seed, seconds=60.0):
-    return Schedule(seed, seconds, Site(FixedBlock()))
+    return draw(seed, seconds, Site(FixedBlock()))
 
 
 class ScheduleTest(unittest.TestCase):
@@ -47,7 +47,7 @@
 
     def test_machines_fail_in_rough_stretches_only(self):
         for seed in SEEDS:
-            made = schedule(seed)
+            made = Draw(seed, 60.0, Site(FixedBlock()))
             for each in made.troubles:
                 if each.kind in MACHINE:
                     self.assertTrue(any(a <= each.at_s < b for a, b in made.rough), (seed, each))
