--- a/swiftdeck/soak/run.py
+++ b/swiftdeck/soak/run.py
@@ -21,7 +21,7 @@
 from swiftdeck.soak.troubles import Troubles
 from swiftdeck.soak.verdict import Verdict, judge
 
-READY_WITHIN_S, CALM_WITHIN_S, CALM_S, LOOK_S = 40.0, 30.0, 2.0, 0.5
+READY_WITHIN_S, CALM_WITHIN_S, CALM_S, LOOK_S = 40.0, 30.0, 1.0, 0.5
 WATCH_S, ASK_EVERY = 0.25, 8
 OPERATORS_WITHIN_S, STOP_WITHIN_S = 45.0, 4.0
 
--- a/swiftdeck/soak/schedule.py
+++ b/swiftdeck/soak/schedule.py
@@ -7,19 +7,37 @@
 
 from swiftdeck.bench.outer.worker import QUIRKS
 
-GENTLE_S, ROUGH_S = (14.0, 20.0), (8.0, 14.0)
-"""How long no machine fails, so that rules that excuse failures apply, and how long some do."""
-REPLACED_S = {"router": 10.0, "core": 14.0}
-"""How long a machine is away at most when it is stopped as planned: its grace and its start."""
+REPLACED_S = {"router": 10.0, "core": 8.0}
+"""How long a machine is away as a rule when it is stopped as planned and started again."""
 PLANNED_GAP_S, OUTER_GAP_S, MACHINE_GAP_S = (0.5, 3.0), (0.2, 1.5), (0.3, 1.5)
 OVERLAP_STEP_S = 0.25
 HANG_UP_GAP_S = (3.0, 9.0)
-OVERHANG_S = 3.0
+OVERHANG_S = 6.0
 """How far the last replacement may go beyond the time of the troubles."""
 BACK_S, RECOVERY_S = 5.0, 12.0
 """How long until one core, or all of them, serve again after they came back."""
 
 
+class Phase(enum.StrEnum):
+    """What goes on in a stretch of a run, besides planned work on routers and troubles outside."""
+
+    CORE_SETTLED = "core settled"
+    """No core is touched, so that rules that excuse an unsettled core apply; routers may fail."""
+    CORES_REPLACED = "cores replaced"
+    """Cores are stopped and started again as planned."""
+    ROUGH = "rough"
+    """Cores and routers fail."""
+
+
+PHASE_S = {
+    Phase.CORE_SETTLED: (14.0, 20.0),
+    Phase.CORES_REPLACED: (14.0, 18.0),
+    Phase.ROUGH: (8.0, 13.0),
+}
+PHASES = (Phase.CORE_SETTLED, Phase.CORES_REPLACED, Phase.CORE_SETTLED, Phase.ROUGH)
+WHOLE_TURN_S = 60.0
+
+
 class Kind(enum.StrEnum):
     """What can be done to a site."""
 
@@ -38,6 +56,7 @@
 
 
 MACHINE = (Kind.KILL, Kind.PAUSE, Kind.CUT, Kind.KILL, Kind.PAUSE, Kind.CUT, Kind.KILL_CORES)
+ROUTER_ALONE, ROUTER_ALONE_GAP_S = (Kind.KILL, Kind.PAUSE), (6.0, 14.0)
 OUTER = (
     Kind.CRASH_WORKER,
     Kind.DRAIN_WORKER,
@@ -103,35 +122,61 @@
     return Schedule(seconds, Draw(seed, seconds, site).troubles)
 
 
+@attrs.frozen
+class Stretch:
+    """A part of a run and what goes on in it."""
+
+    begin_s: float
+    end_s: float
+    phase: Phase
+
+
 class Draw:
     """Sequences of troubles side by side: planned work, the site's surroundings, failing machines.
 
-    Machines fail only in rough stretches of the run; the other troubles go on all the time. One
-    core is away at a time, as many as the site tolerates, but when all are killed together.
+    One core is away at a time, as many as the site tolerates, but when all are killed together.
     """
 
     def __init__(self, seed, seconds, site):
         self.random, self.site = random.Random(seed), site
         self.seconds = seconds
         self.core_away, self.killed_until_s = [], 0.0
-        self.rough = self._rough_stretches()
-        found = [*self._replacements(site.routers), *self._replacements(site.cores)]
-        found += [*self._hang_ups(), *self._outer(), *self._machines()]
+        self.stretches = list(self._stretches())
+        found = [*self._replacements(site.routers, 0.0, seconds), *self._hang_ups()]
+        for stretch in self.stretches:
+            found += self._in_stretch(stretch)
+        found += self._outer()
         self.troubles = sorted(found, key=lambda each: each.at_s)
 
-    def _rough_stretches(self):
-        found, at_s = [], self.random.uniform(*GENTLE_S) * self.random.choice((0.2, 1))
+    def _stretches(self):
+        """The phases in turn; a short run has all of them, each shorter."""
+        scale = min(1.0, self.seconds / WHOLE_TURN_S)
+        turn, at_s = self.random.randrange(len(PHASES)), 0.0
         while at_s < self.seconds:
-            end_s = min(self.seconds, at_s + self.random.uniform(*ROUGH_S))
-            found.append((at_s, end_s))
-            at_s = end_s + self.random.uniform(*GENTLE_S)
-        return found
-
-    def _replacements(self, machines):
+            phase = PHASES[turn % len(PHASES)]
+            end_s = min(self.seconds, at_s + scale * self.random.uniform(*PHASE_S[phase]))
+            yield Stretch(at_s, end_s, phase)
+            turn, at_s = turn + 1, end_s
+
+    def _in_stretch(self, stretch):
+        if stretch.phase is Phase.CORES_REPLACED:
+            return list(self._replacements(self.site.cores, stretch.begin_s, stretch.end_s))
+        if stretch.phase is Phase.ROUGH:
+            return list(self._machines(stretch))
+        return list(self._routers_alone(stretch))
+
+    def _routers_alone(self, stretch):
+        at_s = stretch.begin_s + self.random.uniform(*ROUTER_ALONE_GAP_S)
+        while at_s < stretch.end_s:
+            kind, router = self.random.choice(ROUTER_ALONE), self.random.choice(self.site.routers)
+            yield Trouble(at_s, self.random.uniform(0.3, 4.0), kind, router.name)
+            at_s += self.random.uniform(*ROUTER_ALONE_GAP_S)
+
+    def _replacements(self, machines, begin_s, end_s):
         """Machines of one role stopped and started again, one after the other."""
-        turn, at_s = self.random.randrange(len(machines)), self.random.uniform(*PLANNED_GAP_S)
-        for_s = REPLACED_S[machines[0].role]
-        while at_s + for_s <= self.seconds + OVERHANG_S:
+        turn, for_s = self.random.randrange(len(machines)), REPLACED_S[machines[0].role]
+        at_s = begin_s + self.random.uniform(*PLANNED_GAP_S)
+        while at_s < end_s and at_s + for_s <= self.seconds + OVERHANG_S:
             machine = machines[turn % len(machines)]
             turn += 1
             if machine.role == "core":
@@ -165,14 +210,13 @@
         share = self.random.choice((0.2, 0.6))
         return Trouble(at_s, for_s, kind, worker, how=self.random.choice(QUIRKS[1:]), share=share)
 
-    def _machines(self):
-        for begin_s, end_s in self.rough:
-            at_s = begin_s
-            while at_s < end_s:
-                trouble = self._machine_trouble(at_s)
-                if trouble:
-                    yield trouble
-                at_s += self.random.uniform(*MACHINE_GAP_S)
+    def _machines(self, stretch):
+        at_s = stretch.begin_s
+        while at_s < stretch.end_s:
+            trouble = self._machine_trouble(at_s)
+            if trouble:
+                yield trouble
+            at_s += self.random.uniform(*MACHINE_GAP_S)
 
     def _machine_trouble(self, at_s):
         kind, for_s = self.random.choice(MACHINE), self.random.uniform(0.3, 6.0)
--- a/swiftdeck/soak/troubles.py
+++ b/swiftdeck/soak/troubles.py
@@ -22,7 +22,7 @@
     def __init__(self, site, processes, stand_ins, operators, record, now_ms):
         self.site, self.processes, self.stand_ins = site, processes, stand_ins
         self.operators, self.plan, self.now_ms = operators, record("plan"), now_ms
-        self.noted, self.cuts, self.stuck, self.done = [], {}, [], []
+        self.noted, self.planned, self.cuts, self.stuck, self.done = [], [], {}, [], []
         self.actions = {
             Kind.TERMINATE: self._terminate,
             Kind.HANG_UP: self._hang_up,
@@ -84,6 +84,8 @@
         if process.is_replaced:
             return
         process.is_replaced, begin_ms = True, self.now_ms()
+        stop = [trouble.target, begin_ms, FOREVER_MS]
+        self.planned.append(stop)
         self.plan("planned", machine=trouble.target, what="term")
         process.send(signal.SIGTERM)
         if not await process.ended(GRACE_S):
@@ -92,6 +94,7 @@
             process.kill()
         await asyncio.sleep(trouble.rest_s)
         await self._start_again(process)
+        self.end(stop)
 
     async def _hang_up(self, trouble):
         machine = self.site.machines[trouble.target]
--- a/swiftdeck/soak/verdict.py
+++ b/swiftdeck/soak/verdict.py
@@ -6,10 +6,11 @@
 import attrs
 import msgspec
 
-from swiftdeck.bench.outer.checker import Bounds, check
+from swiftdeck.bench.outer.checker import Bounds, Records, check, lost
 from swiftdeck.soak.site import BOUNDS, GRACE_S
 
 SERVED_SHARE, REQUESTS_EACH_S, CHANGES_EACH_S = 0.5, 1.0, 0.3
+LOST = "LOST"
 RECORDS, VERDICT, SCHEDULE = "records.jsonl", "verdict.json", "schedule.txt"
 
 
@@ -73,9 +74,22 @@
     )
 
 
+def broken_rules(items, troubles, slack) -> dict:
+    """Breaches by rule.
+
+    A planned stop or start takes a machine, or with a core the whole site, out of contact like any
+    other trouble; LOST alone is about planned work, and is excused by unplanned trouble only.
+    """
+    every = [*troubles.noted, *troubles.planned]
+    found = check(items, bounds_of(every, slack))
+    found.pop(LOST, None)
+    cut_off = list(lost(Records(items), bounds_of(troubles.noted, slack)))
+    return found | ({LOST: cut_off} if cut_off else {})
+
+
 def judge(soak) -> Verdict:
     """Judge a run that is over, and leave records and verdict in its folder."""
-    rules = check(soak.items, bounds_of(soak.troubles.noted, soak.size.slack))
+    rules = broken_rules(soak.items, soak.troubles, soak.size.slack)
     sums = _sums(soak)
     wrong = [*soak.wrong, *soak.troubles.stuck, *_unexpected_ends(soak), *_too_little(soak, sums)]
     verdict = Verdict(soak.seed, rules, sorted(soak.invariants.found), wrong, sums)
@@ -130,7 +144,10 @@
     with open(soak.folder / RECORDS, "wb") as file:
         for item in soak.items:
             file.write(msgspec.json.encode(item) + b"\n")
-    told = attrs.asdict(verdict) | {"noted": soak.troubles.noted}
+    told = attrs.asdict(verdict) | {
+        "noted": soak.troubles.noted,
+        "planned": soak.troubles.planned,
+    }
     (soak.folder / VERDICT).write_text(json.dumps(told, indent=1))
     lines = [*soak.schedule.lines(), "done at:"]
     lines += [f"{at_s:7.2f} {trouble.line()}" for at_s, trouble in soak.troubles.done]
