A member's copy says on the disk that it is partial until the member was whole

Cause: a core that joins copies a tail's state while changes go on; that it may lack some of them stood in memory only. After a restart before it was ever whole it counted as complete, could propose a view of itself alone, and with one voter that thawed at that moment an acknowledged change was gone and older state shown. Who may act on old knowledge: a member that was never whole; what answers is now its own disk.

Change: the record of a copy made from outside the chain carries the mark, a further record takes it off, synced before the member acts as a whole one, so that a member on which an acknowledgement rests never counts as partial. A member whose log is damaged counts as lacking entries as well.

The model's closing fault takes no more disks than the voters there are can lose, as at a founding of five by three named cores (docs/ROADMAP.md).

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -145,6 +145,9 @@
             if record["k"] == "state":
                 self.state.from_bytes(record["state"])
                 self.serial, self.entries = record["n"], {}
+                self.is_partial = record.get("partial", False)
+            elif record["k"] == "complete":
+                self.is_partial = False
             else:
                 self._apply(record["n"], record["b"])
         known = self.agreement.decided
@@ -165,7 +168,7 @@
             self.transfer.is_copy = False
         if len(view.members) < 2:
             self.must_compare = False
-        if self.agreement.position() == 0 and not self.needs_copy and not self.must_compare:
+        if self.agreement.position() == 0 and not (self.must_compare or self.lacks_entries()):
             self._become_whole()
         self.kick.set()
 
@@ -173,7 +176,7 @@
         view = self.agreement.decided.number
         if self.whole_in != view:
             stays_last = self.isLast() and self.last_in == self.whole_in == view - 1 > 0
-            self.whole_in, self.is_partial = view, False
+            self.whole_in = view
             if not stays_last:
                 self.whole_since_s, self.holders = (
                     max(self.loop.time(), self.agreement.wait_until_s),
@@ -191,6 +194,26 @@
             if len(self.known_s) > KNOWN_KEPT:
                 del self.known_s[next(iter(self.known_s))]
 
+    def lacks_entries(self):
+        """Whether this member may lack what was committed, so that no view may keep such members only.
+
+        A core that joins copies while changes go on; it has all of them once it was whole.
+        """
+        return self.is_partial or self.needs_copy
+
+    async def _note_complete(self):
+        """Put on the disk that this member has been whole, before it acts as one; gives whether that is done."""
+        if not self.is_partial:
+            return True
+        try:
+            self.journal.append({"k": "complete"})
+            await self.journal.sync()
+        except OSError as error:
+            self._fail(error)
+            return False
+        self.is_partial = False
+        return True
+
     def is_first(self):
         return self.agreement.position() == 0
 
@@ -374,9 +397,12 @@
         if self.synced >= self.serial:
             self.durable = Durable(self.state.stored.version, self.state.config)
 
+    def _state_record(self, serial, data):
+        return {"k": "state", "n": serial, "state": data, "partial": self.is_partial}
+
     async def _rewrite(self):
         data, serial, self.unwritten = self.state.to_bytes(), self.serial, []
-        await self.journal.rewrite([{"k": "state", "n": serial, "state": data}])
+        await self.journal.rewrite([self._state_record(serial, data)])
         self._mark_synced(serial)
         self.rewrite_bytes = max(1 << 20, 4 * len(data))
         self.board.count["rewrites"] += 1
@@ -455,10 +481,15 @@
         self.pass_failed_s, before, self.next_last = None, self.next_last, got.last
         if got.last > max(last, self.synced):
             return not is_fault(await self.owner.send(self._copy_from, after, self.synced))
-        if is_comparing and view is self.agreement.decided:
+        if is_comparing:
+            await self._end_comparing(view)
+        return got.last < self.synced and got.last != before
+
+    async def _end_comparing(self, view):
+        """The next member has no more than this head: it has all that the chain had before the view."""
+        if await self.owner.send(self._note_complete) and view is self.agreement.decided:
             self.must_compare = False
             self._become_whole()
-        return got.last < self.synced and got.last != before
 
     async def on_pass(self, ask, sender):
         return await self.owner.send(self._take_pass, ask, sender)
@@ -476,11 +507,14 @@
         fault = await self.take_entries(ask.entries)
         if is_fault(fault):
             return fault
+        is_level = self.serial == ask.last or has_copied and self.serial > ask.last
+        if is_level and not await self._note_complete():
+            return self.fault
         if ask.view != self.agreement.decided.number:
             return OLD_VIEW
         if self.fault is not None:
             return self.fault
-        if self.serial == ask.last or has_copied and self.serial > ask.last:
+        if is_level:
             self.must_compare = False
             self._become_whole()
         if self.is_whole():
@@ -519,7 +553,7 @@
         """Put a state that was copied in place of this one, on the disk first; gives a fault of the disk or None."""
         try:
             self.unwritten = []
-            await self.journal.rewrite([{"k": "state", "n": serial, "state": data}])
+            await self.journal.rewrite([self._state_record(serial, data)])
         except OSError as error:
             self._fail(error)
             return self.fault
--- a/swiftdeck/chain/state_transfer.py
+++ b/swiftdeck/chain/state_transfer.py
@@ -122,9 +122,13 @@
         return GAP if is_gap else LogReturn(entries=entries, last=chain.synced)
 
     async def join_up(self, addr):
-        """Get level with a tail: by its log where the state here came from a tail already, else by a copy first."""
+        """Get level with a tail: by its log where the state here came from a tail already, else by a copy first.
+
+        The copy's record says that it is partial, which holds until this core was whole as a member.
+        """
         fault = await self._take_log(addr) if self.is_copy else GAP
         if is_fault(fault) and fault.code == GAP.code:
+            self.chain.is_partial = True
             got = await self.take(addr)
             if is_fault(got):
                 return got
--- a/swiftdeck/chain/view_manager.py
+++ b/swiftdeck/chain/view_manager.py
@@ -38,7 +38,7 @@
         self.losses_borne = losses_borne
         self.said, self.bad_since_s, self.silent_since_s, self.accepted_since_s = {}, {}, {}, None
         self.founders_since_s, self.is_leaving = None, False
-        agreement.is_partial = lambda: chain.is_partial
+        agreement.is_partial = chain.lacks_entries
         mesh.on(JoinAsk, self.on_join)
 
     def start(self):
@@ -194,7 +194,7 @@
     def _is_complete(self, ref):
         """Whether a member may have all that was committed: one that joined has it once it was whole."""
         if ref.coreId == self.agreement.coreId:
-            return not self.chain.is_partial
+            return not self.chain.lacks_entries()
         return ref.coreId not in self.said or not self.said[ref.coreId][1].is_partial
 
     def _lost(self, view, now_s):
@@ -257,7 +257,7 @@
             return
         view = self.agreement.decided
         ask = JoinAsk(coreId=self.agreement.coreId, addr=self.me.addr, view=view.number)
-        self.chain.is_partial = self.chain.must_compare = True
+        self.chain.must_compare = True
         for ref in view.members:
             if ref.coreId in self.said and not is_fault(await self.mesh.ask(ref.addr, ask, 3000)):
                 return
--- a/swiftdeck/sim/model/cluster.py
+++ b/swiftdeck/sim/model/cluster.py
@@ -215,7 +215,9 @@
         """The cores whose disks an action empties."""
         if action.kind not in LOSES_DISK:
             return []
-        count = self.losses_borne if action.kind is Kind.CLOSING else 1
+        voters = len(self.invariants.newest_view().voters) or SEEDS_TOLD
+        bearable = min(self.losses_borne, (voters - 1) // 2)
+        count = bearable if action.kind is Kind.CLOSING else 1
         return self._from(action.core)[:count]
 
     def _from(self, name):
--- a/swiftdeck/sim/model/invariants.py
+++ b/swiftdeck/sim/model/invariants.py
@@ -123,7 +123,7 @@
 
     def on_acknowledged(self, change_id, losses_since):
         """A change is acknowledged, with so many disks lost since it was sent."""
-        holders, view = self._holders(change_id), self._newest_view()
+        holders, view = self._holders(change_id), self.newest_view()
         members = [each for each in ids(view.members) if each in holders]
         voters = [each for each in ids(view.voters) if each in holders]
         enough = self.cluster.losses_borne + 1 - losses_since
@@ -133,13 +133,14 @@
 
     def on_settled(self, change_ids):
         """All cores are whole members: each has on its disk whatever was acknowledged."""
-        members = set(ids(self._newest_view().members))
+        members = set(ids(self.newest_view().members))
         for change_id in change_ids:
             lacking = members - self._holders(change_id)
             if lacking:
                 self.broke(Invariant.COPIES, f"{change_id[:12]}: not at {len(lacking)} members")
 
-    def _newest_view(self):
+    def newest_view(self):
+        """The view with the highest number that a running core knows."""
         cores = self.cluster.running().values()
         views = [core.agreement.decided for core in cores]
         return max(views, key=lambda view: view.number, default=View())
