Known red: two members that lack entries compare with each other, and states differ

Five cores, one emptied and one killed; both copy while the view has three members, and an order is acknowledged after that. The first joins. The second asks to join under the new view with the copy it made under the view before. With the first not whole yet the two that stand before it in the chain are lost: the two partial members come first, compare with each other, and both count as whole without the acknowledged entry. The new head takes a rival order on the base that was used; the tail, which has as many entries, counts as level. At the end the cores hold different configurations and a proper order is refused.

--- a/tests/gateway/cases/overlapping_losses.py
+++ b/tests/gateway/cases/overlapping_losses.py
@@ -51,6 +51,32 @@
         return self.town.found()
 
 
+class TwoPartialMembers:
+    """Two of five cores join one after the other with copies of one time, and those before them are lost."""
+
+    def __init__(self, seed):
+        town = self.town = LossTown(seed, 5).start()
+        head, emptied, restarted, between, tail = (town.member(at) for at in range(5))
+        town.lose(emptied, wiped=True)
+        town.lose(restarted)
+        town.world.run(4)
+        with slow_join_up():
+            town.back(emptied)
+            town.world.run(0.7)
+            town.back(restarted)
+            town.world.run(0.8)
+            self.acknowledged = town.change()
+            town.world.net.cut([town.machines[between]], [town.machines[emptied]], both=False)
+            joined = town.up[restarted].agreement
+            self.has_joined = town.world.run(until=lambda: joined.position() >= 0, limit_s=3)
+        town.world.net.cut([town.machines[restarted]], [town.machines[tail]])
+        town.lose(head)
+        town.lose(between)
+        rival = town.patch(9, 3)
+        town.beside(lambda: town.insisting(rival, 20))
+        town.world.run(6)
+
+
 class OverlappingLossesCase(unittest.TestCase):
     def test_a_core_that_was_never_whole_takes_nothing_over_after_a_restart(self):
         for seed, freeze_s in ((1, 2.41), (1, 2.62), (2, 2.41), (2, 2.69)):
@@ -58,3 +84,10 @@
                 case = PartialMember(seed, freeze_s)
                 self.assertEqual((case.acknowledged, case.was_partial), (TAKEN, True))
                 self.assertEqual(case.found(), [])
+
+    def test_a_core_joins_only_with_a_copy_of_the_view_that_it_joins(self):
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                case = TwoPartialMembers(seed)
+                self.assertEqual(case.acknowledged, TAKEN)
+                self.assertEqual(case.town.found(), [])
--- a/tests/gateway/loss_town.py
+++ b/tests/gateway/loss_town.py
@@ -3,10 +3,8 @@
 import asyncio
 
 from tests.gateway.orders import FINAL, OrderTown
-from tests.gateway.town import BOUNDS
 
 READ_EVERY_S, RECOVERY_S = 0.25, 12.0
-DISK_BACK_S = BOUNDS["grace_s"]
 
 
 class LossTown(OrderTown):
@@ -71,6 +69,9 @@
         found += [f"last change: {status}" for status in [self.change()] if status not in FINAL]
         self.world.run(0.5)
         found += self.wrong()
+        chains = [self.up[name].chain for name in self.cores()]
+        if len({chain.state.config.digest() for chain in chains}) > 1:
+            found.append(f"cores hold different configurations: {self.told()}")
         return found + [f"process failed: {fault}" for fault in self.world.faults]
 
     def told(self):
