A core joins only the view whose whole tail gave it its log

Cause: the number of the view to join was read after the copy, so a core that heard of a new view meanwhile joined that one with what the tail of the view before had. Two members could be partial at once; as head and second they compared with each other and counted as whole.

Change: the view is fixed before the copy, the tail gives its log only while it is whole in that very view, and a core that has heard of another view meanwhile begins anew. Everybody before a whole tail is whole, so a view has at most one partial member. A message of an older process without the number is answered as before.

Ruled out: the wait for old leases (the head had its lease properly), the comparison itself (right for a member that was whole once).

Membership, catch-up and removal cases pass.

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -564,9 +564,9 @@
         self.board.put("disk", "good")
         return None
 
-    async def copy_from(self, addr):
-        """Get level with the tail at an address before joining; gives a fault or None."""
-        return await self.owner.send(self.transfer.join_up, addr)
+    async def copy_from(self, addr, view):
+        """Get level with the tail of a view at an address before joining; gives a fault or None."""
+        return await self.owner.send(self.transfer.join_up, addr, view)
 
     async def on_outcome_ask(self, ask, sender):
         """What became of a change, once this tail's own disk has all that was applied when it was found."""
--- a/swiftdeck/chain/state_transfer.py
+++ b/swiftdeck/chain/state_transfer.py
@@ -108,8 +108,12 @@
         return newest if is_followed else None
 
     def on_log_ask(self, ask, sender):
-        """The log's tail after a serial, as far as it is synced at a whole member."""
+        """The log's tail after a serial, as far as it is synced at a whole member of the view that is asked for."""
         chain = self.chain
+        if ask.view and ask.view != chain.agreement.decided.number:
+            return OLD_VIEW.because(
+                f"log of view {ask.view}, here {chain.agreement.decided.number}"
+            )
         if not self._is_whole_tail() or chain.fault is not None:
             return NOT_TAIL
         entries, size = [], 0
@@ -121,27 +125,29 @@
         is_gap = ask.serial > chain.synced or ask.serial < chain.synced and not entries
         return GAP if is_gap else LogReturn(entries=entries, last=chain.synced)
 
-    async def join_up(self, addr):
+    async def join_up(self, addr, view):
         """Get level with a tail: by its log where the state here came from a tail already, else by a copy first.
 
-        The copy's record says that it is partial, which holds until this core was whole as a member.
+        The copy's record says that it is partial, which holds until this core was whole as a member. The log ends with what a
+        whole tail of the very view has that is to be joined: all before that tail are whole then, so that at most one member of
+        the next view is partial, and none ever compares itself with another one that lacks entries too.
         """
-        fault = await self._take_log(addr) if self.is_copy else GAP
+        fault = await self._take_log(addr, view) if self.is_copy else GAP
         if is_fault(fault) and fault.code == GAP.code:
             self.chain.is_partial = True
             got = await self.take(addr)
             if is_fault(got):
                 return got
             self.is_copy = True
-            fault = await self._take_log(addr)
+            fault = await self._take_log(addr, view)
         return fault
 
-    async def _take_log(self, addr):
-        """Take what the log of a tail has beyond this one; gives a fault or None."""
+    async def _take_log(self, addr, view):
+        """Take what the log of the tail of a view has beyond this one; gives a fault or None."""
         chain = self.chain
         end_s = chain.loop.time() + TAKE_S
         while chain.loop.time() < end_s:
-            got = await chain.mesh.ask(addr, LogAsk(serial=chain.serial), ASK_MS)
+            got = await chain.mesh.ask(addr, LogAsk(serial=chain.serial, view=view), ASK_MS)
             if is_fault(got):
                 return got
             fault = await chain.take_entries(got.entries)
--- a/swiftdeck/chain/view_manager.py
+++ b/swiftdeck/chain/view_manager.py
@@ -253,9 +253,9 @@
         tail = view.members[-1]
         if tail.coreId not in self.said:
             return
-        if is_fault(await self.chain.copy_from(tail.addr)):
+        fault = await self.chain.copy_from(tail.addr, view.number)
+        if is_fault(fault) or view is not self.agreement.decided:
             return
-        view = self.agreement.decided
         ask = JoinAsk(coreId=self.agreement.coreId, addr=self.me.addr, view=view.number)
         self.chain.must_compare = True
         for ref in view.members:
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -208,6 +208,7 @@
 @message
 class LogAsk(Wire):
     serial: int = bp.uint64_field(1)
+    view: int = bp.uint64_field(2)
 
 
 @message
