--- a/tests/chain/test_state_transfer.py
+++ b/tests/chain/test_state_transfer.py
@@ -27,3 +27,22 @@
             is_tail = core is cores[-1]
             self.assertEqual(is_fault(copied), not is_tail, name)
             self.assertEqual(is_fault(log) and log.code == NOT_TAIL.code, not is_tail, name)
+
+    def test_a_snapshot_goes_with_the_state_that_it_was_made_of(self):
+        """A member that takes another state over no longer offers what it had before."""
+        town = Town(4, routers=1).start()
+        cores = [town.up[name] for name in town.core_names()]
+        tail = max(cores, key=lambda core: core.agreement.position())
+        name = next(name for name in town.core_names() if town.up[name] is tail)
+
+        async def ask():
+            chain = tail.chain
+            old = await chain.transfer.on_ask(CopyAsk(coreId=OUTSIDER), "10.9.9.9:1")
+            data = chain.state.to_bytes()
+            await chain.replace_state(chain.state, chain.serial + 1, data)
+            return old, await chain.transfer.on_ask(
+                CopyAsk(coreId=OUTSIDER, digest=old.digest), "10.9.9.9:1"
+            )
+
+        old, new = town.world.do(name, ask)
+        self.assertEqual(new.serial, old.serial + 1)
