--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -560,6 +560,7 @@
         self.state, self.serial, self.entries, self.synced = state, serial, {}, serial
         self._mark_synced(serial)
         self.fault, self.needs_copy = None, False
+        self.transfer.snapshots.clear()
         self.board.count["copies"] += 1
         self.board.put("disk", "good")
         return None
