A log's first record is written before its core knows any view

Cause: a missing chain.log was told from an empty one by the number of the view, and views above the first come about before any change is taken. Such members counted their logs as lost, each waited to copy from another one, and no chain came back.

Change: a core that knows no view and has no log writes a first record, synced before it listens for others; a log without any record under a known view is a lost file, under the first view as well.

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -134,6 +134,7 @@
         self.task = asyncio.ensure_future(self._passing())
 
     def _load(self):
+        """Read the log. Its first record is synced before this core knows any view, so that a later log without any is lost."""
         try:
             records = self.journal.load()
         except OSError as error:
@@ -148,11 +149,13 @@
                 self.is_partial = record.get("partial", False)
             elif record["k"] == "complete":
                 self.is_partial = False
-            else:
+            elif record["k"] == "e":
                 self._apply(record["n"], record["b"])
         known = self.agreement.decided
         self.must_compare = known.number > 0
-        if known.number > 1 and not records and self.agreement.position() >= 0:
+        if not records and not known.number:
+            self.unwritten.append({"k": "begin"})
+        elif not records and self.agreement.position() >= 0:
             self.fault, self.needs_copy = DAMAGED.because("chain.log is missing"), True
 
     def trouble(self):
