--- a/swiftdeck/soak/stand_ins.py
+++ b/swiftdeck/soak/stand_ins.py
@@ -101,7 +101,9 @@
 
     def crash_worker(self, name):
         """End a worker: its connections are reset, and it listens no more."""
-        end_worker(self.workers[name])
+        worker = self.workers[name]
+        self.record(name)("crashed", worker=worker.name, runs=list(worker.active))
+        end_worker(worker)
 
     def forget_worker(self, name):
         """Let the platform see that a worker is gone."""
--- a/swiftdeck/soak/verdict.py
+++ b/swiftdeck/soak/verdict.py
@@ -10,7 +10,7 @@
 from swiftdeck.soak.site import BOUNDS, GRACE_S
 
 SERVED_SHARE, REQUESTS_EACH_S, CHANGES_EACH_S = 0.5, 1.0, 0.3
-LOST = "LOST"
+LOST, CRASH = "LOST", "crash"
 RECORDS, VERDICT, SCHEDULE = "records.jsonl", "verdict.json", "schedule.txt"
 
 
@@ -74,12 +74,22 @@
     )
 
 
+def with_crashes(items) -> list:
+    """The records, with runs that ended with their worker marked as broken off by it."""
+    ended = {run for item in items if item["kind"] == "crashed" for run in item["runs"]}
+    return [
+        item | {"quirk": CRASH} if item["kind"] == "run" and item["run"] in ended else item
+        for item in items
+    ]
+
+
 def broken_rules(items, troubles, slack) -> dict:
     """Breaches by rule.
 
     A planned stop or start takes a machine, or with a core the whole site, out of contact like any
     other trouble; LOST alone is about planned work, and is excused by unplanned trouble only.
     """
+    items = with_crashes(items)
     every = [*troubles.noted, *troubles.planned]
     found = check(items, bounds_of(every, slack))
     found.pop(LOST, None)
--- /dev/null
+++ b/tests/soak/test_verdict.py
@@ -0,0 +1,94 @@
+"""Tests of the verdict: what excuses a request that was cut, and which invariants count."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from types import SimpleNamespace
+
+from swiftdeck.soak.invariants import InvariantWatch, broken
+from swiftdeck.soak.verdict import broken_rules
+
+ROUTER, OTHER, CORE = "router1", "router2", "core1"
+STOPPED_MS, SENT_MS, CUT_MS = 10000, 14000, 16800
+
+
+def troubles(noted=(), planned=()):
+    return SimpleNamespace(noted=list(noted), planned=list(planned))
+
+
+def cut_request(crashed=False):
+    """Records of a request that a stopping router took late and cut."""
+    asked = {
+        "id": "a.0",
+        "root": "a",
+        "host": "h",
+        "target": "/x",
+        "key": "",
+        "method": "POST",
+        "body": "",
+        "router": ROUTER,
+        "mode": "safe",
+        "resumable": False,
+        "end_ms": 7000,
+        "after": 0,
+    }
+    run = {"id": "a.0", "run": "w1#1", "worker": "w1", "quirk": "", "service": "s"}
+    run |= {"method": "POST", "target": "/x", "body": "", "keyed": False, "tenant": "", "after": ""}
+    run |= {"model": "", "version": 0}
+    result = {"id": "a.0", "router": ROUTER, "status": 200, "end": "cut: lost", "sent": True}
+    result |= {"complete": False, "seal": "", "events": [], "body": "", "ownId": "a.0"}
+    result |= {"retryAfter": 0.0, "mode": "safe"}
+    items = [
+        {"atMs": STOPPED_MS, "kind": "planned", "machine": ROUTER, "what": "term"},
+        {"atMs": SENT_MS, "kind": "try"} | asked,
+        {"atMs": SENT_MS, "kind": "arrive", "id": "a.0", "worker": "w1", "service": "s"},
+        {"atMs": SENT_MS, "kind": "run"} | run,
+        {"atMs": CUT_MS, "kind": "ran", "id": "a.0", "run": "w1#1", "worker": "w1", "whole": False},
+        {"atMs": CUT_MS, "kind": "result"} | result,
+    ]
+    if crashed:
+        items.insert(4, {"atMs": CUT_MS, "kind": "crashed", "worker": "w1", "runs": ["w1#1"]})
+    return items
+
+
+class VerdictTest(unittest.TestCase):
+    def is_lost(self, crashed=False, noted=(), planned=()):
+        return "LOST" in broken_rules(cut_request(crashed), troubles(noted, planned), 1.0)
+
+    def test_a_request_taken_late_and_cut_is_lost(self):
+        self.assertTrue(self.is_lost())
+
+    def test_planned_stops_do_not_excuse_it(self):
+        stops = [[ROUTER, STOPPED_MS, CUT_MS + 500], [CORE, SENT_MS, CUT_MS]]
+        self.assertTrue(self.is_lost(planned=stops))
+
+    def test_unplanned_trouble_there_or_at_a_core_excuses_it(self):
+        self.assertFalse(self.is_lost(noted=[[ROUTER, SENT_MS, SENT_MS + 100]]))
+        self.assertFalse(self.is_lost(noted=[[CORE, SENT_MS, SENT_MS + 100]]))
+        self.assertTrue(self.is_lost(noted=[[OTHER, SENT_MS, SENT_MS + 100]]))
+
+    def test_a_crash_of_its_worker_excuses_it(self):
+        self.assertFalse(self.is_lost(crashed=True))
+
+    def test_invariants_above_zero_count(self):
+        counters = {"invariant.a": 2, "invariant.b": 0, "calls": 9}
+        self.assertEqual(broken(counters), {"invariant.a": 2})
+        self.assertEqual(broken(None), {})
+
+    def test_logs_of_all_lives_are_read(self):
+        with tempfile.TemporaryDirectory() as folder:
+            paths = [Path(folder) / f"{ROUTER}.{life}.log" for life in (1, 2, 3)]
+            paths[0].write_text('{"event": "gateway stopped", "invariant.a": 1}\n')
+            paths[1].write_text('{"event": "gateway stopped", "invariant.a": 0}\n')
+            paths[2].write_text("Traceback (most recent call last):\n")
+            process = SimpleNamespace(log_paths=lambda: paths)
+            watch = InvariantWatch(SimpleNamespace(by_name={ROUTER: process}))
+            watch.read_logs()
+        found = sorted(watch.found)
+        self.assertEqual(len(found), 2)
+        self.assertEqual(found[0], f"{ROUTER}, life 1: invariant.a")
+        self.assertIn(f"{ROUTER}, life 3: error", found[1])
+
+
+if __name__ == "__main__":
+    unittest.main()
