--- a/swiftdeck/soak/run.py
+++ b/swiftdeck/soak/run.py
@@ -64,7 +64,7 @@
         )
         self.invariants = InvariantWatch(self.processes)
         self.stalls = StallWatch(self.troubles)
-        self.wrong = []
+        self.wrong, self.start_ms = [], boot_ms()
 
     def _record(self, who):
         return ListRecord(self.items, who, lambda: boot_ms() / 1000)
@@ -74,9 +74,11 @@
         self.say(f"seed {self.seed}, addresses {self.site.block.prefix}.0/24, troubles:")
         for line in self.schedule.lines():
             self.say(line)
+        self.start_ms = boot_ms()
         try:
             await self._run()
         finally:
+            self._say_step("stops")
             self.processes.stop_all(STOP_WITHIN_S)
             self.stand_ins.stop()
             self.site.block.release()
@@ -89,6 +91,7 @@
         if not await self._is_up():
             self.wrong.append("the site did not come up")
             return
+        self._say_step("is up")
         self.processes.end_founding()
         watching = asyncio.ensure_future(self._watch())
         self.operators.start()
@@ -97,6 +100,9 @@
         await self._calm_down()
         watching.cancel()
 
+    def _say_step(self, what):
+        self.say(f"after {(boot_ms() - self.start_ms) / 1000:.1f} s the site {what}")
+
     async def _is_up(self):
         """Put the first configuration, and wait until all routers are ready."""
         loop = asyncio.get_running_loop()
@@ -120,11 +126,14 @@
 
     async def _calm_down(self):
         """Traffic on the last configuration alone, then none, then the final look."""
+        self._say_step("is calm")
         if not await self.operators.finish(OPERATORS_WITHIN_S):
             self.wrong.append("an operator had no answer for long")
         await asyncio.sleep(self.size.slack * BOUNDS["apply-within-ms"] / 1000 + CALM_S)
+        self._say_step("gets no more requests")
         if not await self.traffic.finish():
             self.wrong.append("requests stayed open past their timeouts")
+        self._say_step("is looked at")
         look = FinalLook(self.site, self.stand_ins, self.operators, self.items)
         self.wrong += await look.wrong_after(CALM_WITHIN_S)
         await self.operators.changers[0].read()
