--- a/swiftdeck/soak/run.py
+++ b/swiftdeck/soak/run.py
@@ -36,7 +36,7 @@
     slack: float = 1.0
 
 
-SHORT = SoakSize(seconds=9.0, traffic=TrafficSize(4.0, 4, 2), slack=2.0)
+SHORT = SoakSize(seconds=7.0, traffic=TrafficSize(4.0, 4, 2), slack=2.0)
 
 
 class Soak:
