Simulated network: transports in a module of their own, typed listeners and connections

sim/net.py held the ends of streams and the network, with listeners, endpoints and stuck items as tuples and a connection attempt as two closures. sim/transport.py has what a process sees of a stream; SimNet carries Listener, Endpoint, Connecting and Stuck, in functions of one step each (`_reach` had 39 lines, `send` 36). Units and the kinds of stream items are said.

--- a/swiftdeck/sim/net.py
+++ b/swiftdeck/sim/net.py
@@ -1,181 +1,82 @@
-"""Simulated streams and datagrams, with cuts, delays and resets."""
+"""The simulated network: streams and datagrams between processes, with cuts, delays and resets."""
 
 import asyncio
 
-HIGH_WATER, PACKET_BYTES = 65536, 1024
+import attrs
 
+from swiftdeck.sim.transport import (
+    SimDatagram,
+    SimServer,
+    SimTransport,
+    StreamItem,
+    reset_error,
+)
 
-class SimTransport(asyncio.Transport):
-    """One end of a simulated stream."""
+PACKET_BYTES = 1024
+"""Bytes that a narrow link carries at a time, so that others come between."""
+SAME_MACHINE_S = 0.0002
+LEAST_DELAY_S, MOST_DELAY_S = 0.0003, 0.0009
+FIRST_PORT = 40000
 
-    def __init__(self, net, loop, local, remote):
-        super().__init__({"sockname": local, "peername": remote})
-        self.net, self.loop, self.local, self.remote = net, loop, local, remote
-        self.protocol = self.other = None
-        self.closing = self.gone = self.read_paused = self.write_paused = self.eof_sent = False
-        self.inbox, self.outstanding, self.ready_at = [], 0, 0.0
 
-    def get_protocol(self):
-        """The protocol that takes what arrives."""
-        return self.protocol
+@attrs.frozen(eq=False)
+class Listener:
+    """A process that listens, and the factory of its protocols."""
 
-    def set_protocol(self, protocol):
-        """Let another protocol take what arrives."""
-        self.protocol = protocol
+    loop: object
+    factory: object
 
-    def is_closing(self):
-        """Whether this end was closed or reset."""
-        return self.closing
 
-    def get_write_buffer_size(self):
-        """Bytes that were written and not yet taken at the other end."""
-        return self.outstanding
+@attrs.frozen(eq=False)
+class Endpoint:
+    """A process that takes datagrams, and its protocol."""
 
-    def set_write_buffer_limits(self, high=None, low=None):
-        """The limits are fixed."""
-        pass
+    loop: object
+    protocol: object
 
-    def write(self, data):
-        """Send bytes; those of a frozen process are sent when it thaws."""
-        if self.closing or not data:
-            return
-        if self.loop.frozen:
-            self.loop.held.insert(0, asyncio.Handle(self.write, (bytes(data),), self.loop))
-            return
-        self.outstanding += len(data)
-        self._post(bytes(data))
-        if self.outstanding > HIGH_WATER and not self.write_paused:
-            self.write_paused = True
-            self.protocol.pause_writing()
-
-    def write_eof(self):
-        """Say that nothing more will be sent."""
-        if not self.closing and not self.eof_sent:
-            self.eof_sent = True
-            self._post(None)
-
-    def can_write_eof(self):
-        """Streams can be closed in one direction."""
-        return True
-
-    def _post(self, item):
-        self.net.send(self, item)
-
-    def close(self):
-        """Close this end once all that was written is sent."""
-        if not self.closing:
-            self.closing = True
-            if not self.eof_sent:
-                self._post(None)
-            self.loop.call_soon(self._lost, None)
-
-    def abort(self):
-        """Reset the stream."""
-        if not self.closing:
-            self.closing = True
-            self._post(ConnectionResetError("reset by peer"))
-            self.loop.call_soon(self._lost, None)
-
-    def _lost(self, error):
-        if not self.gone:
-            self.gone = self.closing = True
-            self.net.open.pop(self, None)
-            self.protocol.connection_lost(error)
-
-    def pause_reading(self):
-        """Hold what arrives back."""
-        self.read_paused = True
-
-    def resume_reading(self):
-        """Hand on what was held back, and what arrives."""
-        self.read_paused = False
-        self.loop.call_soon(self._drain)
-
-    def is_reading(self):
-        """Whether what arrives is handed on."""
-        return not self.read_paused
-
-    def arrive(self, item):
-        """Take what came over the network."""
-        self.inbox.append(item)
-        self._drain()
-
-    def _drain(self):
-        while self.inbox and not self.gone and self.protocol is not None:
-            item = self.inbox[0]
-            if isinstance(item, bytes) and self.read_paused and not self.closing:
-                return
-            self.inbox.pop(0)
-            if isinstance(item, bytes):
-                self.other._taken(len(item))
-                if not self.closing:
-                    self.protocol.data_received(item)
-            elif item is None:
-                if not self.closing and not self.protocol.eof_received():
-                    self.closing = True
-                    self._post(None)
-                    self._lost(None)
-            else:
-                self._lost(item)
-
-    def _taken(self, count):
-        self.outstanding -= count
-        if self.write_paused and self.outstanding <= HIGH_WATER // 4:
-            self.write_paused = False
-            if not self.gone and not self.loop.dead:
-                self.loop.call_soon(self.protocol.resume_writing)
-
-
-class SimDatagram(asyncio.DatagramTransport):
-    """A simulated datagram endpoint."""
-
-    def __init__(self, net, loop, local):
-        super().__init__({"sockname": local})
-        self.net, self.loop, self.local, self.closing = net, loop, local, False
-
-    def sendto(self, data, addr=None):
-        """Send one datagram."""
-        self.net.send_datagram(self, bytes(data), addr)
-
-    def close(self):
-        """Close the endpoint."""
-        self.closing = True
-        self.net.datagrams.pop(self.local, None)
-
-    abort = close
-
-    def is_closing(self):
-        """Whether the endpoint was closed."""
-        return self.closing
-
-
-class SimServer:
-    """A simulated listener."""
-
-    def __init__(self, net, key):
-        self.net, self.key = net, key
-
-    def close(self):
-        """Stop listening; streams that are open stay so."""
-        self.net.listeners.pop(self.key, None)
-
-    async def wait_closed(self):
-        """A listener is closed at once."""
-        return None
+
+@attrs.frozen(eq=False)
+class Connecting:
+    """A stream that a process wants to open; `done` takes its transport and protocol."""
+
+    loop: object
+    factory: object
+    host: str
+    port: int
+    done: asyncio.Future
+
+
+@attrs.frozen(eq=False)
+class Stuck:
+    """An item of a stream that a cut holds up."""
+
+    transport: SimTransport
+    item: StreamItem
 
 
 class SimNet:
-    """The network between simulated processes."""
+    """The network between simulated processes.
+
+    `listeners` and `datagrams` are by (IP, port), `open` has the ends of open streams in the order
+    of their opening. `cuts` has the pairs of IPs (from, to) between which all is lost, `slow` their
+    additional delay in seconds, `bytes_per_s` the rate of machines on a narrow link. `vanished` has
+    the IPs of machines without power: they refuse no connection, they don't answer.
+    """
 
     def __init__(self, world):
         self.world = world
-        self.listeners, self.datagrams, self.open = {}, {}, {}
-        self.cuts, self.stuck, self.slow = set(), [], {}
-        self.bytes_per_s = {}
-        self.loss_rate, self.next_port, self.vanished = 0.0, 40000, set()
+        self.listeners: dict[tuple, Listener] = {}
+        self.datagrams: dict[tuple, Endpoint] = {}
+        self.open: dict[SimTransport, None] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.stuck: list[Stuck] = []
+        self.slow: dict[tuple[str, str], float] = {}
+        self.bytes_per_s: dict[str, float] = {}
+        self.loss_rate, self.next_port = 0.0, FIRST_PORT
+        self.vanished: set[str] = set()
 
     def cut(self, sources, targets, both=True):
-        """Lose all that goes from some addresses to others."""
+        """Lose all that goes from some IPs to others; returns the pairs that were cut."""
         pairs = {(a, b) for a in sources for b in targets if a != b}
         pairs |= {(b, a) for a, b in pairs} if both else set()
         self.cuts |= pairs
@@ -185,146 +86,149 @@
         """Undo some cuts or all; streams go on where they stuck."""
         self.cuts -= self.cuts if pairs is None else pairs
         stuck, self.stuck = self.stuck, []
-        for transport, item in stuck:
-            self.send(transport, item)
+        for held in stuck:
+            self.send(held.transport, held.item)
 
     def is_cut(self, a, b):
         """Whether what `a` sends to `b` is lost."""
         return (a, b) in self.cuts
 
     def delay_s(self, a, b):
-        """How long one piece takes from `a` to `b`."""
-        return self.slow.get((a, b), 0.0) + (
-            0.0002 if a == b else self.world.random.uniform(0.0003, 0.0009)
-        )
+        """Return how long one item takes from `a` to `b`."""
+        if a == b:
+            delay_s = SAME_MACHINE_S
+        else:
+            delay_s = self.world.random.uniform(LEAST_DELAY_S, MOST_DELAY_S)
+        return self.slow.get((a, b), 0.0) + delay_s
 
     def sending_s(self, a, b, item):
-        """How long the bytes of a piece keep a narrow link busy."""
+        """Return how long the bytes of an item keep a narrow link busy."""
         rates = [self.bytes_per_s[ip] for ip in (a, b) if ip in self.bytes_per_s]
         return len(item) / min(rates) if rates and isinstance(item, bytes) else 0.0
 
     def listen(self, loop, factory, host, port):
-        """Open a listener; port 0 takes the next free one."""
-        if not port:
-            self.next_port += 1
-            port = self.next_port
-        if (host, port) in self.listeners:
+        """Open a listener; port 0 takes the next free one.
+
+        Raises OSError when another process listens there.
+        """
+        address = (host, port or self._new_port())
+        if address in self.listeners:
             raise OSError(98, "address in use")
-        self.listeners[(host, port)] = (loop, factory)
-        server = SimServer(self, (host, port))
-        return server
+        self.listeners[address] = Listener(loop, factory)
+        return SimServer(self, address)
+
+    def _new_port(self) -> int:
+        self.next_port += 1
+        return self.next_port
 
     async def connect(self, loop, factory, host, port):
-        """Open a stream, as a process does."""
-        done = loop.create_future()
+        """Open a stream, as a process does; returns its transport and protocol.
+
+        Raises ConnectionRefusedError where nobody listens; behind a cut it waits without end.
+        """
+        wanted = Connecting(loop, factory, host, port, loop.create_future())
         if not self.is_cut(loop.ip, host):
-            self.world.at(
-                self.delay_s(loop.ip, host), lambda: self._reach(loop, factory, host, port, done)
-            )
-        return await done
+            self.world.at(self.delay_s(loop.ip, host), lambda: self._reach(wanted))
+        return await wanted.done
 
-    def _reach(self, loop, factory, host, port, done):
-        if loop.dead or done.done():
+    def _reach(self, wanted: Connecting):
+        """Let a wish to connect arrive at the machine that it names."""
+        loop, address = wanted.loop, (wanted.host, wanted.port)
+        if loop.dead or wanted.done.done():
             return
-        found = self.listeners.get((host, port))
-        if found is None:
-            if host not in self.vanished:
-                loop.call_soon(self._finish, done, ConnectionRefusedError(111, "refused"))
+        listener = self.listeners.get(address)
+        if listener is None:
+            if wanted.host not in self.vanished:
+                loop.call_soon(self._refuse, wanted)
             return
-        if self.is_cut(host, loop.ip):
+        if self.is_cut(wanted.host, loop.ip):
             return
-        server, server_factory = found
-        self.next_port += 1
-        local, remote = (loop.ip, self.next_port), (host, port)
-        near, far = (
-            SimTransport(self, loop, local, remote),
-            SimTransport(self, server, remote, local),
-        )
-        near.other, far.other = far, near
-        self.open |= {near: None, far: None}
-
-        def accept():
-            far.protocol = server_factory()
-            far.protocol.connection_made(far)
-            far._drain()
-
-        def made():
-            if done.done():
-                near.protocol = asyncio.Protocol()
-                near.abort()
-                return
-            near.protocol = factory()
-            near.protocol.connection_made(near)
-            done.set_result((near, near.protocol))
-            near._drain()
-
-        server.call_soon(accept)
+        near, far = self._new_stream(wanted, listener)
+        listener.loop.call_soon(lambda: far.begin(listener.factory()))
         self.world.at(
-            self.delay_s(host, loop.ip), lambda: None if loop.dead else loop.call_soon(made)
+            self.delay_s(wanted.host, loop.ip),
+            lambda: None if loop.dead else loop.call_soon(self._connected, wanted, near),
         )
 
-    def _finish(self, done, error):
-        if not done.done():
-            done.set_exception(error)
-
-    def send(self, transport, item):
-        """Carry one piece of a stream to its other end, in order."""
+    def _new_stream(self, wanted: Connecting, listener: Listener):
+        """Return both ends of a stream: that of the caller and that of the listener."""
+        local, remote = (wanted.loop.ip, self._new_port()), (wanted.host, wanted.port)
+        near = SimTransport(self, wanted.loop, local, remote)
+        far = SimTransport(self, listener.loop, remote, local)
+        near.other, far.other = far, near
+        self.open |= {near: None, far: None}
+        return near, far
+
+    @staticmethod
+    def _refuse(wanted: Connecting):
+        if not wanted.done.done():
+            wanted.done.set_exception(ConnectionRefusedError(111, "refused"))
+
+    @staticmethod
+    def _connected(wanted: Connecting, near: SimTransport):
+        """Give a stream to the process that wanted it, which may have given up meanwhile."""
+        if wanted.done.done():
+            near.protocol = asyncio.Protocol()
+            near.abort()
+            return
+        protocol = wanted.factory()
+        near.protocol = protocol
+        protocol.connection_made(near)
+        wanted.done.set_result((near, protocol))
+        near.drain()
+
+    def send(self, transport: SimTransport, item: StreamItem):
+        """Carry one item of a stream to its other end, in order."""
         a, b = transport.local[0], transport.remote[0]
-        if self.sending_s(a, b, item) and len(item) > PACKET_BYTES:
+        sending_s = self.sending_s(a, b, item)
+        if sending_s and len(item) > PACKET_BYTES:
             for at in range(0, len(item), PACKET_BYTES):
                 self.send(transport, item[at : at + PACKET_BYTES])
             return
-        if self.is_cut(a, b) or any(entry[0] is transport for entry in self.stuck):
-            self.stuck.append((transport, item))
+        if self.is_cut(a, b) or any(held.transport is transport for held in self.stuck):
+            self.stuck.append(Stuck(transport, item))
             return
-        at = max(transport.ready_at, self.world.now + self.delay_s(a, b))
-        at += self.sending_s(a, b, item)
-        transport.ready_at = at
+        arrives_s = max(transport.ready_at, self.world.now + self.delay_s(a, b)) + sending_s
+        transport.ready_at = arrives_s
+        self.world.at(arrives_s - self.world.now, lambda: self._land(transport, item))
+
+    def _land(self, transport: SimTransport, item: StreamItem):
+        """Let an item arrive at the other end; an end that is gone resets the stream."""
         other = transport.other
+        if other.loop.dead:
+            return
+        if not other.gone:
+            other.loop.call_soon(self._arrive, other, item)
+        elif isinstance(item, bytes) and not transport.gone and not transport.loop.dead:
+            delay_s = self.delay_s(transport.remote[0], transport.local[0])
+            self.world.at(delay_s, lambda: self._reset(transport))
 
-        def land():
-            if not other.loop.dead and not other.gone:
-                other.loop.call_soon(self._arrive, other, item)
-            elif (
-                not other.loop.dead
-                and isinstance(item, bytes)
-                and not transport.gone
-                and not transport.loop.dead
-            ):
-                self.world.at(
-                    self.delay_s(b, a),
-                    lambda: (
-                        None
-                        if transport.loop.dead
-                        else transport.loop.call_soon(
-                            self._arrive, transport, ConnectionResetError("reset by peer")
-                        )
-                    ),
-                )
-
-        self.world.at(at - self.world.now, land)
-
-    def _arrive(self, transport, item):
+    def _reset(self, transport: SimTransport):
+        if not transport.loop.dead:
+            transport.loop.call_soon(self._arrive, transport, reset_error())
+
+    def _arrive(self, transport: SimTransport, item: StreamItem):
         if not transport.gone:
             transport.arrive(item)
 
     def datagram(self, loop, factory, local):
         """Open a datagram endpoint."""
         transport, protocol = SimDatagram(self, loop, local), factory()
-        self.datagrams[local] = (loop, protocol)
+        self.datagrams[local] = Endpoint(loop, protocol)
         protocol.connection_made(transport)
         return transport, protocol
 
-    def send_datagram(self, transport, data, addr):
+    def send_datagram(self, transport: SimDatagram, data: bytes, addr):
         """Carry one datagram, or lose it."""
         a, b = transport.local[0], addr[0]
         if self.is_cut(a, b) or (self.loss_rate and self.world.random.random() < self.loss_rate):
             return
 
         def land():
-            found = self.datagrams.get(tuple(addr))
-            if found and not found[0].dead:
-                found[0].call_soon(found[1].datagram_received, data, transport.local)
+            endpoint = self.datagrams.get(tuple(addr))
+            if endpoint and not endpoint.loop.dead:
+                receive = endpoint.protocol.datagram_received
+                endpoint.loop.call_soon(receive, data, transport.local)
 
         self.world.at(self.delay_s(a, b), land)
 
@@ -333,16 +237,17 @@
 
         A machine without power also loses what a cut held up.
         """
-        self.listeners = {
-            key: value for key, value in self.listeners.items() if value[0] is not loop
-        }
-        self.datagrams = {
-            key: value for key, value in self.datagrams.items() if value[0] is not loop
-        }
+        self.listeners = _without(self.listeners, loop)
+        self.datagrams = _without(self.datagrams, loop)
         if silent:
-            self.stuck = [held for held in self.stuck if held[0].loop is not loop]
-        for transport in [each for each in self.open if each.loop is loop]:
+            self.stuck = [held for held in self.stuck if held.transport.loop is not loop]
+        for transport in [transport for transport in self.open if transport.loop is loop]:
             del self.open[transport]
             if not silent and not transport.gone and not transport.closing:
-                transport._post(ConnectionResetError("reset by peer"))
+                transport.post(reset_error())
             transport.gone = transport.closing = True
+
+
+def _without(entries: dict, loop) -> dict:
+    """Return the entries that don't belong to a process."""
+    return {address: entry for address, entry in entries.items() if entry.loop is not loop}
