Measurements in modules by subject, in short functions

They stand in bench/measures by what they are about (placement, faults, chain), split into named steps with their sizes as constants; measure.py keeps the table that the command line offers.

--- a/swiftdeck/bench/scale/fleet.py
+++ b/swiftdeck/bench/scale/fleet.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from swiftdeck.bench.measure import spread
+from swiftdeck.bench.measures.figures import spread
 from swiftdeck.bench.scale.hollow import HollowCaches, HollowList, HollowRouter
 from swiftdeck.bench.scale.meter import MeshMeter, MeteredWorld, mean_per_second, sent_by_kind
 from swiftdeck.bench.scale.samples import document
--- a/swiftdeck/bench/scale/parts.py
+++ b/swiftdeck/bench/scale/parts.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from swiftdeck.bench.measure import spread
+from swiftdeck.bench.measures.figures import spread
 from swiftdeck.bench.scale.configuration_parts import parts_by_tenants
 from swiftdeck.bench.scale.hollow import hollow_router
 from swiftdeck.bench.scale.message_parts import parts_of_messages
--- a/swiftdeck/bench/scale/timing.py
+++ b/swiftdeck/bench/scale/timing.py
@@ -4,7 +4,7 @@
 import time
 import tracemalloc
 
-from swiftdeck.bench.measure import spread
+from swiftdeck.bench.measures.figures import spread
 
 ROUNDS = 5
 
--- a/tests/bench/test_measure.py
+++ b/tests/bench/test_measure.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from swiftdeck.bench.measure import fetch
+from swiftdeck.bench.measures.faults import fetch
 
 
 class MeasureTest(unittest.TestCase):
