Mesh: typed questions, handlers and frames, `take` and `ask` in short functions

What waits for a return, what handles a kind and what is being handled were pairs; they are Asked, Handler and Handled. Lengths and waits have names, public methods doc comments.

--- a/swiftdeck/wire/mesh.py
+++ b/swiftdeck/wire/mesh.py
@@ -5,6 +5,10 @@
 import inspect
 import struct
 from collections import Counter
+from collections.abc import Callable
+
+import attrs
+import msgspec
 
 from swiftdeck.fault import (
     BAD_FRAME,
@@ -16,65 +20,130 @@
     fault_of,
     is_fault,
 )
-from swiftdeck.wire.messages import KINDS, NUMBERS, Done, FaultReturn
+from swiftdeck.wire.messages import KINDS, NUMBERS, Done, FaultReturn, Wire
 
 FRAME_LIMIT = 64 << 20
+"""The most bytes of one frame."""
 OPEN_LIMIT = 8192
+"""The most messages of one link that are handled at a time."""
 HEAD = struct.Struct(">HQBB")
+"""Before a message: its kind, its exchange, whether it is a return, the length of the sender."""
+LENGTH = struct.Struct(">I")
+"""Before a frame: its length."""
 PART_S = 0.25
 """How long a link may rest in the middle of a frame that still counts as coming in."""
-LENGTH = struct.Struct(">I")
+CONNECT_S = 1.0
+SILENCE_S = 1.0
+"""How long a link may be silent while an answer is due before it is dropped."""
+
+
+@attrs.define(eq=False)
+class Asked:
+    """A question that waits for its return, which counts only on the link that it was sent on."""
+
+    link: "Link"
+    answer: asyncio.Future
+
+
+@attrs.define(eq=False)
+class Handler:
+    """What takes the messages of a kind; a bound one is cancelled when the link is lost."""
+
+    function: Callable
+    is_bound: bool
+
+
+@attrs.define(eq=False)
+class Handled:
+    """A message that is being handled."""
+
+    task: asyncio.Task
+    is_bound: bool
+
+
+class Envelope(msgspec.Struct, eq=False):
+    """A frame that was read: a message, who sent it, and the exchange that it belongs to.
+
+    `message` is None where its kind isn't known. `exchange` is 0 when no return is expected.
+    """
+
+    number: int
+    exchange: int
+    is_return: bool
+    sender: str
+    message: Wire | None
+
+    @classmethod
+    def read(cls, frame: bytes) -> "Envelope | None":
+        """Read a frame; None when it does not parse."""
+        try:
+            number, exchange, is_return, length = HEAD.unpack_from(frame)
+            body_at = HEAD.size + length
+            sender = frame[HEAD.size : body_at].decode("ascii")
+            kind = KINDS.get(number)
+            message = kind().parse(frame[body_at:]) if kind else None
+        except Exception:
+            return None
+        return cls(number, exchange, bool(is_return), sender, message)
 
 
 @functools.lru_cache(4096)
-def split_addr(addr: str):
-    """The IP and the port of "ip:port"."""
+def split_addr(addr: str) -> tuple[str, int]:
+    """Return the IP and the port of "ip:port"; raises ValueError when there is no port."""
     ip, _, port = addr.rpartition(":")
     return ip, int(port)
 
 
 class Link(asyncio.Protocol):
-    """One stream between two processes."""
+    """One stream between two processes.
+
+    `addr` is set at the side that dialled. `heard_s` is when bytes came last, by the clock of the
+    loop; `handled` has the messages of this link that are being handled.
+    """
 
     def __init__(self, mesh, addr=None):
         self.mesh, self.addr = mesh, addr
         self.transport, self.buffer = None, bytearray()
-        self.handled = {}
+        self.handled: dict[int, Handled] = {}
         self.heard_s = asyncio.get_running_loop().time()
         self.gone = False
 
     def connection_made(self, transport):
+        """Count the link among those of the mesh."""
         self.transport = transport
         self.mesh.links[self] = None
 
     def pause_writing(self):
-        pass
+        """Write on: what is told is bounded by `send`."""
 
     def resume_writing(self):
-        pass
+        """Write on, as before."""
 
     def eof_received(self):
+        """Let the transport close itself."""
         return False
 
     def data_received(self, data):
+        """Take the frames that are complete; one that is malformed ends the link."""
         self.heard_s = asyncio.get_running_loop().time()
         self.buffer += data
         at = 0
-        while len(self.buffer) - at >= 4:
+        while len(self.buffer) - at >= LENGTH.size:
             (length,) = LENGTH.unpack_from(self.buffer, at)
             if length > FRAME_LIMIT:
                 return self.refuse("frame over the limit")
-            if len(self.buffer) - at - 4 < length:
+            start = at + LENGTH.size
+            if len(self.buffer) - start < length:
                 break
-            frame = bytes(self.buffer[at + 4 : at + 4 + length])
-            at += 4 + length
+            frame = bytes(self.buffer[start : start + length])
+            at = start + length
             if not self.mesh.take(frame, self):
                 return self.refuse("frame does not parse")
         del self.buffer[:at]
 
     def refuse(self, reason):
         """Close the link on a malformed frame."""
-        self.mesh.count["faults.%d" % BAD_FRAME.code] += 1
+        self.mesh.count[f"faults.{BAD_FRAME.code}"] += 1
         self.mesh.note("link refused", code=BAD_FRAME.code, reason=reason)
         self.transport.abort()
 
@@ -84,33 +153,42 @@
         return bool(self.buffer) and is_fresh and not self.gone
 
     def send(self, data):
-        """Put one message on the stream."""
+        """Put one message on the stream; false when the link is gone or full."""
         if self.gone or self.transport.get_write_buffer_size() > 2 * FRAME_LIMIT:
             return False
         self.transport.write(LENGTH.pack(len(data)) + data)
         return True
 
     def connection_lost(self, error):
+        """Cancel what is bound to the link, and answer what was asked on it."""
         self.gone = True
         self.mesh.links.pop(self, None)
-        for task, is_bound in list(self.handled.values()):
-            if is_bound:
-                task.cancel()
+        for handled in list(self.handled.values()):
+            if handled.is_bound:
+                handled.task.cancel()
         if self.addr and self.mesh.dialled.get(self.addr) is self:
             del self.mesh.dialled[self.addr]
-        for number, (link, done) in list(self.mesh.asked.items()):
-            if link is self and not done.done():
-                done.set_result(TIMED_OUT.because("link lost"))
+        for asked in list(self.mesh.asked.values()):
+            if asked.link is self and not asked.answer.done():
+                asked.answer.set_result(TIMED_OUT.because("link lost"))
 
 
 class Mesh:
-    """The inner endpoint of a process: asks neighbours, tells them, and hands what comes to its handlers."""
+    """The inner endpoint of a process.
+
+    It asks neighbours, tells them, and hands what comes to its handlers. `dialled` has the links to
+    neighbours and `dialling` those that are being opened, by address; `asked` the questions that
+    wait for a return, by the number of their exchange.
+    """
 
     def __init__(self, addr, note=lambda *_, **__: None):
         self.addr, self.note, self.sender = addr, note, addr.encode()
-        self.links, self.dialled, self.dialling = {}, {}, {}
-        self.asked, self.serial = {}, 0
-        self.handlers = {}
+        self.links: dict[Link, None] = {}
+        self.dialled: dict[str, Link] = {}
+        self.dialling: dict[str, asyncio.Task] = {}
+        self.asked: dict[int, Asked] = {}
+        self.serial = 0
+        self.handlers: dict[type, Handler] = {}
         self.count, self.sent, self.sent_bytes = Counter(), Counter(), Counter()
         self.server = self.datagrams = None
 
@@ -131,10 +209,15 @@
             link.transport.abort()
 
     def on(self, kind, handler, is_bound=False):
-        """Hand messages of a kind to `handler(message, senderAddr)`; a bound one is cancelled with its link."""
-        self.handlers[kind] = (handler, is_bound)
+        """Hand messages of a kind to `handler(message, sender_addr)`.
+
+        What it returns, or its coroutine gives, is the return: a message, a fault, or None for
+        Done. A bound handler is cancelled with the link of its message.
+        """
+        self.handlers[kind] = Handler(handler, is_bound)
 
     async def _link(self, addr):
+        """Return the link to a neighbour, opened if need be, or UNREACHABLE."""
         link = self.dialled.get(addr)
         if link and not link.gone:
             return link
@@ -145,7 +228,7 @@
     async def _dial(self, addr):
         try:
             ip, port = split_addr(addr)
-            async with asyncio.timeout(1.0):
+            async with asyncio.timeout(CONNECT_S):
                 _, link = await asyncio.get_running_loop().create_connection(
                     lambda: Link(self, addr), ip, port
                 )
@@ -170,37 +253,45 @@
         loop = asyncio.get_running_loop()
         start_s = loop.time()
         self.serial += 1
-        number, link, done = self.serial, None, loop.create_future()
+        number, asked = self.serial, None
+        answer = loop.create_future()
         try:
             async with asyncio.timeout(timeoutMs / 1000):
                 link = await self._link(addr)
                 if is_fault(link):
                     return link
-                self.asked[number] = (link, done)
+                asked = self.asked[number] = Asked(link, answer)
                 data = self._envelope(message, number)
                 self.note_sent(type(message).__name__, data)
                 if not link.send(data):
                     return UNREACHABLE.because("link is full")
-                return await asyncio.shield(done)
+                return await asyncio.shield(answer)
         except TimeoutError:
-            if link is not None and await self._comes_in(link, done, start_s, while_heard_ms):
-                return done.result()
-            if link is None:
+            if asked is None:
                 return UNREACHABLE.because(f"{addr}: no connection in time")
-            if loop.time() - max(link.heard_s, start_s) >= min(1.0, timeoutMs / 1000):
-                link.transport.abort()
+            if await self._comes_in(asked, start_s, while_heard_ms):
+                return answer.result()
+            self._drop_silent(asked.link, start_s, timeoutMs / 1000)
             return TIMED_OUT.because(f"{type(message).__name__} to {addr}")
         finally:
             self.asked.pop(number, None)
 
     @staticmethod
-    async def _comes_in(link, done, start_s, while_heard_ms):
+    def _drop_silent(link, start_s, timeout_s):
+        """Drop a link on which nothing came while an answer was due."""
+        silent_s = asyncio.get_running_loop().time() - max(link.heard_s, start_s)
+        if silent_s >= min(SILENCE_S, timeout_s):
+            link.transport.abort()
+
+    @staticmethod
+    async def _comes_in(asked, start_s, while_heard_ms):
         """Wait on for an answer while its link brings parts of a frame; whether it came."""
         loop = asyncio.get_running_loop()
         end_s = start_s + while_heard_ms / 1000
-        while not done.done() and link.is_receiving() and loop.time() < end_s:
-            await asyncio.wait([done], timeout=min(PART_S, max(0.001, end_s - loop.time())))
-        return done.done()
+        while not asked.answer.done() and asked.link.is_receiving() and loop.time() < end_s:
+            left_s = max(0.001, end_s - loop.time())
+            await asyncio.wait([asked.answer], timeout=min(PART_S, left_s))
+        return asked.answer.done()
 
     def tell(self, addr, message):
         """Send a message without waiting for anything."""
@@ -244,61 +335,72 @@
     def take(self, frame, link):
         """Handle one arrived frame; false when it does not parse.
 
-        A return counts only on the link on which its question was sent: numbers of exchanges
-        repeat after a restart, and a datagram or another peer's link may bear any number.
+        `link` is None for a datagram.
         """
-        try:
-            number, exchange, is_return, length = HEAD.unpack_from(frame)
-            sender = frame[HEAD.size : HEAD.size + length].decode("ascii")
-            kind = KINDS.get(number)
-            message = kind().parse(frame[HEAD.size + length :]) if kind else None
-        except Exception:
+        envelope = Envelope.read(frame)
+        if envelope is None:
             return False
-        if is_return:
-            asked_on, done = self.asked.get(exchange, (None, None))
-            if done and asked_on is not link:
-                self.count["returnsMisplaced"] += 1
-            elif done and not done.done():
-                done.set_result(
-                    fault_of(message.code, message.reason, message.retry_ms or None)
-                    if isinstance(message, FaultReturn)
-                    else message
-                )
-            return kind is not None
-        handler, is_bound = self.handlers.get(kind, (None, False))
+        if envelope.is_return:
+            self._take_return(envelope, link)
+            return envelope.message is not None
+        handler = self.handlers.get(type(envelope.message))
         if handler is None:
-            self._give_back(link, exchange, UNKNOWN_KIND.because(str(number)))
-            return exchange != 0
+            fault = UNKNOWN_KIND.because(str(envelope.number))
+            self._give_back(link, envelope.exchange, fault)
+            return envelope.exchange != 0
         if link and len(link.handled) >= OPEN_LIMIT:
-            self._give_back(link, exchange, BUSY)
+            self._give_back(link, envelope.exchange, BUSY)
         else:
-            self._handle(handler, is_bound, message, sender, exchange, link)
+            self._handle(handler, envelope, link)
         return True
 
-    def _handle(self, handler, is_bound, message, sender, exchange, link):
+    def _take_return(self, envelope, link):
+        """Answer the question that a return belongs to.
+
+        A return counts only on the link on which its question was sent: numbers of exchanges
+        repeat after a restart, and a datagram or another peer's link may bear any number.
+        """
+        asked = self.asked.get(envelope.exchange)
+        if asked is None:
+            return
+        if asked.link is not link:
+            self.count["returnsMisplaced"] += 1
+        elif not asked.answer.done():
+            asked.answer.set_result(self._answer_of(envelope.message))
+
+    @staticmethod
+    def _answer_of(message):
+        """Return what a return says: the message, or the fault that it bears."""
+        if isinstance(message, FaultReturn):
+            return fault_of(message.code, message.reason, message.retry_ms or None)
+        return message
+
+    def _handle(self, handler, envelope, link):
+        """Call a handler; one that has to wait goes on in a task of its own."""
+        message, exchange = envelope.message, envelope.exchange
         try:
-            got = handler(message, sender)
+            result = handler.function(message, envelope.sender)
         except Exception as error:
-            got = self._failed(error, message)
-        if inspect.iscoroutine(got):
-            task = asyncio.ensure_future(self._finish(got, message, exchange, link))
-            if link:
-                link.handled[id(task)] = (task, is_bound)
-                task.add_done_callback(lambda task: link.handled.pop(id(task), None))
-        else:
-            self._give_back(link, exchange, got)
+            result = self._failed(error, message)
+        if not inspect.iscoroutine(result):
+            self._give_back(link, exchange, result)
+            return
+        task = asyncio.ensure_future(self._finish(result, message, exchange, link))
+        if link:
+            link.handled[id(task)] = Handled(task, handler.is_bound)
+            task.add_done_callback(lambda task: link.handled.pop(id(task), None))
 
-    async def _finish(self, coro, message, exchange, link):
+    async def _finish(self, coroutine, message, exchange, link):
         try:
-            got = await coro
+            result = await coroutine
         except asyncio.CancelledError:
             raise
         except Exception as error:
-            got = self._failed(error, message)
-        self._give_back(link, exchange, got)
+            result = self._failed(error, message)
+        self._give_back(link, exchange, result)
 
     def _failed(self, error, message):
-        self.count["faults.%d" % HANDLER_FAILED.code] += 1
+        self.count[f"faults.{HANDLER_FAILED.code}"] += 1
         self.note(
             "handler failed",
             code=HANDLER_FAILED.code,
@@ -307,12 +409,13 @@
         )
         return HANDLER_FAILED.because(type(message).__name__)
 
-    def _give_back(self, link, exchange, got):
+    def _give_back(self, link, exchange, result):
+        """Send the return of a message, if one is expected: a message, a fault, or Done."""
         if link is None or not exchange:
             return
-        if is_fault(got):
-            got = FaultReturn(code=got.code, reason=got.reason, retry_ms=got.retry_ms)
-        answer = got if got is not None else Done()
+        if is_fault(result):
+            result = FaultReturn(code=result.code, reason=result.reason, retry_ms=result.retry_ms)
+        answer = result if result is not None else Done()
         data = self._envelope(answer, exchange, True)
         self.note_sent(type(answer).__name__, data)
         link.send(data)
@@ -325,8 +428,10 @@
         self.mesh = mesh
 
     def datagram_received(self, data, addr):
+        """Hand a datagram to the mesh; one that is malformed is counted."""
         if not self.mesh.take(data, None):
-            self.mesh.count["faults.%d" % BAD_FRAME.code] += 1
+            self.mesh.count[f"faults.{BAD_FRAME.code}"] += 1
 
     def error_received(self, error):
+        """Count a datagram that could not be sent."""
         self.mesh.count["castsFailed"] += 1
--- a/tests/cases/admission.py
+++ b/tests/cases/admission.py
@@ -357,7 +357,9 @@
         town.world.run(2)
         self.assertTrue(
             town.world.run(
-                until=lambda: sum(link.addr in town.seeds for link, _ in mesh.asked.values()) >= 3,
+                until=lambda: (
+                    sum(asked.link.addr in town.seeds for asked in mesh.asked.values()) >= 3
+                ),
                 limit_s=5,
             )
         )
