--- a/tests/cases/admission.py
+++ b/tests/cases/admission.py
@@ -220,36 +220,10 @@
         for how in ("kill", "freeze", "cut"):
             town = self.town(cap=2, routers=4, idleMs=60000, pauseMs=60000)
             old = town.keeper()
-            doors = [town.addresses[name]["http"] for name in town.router_names() if name != old]
-            town.caller.doors = doors
-            running = [
-                town.spawn(
-                    lambda number=number: town.caller.call(
-                        "saga",
-                        "check",
-                        ["b", str(number)],
-                        max_tokens=20000,
-                        timeout_s=600,
-                        door=doors[number],
-                    )
-                )
-                for number in range(2)
-            ]
-            town.world.run(1)
-            ip = town.addresses[old]["inner"].rpartition(":")[0]
-            others = [
-                node["inner"].rpartition(":")[0]
-                for name, node in town.addresses.items()
-                if name != old
-            ]
-            {
-                "kill": lambda: town.world.kill(old),
-                "freeze": lambda: town.world.freeze(old),
-                "cut": lambda: town.world.net.cut([ip], others),
-            }[how]()
-            at_s = town.world.now
-            start = town.spawn(lambda: town.caller.call("oita", "check", ["b", "new"], timeout_s=5))
-            town.world.run(until=lambda: town.keeper() not in (None, old), limit_s=20)
+            running = self.fill(town, self.other_doors(town, old))
+            self.take_out(town, old, how)
+            at_s, start = town.world.now, self.spawn_start(town)
+            self.run_to_next_keeper(town, old)
             self.assertLess(town.world.now - at_s, 12, how)
             town.world.run(1)
             self.assertEqual(self.open(town), 2, how)
@@ -267,38 +241,93 @@
             self.assertTrue(not start or not start[0]["whole"], how)
             self.assertFalse(any(running), how)
 
+    def other_doors(self, town, name):
+        """Give the doors of all routers but one, to which callers go from now on."""
+        doors = [town.addresses[other]["http"] for other in town.router_names() if other != name]
+        town.caller.doors = doors
+        return doors
+
+    def fill(self, town, doors):
+        """Begin two long conversations; gives the lists that take their returns."""
+        running = [
+            town.spawn(
+                lambda number=number: town.caller.call(
+                    "saga",
+                    "check",
+                    ["b", str(number)],
+                    max_tokens=20000,
+                    timeout_s=600,
+                    door=doors[number],
+                )
+            )
+            for number in range(2)
+        ]
+        town.world.run(1)
+        return running
+
+    def take_out(self, town, name, how):
+        """Kill or freeze a process, or cut it from all others."""
+        if how == "kill":
+            town.world.kill(name)
+        elif how == "freeze":
+            town.world.freeze(name)
+        else:
+            ips = {
+                other: node["inner"].rpartition(":")[0] for other, node in town.addresses.items()
+            }
+            alone = ips.pop(name)
+            town.world.net.cut([alone], list(ips.values()))
+
+    def spawn_start(self, town):
+        """Begin a conversation that waits five seconds; gives the list that takes its return."""
+        return town.spawn(lambda: town.caller.call("oita", "check", ["b", "new"], timeout_s=5))
+
+    def run_to_next_keeper(self, town, old):
+        """Let time pass until another router keeps the books."""
+        town.world.run(until=lambda: town.keeper() not in (None, old), limit_s=20)
+
     def test_the_line_of_a_lost_keeper_stands_anew_in_the_order_of_waiting(self):
         for seed in (1, 2, 3):
             town = self.town(seed, cap=1, routers=4, idleMs=60000, pauseMs=60000)
             self.assertEqual(town.change("PATCH", {"routes": {"check": {"waitMs": 40000}}})[0], 200)
             old = town.keeper()
             doors = [town.addresses[name]["http"] for name in town.router_names() if name != old]
-            long = town.spawn(
-                lambda: town.caller.call(
-                    "saga", "check", ["b", "long"], is_last=True, max_tokens=4800, door=doors[0]
-                )
-            )
-            town.world.run(1)
-            order = ["chikugo", "hitoyoshi", "kumamoto", "miyazaki", "nagasaki", "oita"]
-            for at, tenant in enumerate(order):
-                town.spawn(
-                    lambda tenant=tenant, at=at: town.caller.call(
-                        tenant, "check", ["b", tenant], is_last=True, door=doors[at % 3]
-                    )
-                )
-                town.world.run(0.23)
+            long, order = self.queue_up(town, doors)
             town.world.kill(old)
-            self.assertTrue(
-                town.world.run(
-                    until=lambda: len([1 for item in town.records if item["kind"] == "run"]) == 7,
-                    limit_s=60,
-                )
-            )
+            self.assertTrue(self.run_until_runs(town, 1 + len(order)))
             self.assertTrue(long[0]["whole"])
             tenants = [item["tenant"] for item in town.records if item["kind"] == "run"][1:]
             self.assertEqual(tenants, order)
             self.sound(town)
 
+    def queue_up(self, town, doors):
+        """Begin a long call at a worker for one, and let six tenants wait behind it.
+
+        Gives the list that takes the return of the long call, and the tenants in their order.
+        """
+        long = town.spawn(
+            lambda: town.caller.call(
+                "saga", "check", ["b", "long"], is_last=True, max_tokens=4800, door=doors[0]
+            )
+        )
+        town.world.run(1)
+        order = ["chikugo", "hitoyoshi", "kumamoto", "miyazaki", "nagasaki", "oita"]
+        for at, tenant in enumerate(order):
+            town.spawn(
+                lambda tenant=tenant, at=at: town.caller.call(
+                    tenant, "check", ["b", tenant], is_last=True, door=doors[at % 3]
+                )
+            )
+            town.world.run(0.23)
+        return long, order
+
+    def run_until_runs(self, town, count):
+        """Let time pass until the workers ran so many calls; gives whether they did in time."""
+        return town.world.run(
+            until=lambda: sum(item["kind"] == "run" for item in town.records) == count,
+            limit_s=60,
+        )
+
     def test_a_place_lost_between_two_questions_is_taken_anew(self):
         town = self.town(cap=1, workers=2, lineMax=1, idleMs=60000, pauseMs=60000)
         keeper = town.keeper()
@@ -526,14 +555,18 @@
             town = self.town(cap=4, workers=2)
             for worker in town.site.workers:
                 town.up[worker["name"]].quirk = quirk
-            box = [
-                town.spawn(lambda tenant=tenant: town.caller.agent(tenant, turns=4, gap=0.1))
-                for tenant in town.site.keys
-            ]
-            town.world.run(until=lambda: all(box), limit_s=120)
-            self.assertEqual([each[0] for each in box], [4] * 8, quirk)
+            self.assertEqual(self.agents_served(town), [4] * 8, quirk)
             self.sound(town)
 
+    def agents_served(self, town):
+        """Let an agent of each tenant make four turns; gives how many each was served."""
+        served = [
+            town.spawn(lambda tenant=tenant: town.caller.agent(tenant, turns=4, gap=0.1))
+            for tenant in town.site.keys
+        ]
+        town.world.run(until=lambda: all(served), limit_s=120)
+        return [turns[0] for turns in served]
+
     def test_the_cap_rises_while_prefixes_survive_and_falls_when_they_do_not(self):
         town = self.town(cap=8, adapts=True, capLeast=2, pauseMs=8000, idleMs=9000)
         town.up["worker1"].cache.room = 30000
--- a/tests/cases/calls.py
+++ b/tests/cases/calls.py
@@ -1,6 +1,7 @@
 """Cases of calls: attempts, final answers, claims, pieces and the retry budget."""
 
 import asyncio
+import functools
 import unittest
 from unittest import mock
 
@@ -58,55 +59,16 @@
 
     def test_a_caller_told_not_run_is_served_at_any_router_with_the_same_key(self):
         for is_granted, is_cut in ((False, False), (False, True), (True, False), (True, True)):
-            town, look = self.town(routers=3, workers=1, speed=1.0), Call._may_be_sent
+            town = self.town(routers=3, workers=1, speed=1.0)
             keeper = town.keeper()
-            name = next(each for each in town.router_names() if each != keeper)
-            first, other = town.addresses[name]["http"], town.addresses[keeper]["http"]
-            self.assertEqual(
-                town.change(
-                    "PATCH",
-                    {"models": {"screener": {"cap": 1}}, "routes": {"check": {"waitMs": 900}}},
-                )[0],
-                200,
-            )
-            busy = town.spawn(
-                lambda: town.caller.call(
-                    "oita",
-                    "check",
-                    ["b", "long"],
-                    is_last=True,
-                    door=other,
-                    max_tokens=1 if is_granted else 300,
-                )
-            )
-            town.world.run(0.8 if is_granted else 0.3)
-
-            def fails(call, attempt):
-                return STALE_LIST if call.router is town.up[name] else look(call, attempt)
-
-            with mock.patch.object(Call, "_may_be_sent", fails):
-                box = town.spawn(
-                    lambda: town.caller.call(
-                        "saga", "check", ["b", "x"], idempotency="bill", door=first
-                    )
-                )
-                town.world.run(0.5)
-                if is_cut:
-                    ip = town.addresses[name]["inner"].rpartition(":")[0]
-                    town.world.net.cut(
-                        [ip], [node["inner"].rpartition(":")[0] for node in town.site.cores]
-                    )
-                town.world.run(until=lambda: box, limit_s=5)
-            got = box[0]
+            name = next(other for other in town.router_names() if other != keeper)
+            door = town.addresses[keeper]["http"]
+            busy = self.occupy(town, door, is_granted)
+            got = self.refused_at(town, name, is_cut)
             if is_cut:
                 town.world.kill(name, silent=True)
-                town.world.run(until=lambda: busy, limit_s=10)
-            back = town.call("saga", "check", ["b", "x"], idempotency="bill", door=other)
-            for _ in range(10):
-                if back["code"] in (0, CLAIMED.code):
-                    break
-                town.world.run(1)
-                back = town.call("saga", "check", ["b", "x"], idempotency="bill", door=other)
+                town.world.run(until=functools.partial(bool, busy), limit_s=10)
+            back = self.call_until_known(town, door)
             self.assertEqual(got["notRun"], not (is_granted and is_cut), got)
             self.assertEqual(got["code"] == CLAIM_LEFT.code, is_granted and is_cut)
             self.assertTrue(got["retryAfter"])
@@ -114,6 +76,53 @@
                 self.assertEqual((back["code"], back["whole"]), (0, True), (is_granted, is_cut))
             self.sound(town)
 
+    def occupy(self, town, door, is_granted):
+        """Let a conversation take the only place of the site.
+
+        It ends soon if the next one is to be granted, and outlasts its wait otherwise. Gives the
+        list that takes its return.
+        """
+        change = {"models": {"screener": {"cap": 1}}, "routes": {"check": {"waitMs": 900}}}
+        self.assertEqual(town.change("PATCH", change)[0], 200)
+        max_tokens = 1 if is_granted else 300
+        busy = town.spawn(
+            lambda: town.caller.call(
+                "oita", "check", ["b", "long"], is_last=True, door=door, max_tokens=max_tokens
+            )
+        )
+        town.world.run(0.8 if is_granted else 0.3)
+        return busy
+
+    def refused_at(self, town, name, is_cut):
+        """Call a router that sends nothing, and cut it from the cores midway; gives the return."""
+        look, router = Call._may_be_sent, town.up[name]
+
+        def fails(call, attempt):
+            return STALE_LIST if call.router is router else look(call, attempt)
+
+        door = town.addresses[name]["http"]
+        with mock.patch.object(Call, "_may_be_sent", fails):
+            box = town.spawn(
+                lambda: town.caller.call("saga", "check", ["b", "x"], idempotency="bill", door=door)
+            )
+            town.world.run(0.5)
+            if is_cut:
+                ip = town.addresses[name]["inner"].rpartition(":")[0]
+                cores = [node["inner"].rpartition(":")[0] for node in town.site.cores]
+                town.world.net.cut([ip], cores)
+            town.world.run(until=lambda: box, limit_s=5)
+        return box[0]
+
+    def call_until_known(self, town, door):
+        """Come back with the key until it is served or claimed by another run; gives the return."""
+        back = town.call("saga", "check", ["b", "x"], idempotency="bill", door=door)
+        for _ in range(10):
+            if back["code"] in (0, CLAIMED.code):
+                break
+            town.world.run(1)
+            back = town.call("saga", "check", ["b", "x"], idempotency="bill", door=door)
+        return back
+
     def test_a_worker_that_dies_midway_ends_a_once_only_stream_without_a_second_run(self):
         town = self.town()
         self.quirk(town, "die midway")
@@ -407,26 +416,25 @@
 
     def test_bad_input_gets_its_code(self):
         town = self.town(bodyBytes=4096, partsMost=10)
-        for body, headers, code in [
-            (b"{", [], 100),
-            (b"[]", [], 100),
-            (b'{"model":"tag","parts":[]}', [], 100),
-            (b'{"model":"tag","parts":[1]}', [], 100),
-            (b'{"model":"none","parts":["a"]}', [], 102),
-            (b'{"model":"tag","parts":["' + b"a" * 5000 + b'"]}', [], 103),
-            (b'{"model":"tag","parts":[' + b",".join([b'"a"'] * 11) + b"]}", [], 103),
-            (b"\xff\xfe", [], 100),
-        ]:
-
-            async def send():
-                ip, _, port = town.site.routers[0]["http"].rpartition(":")
-                link = await connect(ip, int(port))
-                got = await link.exchange(
-                    "POST", "/v1/calls", [("authorization", "Bearer key-saga"), *headers], body
-                )
-                return got.status, await got.whole()
+        ip, _, port = town.site.routers[0]["http"].rpartition(":")
 
-            status, answer = town.world.do("callers", send)
+        async def send(body):
+            link = await connect(ip, int(port))
+            headers = [("authorization", "Bearer key-saga")]
+            got = await link.exchange("POST", "/v1/calls", headers, body)
+            return got.status, await got.whole()
+
+        for body, code in [
+            (b"{", 100),
+            (b"[]", 100),
+            (b'{"model":"tag","parts":[]}', 100),
+            (b'{"model":"tag","parts":[1]}', 100),
+            (b'{"model":"none","parts":["a"]}', 102),
+            (b'{"model":"tag","parts":["' + b"a" * 5000 + b'"]}', 103),
+            (b'{"model":"tag","parts":[' + b",".join([b'"a"'] * 11) + b"]}", 103),
+            (b"\xff\xfe", 100),
+        ]:
+            status, answer = town.world.do("callers", functools.partial(send, body))
             self.assertIn(b'"code":%d' % code, answer)
             self.assertGreaterEqual(status, 400)
         got = town.call("saga", "tag", ["a", "b"], key="wrong")
--- a/tests/cases/config.py
+++ b/tests/cases/config.py
@@ -41,7 +41,7 @@
         return {"models": {"screener": {"cap": number}}}
 
     def insist(self, town, number, name=None):
-        """Send one change again and again under one id until it is acknowledged; gives how long that took."""
+        """Send one change under one id until it is acknowledged; gives how long that took."""
         base, start_s = town.version, town.world.now
         for _ in range(10):
             got = town.change("PATCH", self.cap(number), base, name, change_id=f"insist-{number}")
@@ -201,7 +201,7 @@
                 "http": f"{town.ip(machine)}:8000",
             }
             town.seeds = [core["inner"] for core in town.site.cores]
-            coreId = town.up[name].agreement.coreId
+            core_id = town.up[name].agreement.coreId
             town.start_core(name)
             town.world.run(1)
             self.insist(
@@ -209,28 +209,31 @@
             )
             self.settle(town)
             members = {ref.coreId: ref.addr for ref in town.up[name].agreement.decided.members}
-            self.assertEqual(members[coreId], town.addresses[name]["inner"])
+            self.assertEqual(members[core_id], town.addresses[name]["inner"])
 
     def test_two_operators_writing_at_once_never_both_win(self):
         town = self.town()
-        for round_ in range(5):
-            base = town.version
-            box = [
-                town.spawn(
-                    lambda name=name, number=number: fetch_json(
-                        town.addresses[name]["http"],
-                        "PATCH",
-                        f"/v1/config?base={base}",
-                        self.cap(number),
-                        timeoutMs=12000,
-                    )
-                )
-                for number, name in ((5, "core1"), (6, "core2"), (7, "core3"))
-            ]
-            town.world.run(until=lambda: all(box), limit_s=20)
-            self.assertEqual(sorted(each[0][0] for each in box), [200, 409, 409])
+        for _ in range(5):
+            self.assertEqual(sorted(self.race(town)), [200, 409, 409])
             town.version += 1
 
+    def race(self, town):
+        """Change the cap on one base through three cores at once; gives the statuses."""
+        answers = [
+            town.spawn(
+                lambda name=name, number=number: fetch_json(
+                    town.addresses[name]["http"],
+                    "PATCH",
+                    f"/v1/config?base={town.version}",
+                    self.cap(number),
+                    timeoutMs=12000,
+                )
+            )
+            for number, name in ((5, "core1"), (6, "core2"), (7, "core3"))
+        ]
+        town.world.run(until=lambda: all(answers), limit_s=20)
+        return [answer[0][0] for answer in answers]
+
     def test_a_cut_core_serves_nothing_old_and_comes_back(self):
         town = self.town()
         tail = self.member(town, 2)
@@ -278,24 +281,21 @@
         self.settle(town)
         self.assertEqual(check(town.records), {})
 
-    def test_what_the_tail_answered_with_outlasts_a_head_that_loses_power_before_its_slow_disk_has_synced(
-        self,
-    ):
+    def spawn_change(self, town, kind, name):
+        """Claim a key, or change the configuration through a core, without waiting for it."""
+        if kind == "claim":
+            town.spawn(lambda: town.caller.call("saga", "check", ["b", "x"], idempotency="bill"))
+            return
+        door = town.addresses[name]["http"]
+        town.spawn(lambda: fetch_json(door, "PATCH", "/v1/config?base=1", self.cap(9)))
+
+    def test_what_the_tail_answered_outlasts_a_head_that_loses_power_before_it_has_synced(self):
         for kind in ("configuration", "claim"):
             town = self.town()
             town.world.run(3)
             head, tail = self.member(town, 0), self.member(town, 2)
             town.folders[head].stall_s = 0.9
-            if kind == "claim":
-                town.spawn(
-                    lambda: town.caller.call("saga", "check", ["b", "x"], idempotency="bill")
-                )
-            else:
-                town.spawn(
-                    lambda: fetch_json(
-                        town.addresses[tail]["http"], "PATCH", "/v1/config?base=1", self.cap(9)
-                    )
-                )
+            self.spawn_change(town, kind, tail)
             town.world.run(0.7)
             known = town.up[tail].chain
             seen = (known.state.stored.version, len(known.state.stored.claims), known.serial)
@@ -408,13 +408,13 @@
             data[len(data) // 2] ^= 255
             town.folders[name].synced[file] = bytes(data)
         town.world.run(90)
-        coreId = town.up[name].agreement.coreId
+        core_id = town.up[name].agreement.coreId
         town.world.kill(name)
         town.start_core(name)
         town.world.run(3)
         self.settle(town)
         self.assertEqual(
-            (town.up[name].agreement.coreId, town.up[name].board.count["copies"]), (coreId, 0)
+            (town.up[name].agreement.coreId, town.up[name].board.count["copies"]), (core_id, 0)
         )
 
     def test_ack_means_in_force_at_every_router_that_still_serves(self):
--- a/tests/cases/cores.py
+++ b/tests/cases/cores.py
@@ -1,5 +1,6 @@
 """Cases of founding, joining and losing cores, for sites of one, three and five."""
 
+import functools
 import unittest
 
 from swiftdeck.bench.checker import check
@@ -281,7 +282,10 @@
         self.assertGreater(town.world.now - at_s, 0.9)
 
     def tells_while_tail_syncs(self, town, head, tail):
-        """Change the configuration through a head while the tail's disk is slow; gives the newest version told meanwhile."""
+        """Change the configuration while the tail's disk is slow.
+
+        Gives the newest version told meanwhile.
+        """
         town.folders[tail].stall_s = 0.9
         town.spawn(
             lambda: fetch_json(
@@ -422,7 +426,7 @@
             )
             near = next(other for other in town.core_names() if other != name)
             town.world.freeze(name)
-            town.world.at(3.0, lambda: town.world.thaw(name))
+            town.world.at(3.0, functools.partial(town.world.thaw, name))
             self.assertLess(self.insist(town, 5, near), 6.5 if place == 2 else 2.5)
             self.settle(town)
             self.assertEqual(check(town.records), {})
--- a/tests/cases/input.py
+++ b/tests/cases/input.py
@@ -83,7 +83,8 @@
                     % rng.choice([b"-1", b"", b"9" * 40])
                 ),
                 lambda: (
-                    b"PATCH /v1/config HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
+                    b"PATCH /v1/config HTTP/1.1\r\nHost: x\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"
                 ),
                 lambda: (
                     b'POST /v1/changes HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\n[1]\n"a"\n'
--- a/tests/cases/mutations.py
+++ b/tests/cases/mutations.py
@@ -224,7 +224,7 @@
     (
         "only synced entries are passed on",
         config.ConfigCase,
-        "test_what_the_tail_answered_with_outlasts_a_head_that_loses_power_before_its_slow_disk_has_synced",
+        "test_what_the_tail_answered_outlasts_a_head_that_loses_power_before_it_has_synced",
         [
             (Chain, "last_to_pass", lambda self: self.serial),
             (Chain, "_copy_from", _copies_nothing_from_behind),
--- a/tests/cases/weights.py
+++ b/tests/cases/weights.py
@@ -17,9 +17,9 @@
         ]
         town.world.run(6)
         self.assertEqual(town.change("PATCH", {"models": {"screener": {"weights": "w2"}}})[0], 200)
-        ackMs = town.world.now * 1000
+        ack_ms = town.world.now * 1000
         town.world.run(25)
-        runs = [item for item in town.records if item["kind"] == "run" and item["atMs"] > ackMs]
+        runs = [item for item in town.records if item["kind"] == "run" and item["atMs"] > ack_ms]
         self.assertEqual({item["weights"] for item in runs}, {"w2"})
         self.assertGreater(len(runs), 20)
         self.assertEqual({town.up[worker["name"]].weights for worker in town.site.workers}, {"w2"})
@@ -66,7 +66,7 @@
             for number in range(4)
         ]
         self.assertEqual(town.change("PATCH", {"models": {"screener": {"weights": "w2"}}})[0], 200)
-        ackMs = town.world.now * 1000
+        ack_ms = town.world.now * 1000
         town.world.run(until=lambda: all(late), limit_s=30)
         self.assertTrue(all(each[0]["notRun"] for each in late))
         town.world.net.heal()
@@ -78,7 +78,7 @@
             [
                 item
                 for item in town.records
-                if item["kind"] == "run" and item["weights"] == "w1" and item["atMs"] > ackMs
+                if item["kind"] == "run" and item["weights"] == "w1" and item["atMs"] > ack_ms
             ]
         )
         self.assertEqual(check(town.records, {town.site.apart}), {})
