--- /dev/null
+++ b/tests/soak/planted.py
@@ -0,0 +1,64 @@
+"""The soak's programs with faults planted: which ones is said by a variable of the environment."""
+
+import os
+import sys
+
+from swiftdeck.platform import program
+from swiftdeck.soak.program import MAKERS
+
+VARIABLE, SEPARATOR = "SOAK_PLANTED_FAULTS", ", "
+ENDS_AT_ONCE = "router ends at once"
+OLD_CONFIGURATION = "router keeps its first configuration"
+BROKEN_INVARIANT = "core counts a broken invariant"
+
+
+def ends_at_once(node):
+    """A router that doesn't finish what is open when it is told to stop."""
+
+    async def stop():
+        os._exit(0)
+
+    node.stop = stop
+
+
+def keeps_first_configuration(node):
+    """A router that never takes another configuration than the first that has routes."""
+    take, taken = node.on_config, []
+
+    def once(held):
+        if not taken:
+            take(held)
+        if held.document.paths:
+            taken.append(held)
+
+    node.on_config = once
+
+
+def counts_broken_invariant(node):
+    """A process in which an invariant was seen broken."""
+    node.board.count["invariant.planted"] += 1
+
+
+FAULTS = {
+    ENDS_AT_ONCE: ("router", ends_at_once),
+    OLD_CONFIGURATION: ("router", keeps_first_configuration),
+    BROKEN_INVARIANT: ("core", counts_broken_invariant),
+}
+
+
+def planted(role, make):
+    """A maker whose nodes have those of the faults asked for that are faults of this role."""
+    asked = [FAULTS[name] for name in os.environ[VARIABLE].split(SEPARATOR)]
+
+    def made(place, log):
+        node = make(place, log)
+        for faulty_role, plant in asked:
+            if role == faulty_role:
+                plant(node)
+        return node
+
+    return made
+
+
+if __name__ == "__main__":
+    sys.exit(program.main({role: planted(role, make) for role, make in MAKERS.items()}))
