--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -49,7 +49,7 @@
 
 OUTAGE_S = 15.0
 LOOK_S, ANSWERS_S = 0.05, 0.6
-"""How often a router that stops looks whether all calls are answered, and how long the last answers may take."""
+"""How often a stopping router looks for open calls, and how long the last answers may take."""
 
 
 @attrs.define
--- a/tests/cases/draining.py
+++ b/tests/cases/draining.py
@@ -1,4 +1,4 @@
-"""Cases of a router and a core of our own interface that are told to stop with exchanges under way."""
+"""Cases of a router and a core of our own interface that stop with exchanges under way."""
 
 import asyncio
 import unittest
