The head's pace follows what a worker takes and the time that is left

A round over six workers, one at a time and 0.6 to 1.9 s each, takes as long as version-ms. As many are ordered at a time as the remaining ones need, by the mean of the last swaps: a quarter at least, half at most, all once routers send nothing to old weights.

--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -18,8 +18,10 @@
 STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 200, 4.0, 0.15
 SLOT_S = 2.0
 """How long a worker that is being ordered holds back the next one; after that it is slow, or silent."""
-CALM_SHARE, HURRIED_SHARE, HURRY_S = 1 / 4, 1 / 2, 2.0
-"""Shares of a model's workers that are ordered at once: with time to spare, and in the last seconds before it is over."""
+LEAST_SHARE, MOST_SHARE = 1 / 4, 1 / 2
+"""Shares of a model's workers that are ordered at once, with time to spare and in a hurry."""
+USUAL_SWAP_S, NEW_SWAP_WEIGHT = 0.8, 0.5
+"""How long a worker takes to be moved, before any was timed, and how much each one counts in the mean."""
 
 
 @attrs.define
@@ -65,8 +67,8 @@
     A core that was the head shortly before, and is it again, goes on: whoever was the head meanwhile has not sat its own pause
     out, and gave no order. So views that change often don't keep everybody from ordering.
 
-    Few workers are ordered at a time while routers may still use the others. Once that time is over the rest get nothing to do
-    until they have been ordered, so all are.
+    As many workers are ordered at a time as have to be while routers may still use the others. Once that time is over the rest
+    get nothing to do until they have been ordered, so all are.
 
     Weights are ordered only once their naming is committed: what this core alone has taken in may be lost with it, and a
     worker can't be taken back to older weights.
@@ -77,7 +79,7 @@
         self.busy: dict[str, Swap] = {}
         self.since_s, self.headed_in, self.headed_s = None, 0, -math.inf
         self.tried_s, self.waited_in = {}, b""
-        self.telling, self.seen_view = {}, 0
+        self.telling, self.seen_view, self.swap_s = {}, 0, USUAL_SWAP_S
         self.old_weights = OldWeights(
             WeightAges(), core.settings.oldWeightsMs / 1000, core.settings.weightsBoundMs / 1000
         )
@@ -162,11 +164,16 @@
         )
         if left_s <= 0:
             return len(behind)
-        at_once = max(1, int(able_count * (CALM_SHARE if left_s > HURRY_S else HURRIED_SHARE)))
         taken = sum(
             swap.model == model and now_s - swap.begun_s < SLOT_S for swap in self.busy.values()
         )
-        return max(0, at_once - taken)
+        return max(0, self._at_once(able_count, len(behind) + taken, left_s) - taken)
+
+    def _at_once(self, able_count, behind_count, left_s):
+        """How many are to be ordered at a time, so that all are moved in the time that is left, by what one took of late."""
+        needed = math.ceil(behind_count * self.swap_s / left_s)
+        most = max(1, int(able_count * MOST_SHARE))
+        return min(most, max(1, int(able_count * LEAST_SHARE), needed))
 
     def _begin(self, worker, model, version):
         now_s = self.loop.time()
@@ -212,6 +219,10 @@
         finally:
             self.busy.pop(worker.name, None)
 
+    def _time_swap(self, worker):
+        took_s = self.loop.time() - self.busy[worker.name].begun_s
+        self.swap_s += NEW_SWAP_WEIGHT * (took_s - self.swap_s)
+
     async def _await_version(self, worker, model, version, holds):
         end_s = self.loop.time() + GIVE_UP_S
         await asyncio.sleep(0 if holds else 0.42)
@@ -227,4 +238,5 @@
         if holds:
             self.core.worker_registry.learn(worker, {model: version})
             self.core.board.count["swapsDone"] += 1
+            self._time_swap(worker)
             self._tell(worker, model, version, 0)
--- a/tests/gateway/test_swap.py
+++ b/tests/gateway/test_swap.py
@@ -83,11 +83,27 @@
         self.swaps._order_some(MODEL, 2)
         return len(self.begun) - before
 
-    def test_a_quarter_is_ordered_at_once_then_half_and_all_once_nobody_else_may_be_used(self):
+    def test_a_quarter_is_ordered_at_once_where_that_is_enough(self):
         self.workers(*[1] * 12)
         self.assertEqual([self.ordered_after(each) for each in (0.0, 1.0)], [3, 0])
-        self.assertEqual(self.ordered_after(SEND_S - 1.0 - 1.0), 6)
-        self.assertEqual(self.ordered_after(1.01), 3)
+
+    def test_more_are_ordered_where_a_worker_takes_long_or_little_time_is_left(self):
+        self.workers(*[1] * 12)
+        self.swaps.swap_s = 2.0
+        self.assertEqual(self.ordered_after(0.0), 5)
+        self.swaps.busy.clear()
+        self.assertEqual(self.ordered_after(SEND_S - 0.1), 6)
+
+    def test_all_are_ordered_once_the_others_may_not_be_used_either(self):
+        self.workers(*[1] * 12)
+        self.assertEqual([self.ordered_after(each) for each in (0.0, SEND_S)], [3, 9])
+
+    def test_what_a_worker_took_sets_the_pace(self):
+        self.workers(*[1] * 4)
+        self.ordered_after(0.0)
+        self.now_s += 3.0
+        self.swaps._time_swap(self.registry.workers["w0"])
+        self.assertGreater(self.swaps.swap_s, 1.5)
 
     def test_a_worker_that_is_slow_holds_the_others_back_for_a_while_only(self):
         self.workers(*[1] * 4)
