Storms and closing faults on whole sites, with what they catch shown by planted faults

Closing faults right after an acknowledgement while cores that were away copy, with full disks or not, and all other machines without power, routers too; storms of kills, losses of power and disks, halves, cuts, freezes, slow, full and hanging disks, leaving cores and closing faults, with racing operators, reads at every core and new weights, on three and five cores.

--- a/tests/gateway/cases/overlapping_losses.py
+++ b/tests/gateway/cases/overlapping_losses.py
@@ -4,7 +4,10 @@
 import unittest
 from unittest import mock
 
+from swiftdeck.chain.chain import Chain
 from swiftdeck.chain.state_transfer import StateTransfer
+from swiftdeck.gateway.swap import Swaps
+from tests.gateway.loss_storm import LossStorm
 from tests.gateway.loss_town import LossTown
 from tests.gateway.orders import TAKEN
 
@@ -77,6 +80,38 @@
         town.world.run(6)
 
 
+class ClosingFault:
+    """Some cores are back a moment; right after an acknowledgement disks are lost, and the power of all other machines.
+
+    `wiped` are places of the chain as it is at that moment; a return with `full` disks is one of the troubles just before.
+    """
+
+    def __init__(self, seed, cores, back_for_s, wiped, is_full=False):
+        town = self.town = LossTown(seed, cores, routers=2).start()
+        away = [town.member(at) for at in range(1, 1 + town.tolerate)]
+        for name in away:
+            town.lose(name)
+        town.world.run(3.5)
+        self.acknowledged = [town.change()]
+        town.back(*away)
+        for name in away:
+            town.folders[name].full = is_full
+        town.world.run(back_for_s)
+        self.acknowledged.append(town.change())
+        self._close([town.member(at) for at in wiped])
+        town.world.run(1.0)
+        town.back(*town.machines)
+        town.world.run(until=lambda: town.head() is not None, limit_s=12)
+        self.acknowledged.append(town.change())
+
+    def _close(self, wiped):
+        town = self.town
+        for name in [*town.cores(), *town.routers()]:
+            town.lose(name, wiped=name in wiped, torn=town.order_rng.choice((0, 3, 200)))
+            if name in town.folders:
+                town.folders[name].full = False
+
+
 class OverlappingLossesCase(unittest.TestCase):
     def test_a_core_that_was_never_whole_takes_nothing_over_after_a_restart(self):
         for seed, freeze_s in ((1, 2.41), (1, 2.62), (2, 2.41), (2, 2.69)):
@@ -91,3 +126,41 @@
                 case = TwoPartialMembers(seed)
                 self.assertEqual(case.acknowledged, TAKEN)
                 self.assertEqual(case.town.found(), [])
+
+    def test_what_was_acknowledged_outlives_a_closing_fault_while_cores_are_copying(self):
+        for seed, (cores, back_for_s, wiped, is_full) in enumerate(
+            (
+                (3, 0.0, [0], False),
+                (3, 0.4, [-1], False),
+                (3, 0.8, [-1], True),
+                (5, 0.4, [0, -1], False),
+                (5, 0.9, [1, 2], False),
+            )
+        ):
+            with self.subTest(cores=cores, back_for_s=back_for_s, wiped=wiped):
+                case = ClosingFault(seed, cores, back_for_s, wiped, is_full)
+                self.assertEqual(case.acknowledged, [TAKEN] * 3)
+                self.assertEqual(case.town.found(), [])
+
+    def test_storms_of_losses_halves_and_closing_faults(self):
+        for seed, cores in ((1, 3), (2, 5)):
+            with self.subTest(seed=seed, cores=cores):
+                storm = LossStorm(seed, cores)
+                self.assertEqual(storm.found(), [], storm.log)
+                self.assertGreater(storm.acknowledged, 10)
+                self.assertGreater(len(storm.town.reads), 100)
+
+    def test_a_storm_finds_acknowledgements_before_the_sync_and_a_fence_used_twice(self):
+        async def unsynced(self):
+            self._mark_synced(self.serial)
+            return True
+
+        def fence(self):
+            return int(self.core.agreement.position() == 0)
+
+        for seed, patch in (
+            (1, mock.patch.object(Chain, "_sync", unsynced)),
+            (7, mock.patch.object(Swaps, "fence", fence)),
+        ):
+            with patch:
+                self.assertNotEqual(LossStorm(seed).found(), [])
