--- a/swiftdeck/soak/operators.py
+++ b/swiftdeck/soak/operators.py
@@ -5,10 +5,11 @@
 import random
 
 from swiftdeck.bench.outer.operator import CONFIG, Operator
+from swiftdeck.bench.record import boot_ms
 from swiftdeck.http.client import fetch_json
 from swiftdeck.soak.site import MODEL, changing_route, is_changing
 
-FIRST_VERSION, READ_MS, READ_PAUSE_S = 3, 1000, 0.3
+FIRST_VERSION, READ_MS, READ_PAUSE_S = 3, 1000, (0.1, 0.4)
 ROUTES_MOST, REMOVE_SHARE = 12, 0.45
 CHANGE_PAUSE_S, WEIGHTS_PAUSE_S = (0.05, 0.4), (1.0, 7.0)
 RECENT_ROUTES = 24
@@ -57,7 +58,7 @@
                 if got and got[0] == 200:
                     self.document = got[1]
                     return
-            await asyncio.sleep(READ_PAUSE_S)
+            await asyncio.sleep(READ_PAUSE_S[1])
 
     async def change_routes(self):
         """Send one change of routes; gives its status."""
@@ -92,6 +93,7 @@
             record("operator3"), lambda: doors, versions, random.Random(rng.random())
         )
         self.namer.named = named
+        self.record_read = record("reader")
         self.second_until_s, self.is_ending, self.tasks = 0.0, False, []
 
     @property
@@ -108,7 +110,7 @@
         """Begin the streams of changes and of weights."""
         self.tasks = [
             asyncio.ensure_future(each)
-            for each in (self._changing(), self._changing_too(), self._naming())
+            for each in (self._changing(), self._changing_too(), self._naming(), self._reading())
         ]
 
     def lose_answers(self, share):
@@ -137,6 +139,19 @@
             await self.namer.name(MODEL, self.named[MODEL] + 1)
             await asyncio.sleep(self.random.uniform(*WEIGHTS_PAUSE_S))
 
+    async def _reading(self):
+        """Read the configuration at one core after another, whatever its state."""
+        for core in itertools.cycle(self.site.cores):
+            if self.is_ending:
+                return
+            sent_ms = boot_ms()
+            got = await fetch_json(core.http, "GET", CONFIG, timeoutMs=READ_MS)
+            if got and got[0] == 200:
+                self.record_read(
+                    "configRead", core=core.name, sentMs=sent_ms, version=got[1]["version"]
+                )
+            await asyncio.sleep(self.random.uniform(*READ_PAUSE_S))
+
     def recent_paths(self):
         """Paths of routes that were changed lately, some of them gone again."""
         newest = self.changers[0].document.get("version", FIRST_VERSION)
--- a/swiftdeck/soak/run.py
+++ b/swiftdeck/soak/run.py
@@ -131,6 +131,7 @@
             self.wrong.append("an operator had no answer for long")
         await asyncio.sleep(self.size.slack * BOUNDS["apply-within-ms"] / 1000 + CALM_S)
         self._say_step("gets no more requests")
+        self._record("clients")("trafficEnds", workers=self.stand_ins.staying_workers())
         if not await self.traffic.finish():
             self.wrong.append("requests stayed open past their timeouts")
         self._say_step("is looked at")
--- a/swiftdeck/soak/stalls.py
+++ b/swiftdeck/soak/stalls.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from swiftdeck.bench.outer.checker import PROCESS
+
 STALL_S = 0.7
 EVERY_MACHINE = "core: driver stalled"
 """The checker counts the trouble of any core against contact with all machines."""
@@ -22,4 +24,5 @@
         self.longest_s = max(self.longest_s, late_s)
         if late_s > STALL_S:
             self.count += 1
-            self.troubles.noted.append([EVERY_MACHINE, begin_ms, self.troubles.now_ms()])
+            noted = [EVERY_MACHINE, begin_ms, self.troubles.now_ms(), PROCESS]
+            self.troubles.noted.append(noted)
--- a/swiftdeck/soak/stand_ins.py
+++ b/swiftdeck/soak/stand_ins.py
@@ -76,6 +76,14 @@
             worker.entry() for name, worker in self.workers.items() if name not in self.forgotten
         ]
 
+    def staying_workers(self):
+        """The workers that run and aren't to leave, with the versions that they have."""
+        return [
+            {"worker": worker.name, "versions": dict(worker.versions)}
+            for name, worker in self.workers.items()
+            if name not in self.forgotten and not worker.is_leaving
+        ]
+
     def is_named(self, model, version):
         """Whether a worker may take such weights."""
         return isinstance(version, int) and 1 <= version <= self.named.get(model, 1)
--- a/swiftdeck/soak/troubles.py
+++ b/swiftdeck/soak/troubles.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from swiftdeck.bench.outer.checker import LINK, PROCESS
 from swiftdeck.http.client import fetch_json
 from swiftdeck.soak.link_filter import Cut
 from swiftdeck.soak.schedule import Kind
@@ -51,9 +52,9 @@
         await asyncio.gather(*tasks)
         sending.cancel()
 
-    def note(self, machine):
+    def note(self, machine, kind=PROCESS):
         """Note the begin of unplanned trouble at a machine; its end is noted by `end`."""
-        self.noted.append([machine, self.now_ms(), FOREVER_MS])
+        self.noted.append([machine, self.now_ms(), FOREVER_MS, kind])
         return self.noted[-1]
 
     def end(self, noted):
@@ -61,7 +62,7 @@
         noted[2] = self.now_ms()
 
     def _is_troubled(self, machine, since_ms):
-        return any(name == machine and end >= since_ms for name, _, end in self.noted)
+        return any(name == machine and end >= since_ms for name, _, end, _ in self.noted)
 
     async def await_up(self, machine):
         """Wait until a machine's process answers at all; whether it does in time."""
@@ -84,7 +85,7 @@
         if process.is_replaced:
             return
         process.is_replaced, begin_ms = True, self.now_ms()
-        stop = [trouble.target, begin_ms, FOREVER_MS]
+        stop = [trouble.target, begin_ms, FOREVER_MS, PROCESS]
         self.planned.append(stop)
         self.plan("planned", machine=trouble.target, what="term")
         process.send(signal.SIGTERM)
@@ -138,7 +139,7 @@
     async def _cut(self, trouble):
         """Cut a machine off from others: both ways, or only what comes in, or what goes out."""
         way, end = trouble.how.split()
-        noted, names = self.note(trouble.target), []
+        noted, names = self.note(trouble.target, LINK), []
         own, others = (
             self.site.machines[trouble.target],
             [self.site.machines[name] for name in trouble.others],
--- a/swiftdeck/soak/verdict.py
+++ b/swiftdeck/soak/verdict.py
@@ -10,7 +10,7 @@
 from swiftdeck.soak.site import BOUNDS, GRACE_S
 
 SERVED_SHARE, REQUESTS_EACH_S, CHANGES_EACH_S = 0.5, 1.0, 0.3
-LOST, CRASH = "LOST", "crash"
+LOST, CONFIG, CRASH = "LOST", "CONFIG", "crash"
 RECORDS, VERDICT, SCHEDULE = "records.jsonl", "verdict.json", "schedule.txt"
 
 
@@ -94,7 +94,27 @@
     found = check(items, bounds_of(every, slack))
     found.pop(LOST, None)
     cut_off = list(lost(Records(items), bounds_of(troubles.noted, slack)))
-    return found | ({LOST: cut_off} if cut_off else {})
+    old = list(old_reads(items, int(BOUNDS["apply-within-ms"] * slack)))
+    found |= {LOST: cut_off} if cut_off else {}
+    return found | ({CONFIG: [*found.get(CONFIG, ()), *old]} if old else {})
+
+
+def old_reads(items, apply_within_ms):
+    """Reads that a core, in contact or not, answered with a configuration that is too old."""
+    told = sorted(
+        (item["atMs"], item["version"])
+        for item in items
+        if item["kind"] == "told" and item["status"] == 200
+    )
+    for read in items:
+        if read["kind"] != "configRead":
+            continue
+        due = [version for at_ms, version in told if at_ms + apply_within_ms < read["sentMs"]]
+        if due and read["version"] < max(due):
+            yield (
+                f"{read['core']} showed configuration {read['version']} to a read sent "
+                f"at {read['sentMs']}, {max(due)} was acknowledged long before"
+            )
 
 
 def judge(soak) -> Verdict:
--- a/tests/soak/test_verdict.py
+++ b/tests/soak/test_verdict.py
@@ -70,6 +70,15 @@
     def test_a_crash_of_its_worker_excuses_it(self):
         self.assertFalse(self.is_lost(crashed=True))
 
+    def test_an_old_read_at_any_core_breaks_config(self):
+        told = {"atMs": 1000, "kind": "told", "status": 200, "version": 7, "base": 6, "bad": False}
+        read = {"atMs": 3500, "kind": "configRead", "core": CORE, "version": 6}
+        for sent_ms, is_broken in ((2900, False), (3001, True)):
+            found = broken_rules([told, read | {"sentMs": sent_ms}], troubles(), 1.0)
+            self.assertEqual("CONFIG" in found, is_broken)
+        newer = [told, read | {"sentMs": 3001, "version": 7}]
+        self.assertEqual(broken_rules(newer, troubles(), 1.0), {})
+
     def test_invariants_above_zero_count(self):
         counters = {"invariant.a": 2, "invariant.b": 0, "calls": 9}
         self.assertEqual(broken(counters), {"invariant.a": 2})
