--- a/swiftdeck/soak/program.py
+++ b/swiftdeck/soak/program.py
@@ -1,11 +1,20 @@
 """The platform's programs with a link filter, as the soak starts them."""
 
+import ctypes
+import signal
 import sys
 
 from swiftdeck.platform import program
 from swiftdeck.soak.addresses import FILTER_PORT
 from swiftdeck.soak.link_filter import filter_links
 
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_driver():
+    """Let the kernel end this process, paused or not, when the one that started it is gone."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
 
 def filtered(make):
     """A maker of nodes whose links can be cut."""
@@ -15,5 +24,11 @@
 MAKERS = {role: filtered(make) for role, make in program.MAKERS.items()}
 
 
+def main(makers=MAKERS) -> int:
+    """Entry: as the platform's, for as long as the driver runs."""
+    end_with_driver()
+    return program.main(makers)
+
+
 if __name__ == "__main__":
-    sys.exit(program.main(MAKERS))
+    sys.exit(main())
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -3,7 +3,7 @@
 import os
 import sys
 
-from swiftdeck.platform import program
+from swiftdeck.soak import program
 from swiftdeck.soak.program import MAKERS
 
 VARIABLE, SEPARATOR = "SOAK_PLANTED_FAULTS", ", "
