--- a/swiftdeck/bench/long_day_shapes.py
+++ b/swiftdeck/bench/long_day_shapes.py
@@ -172,6 +172,31 @@
         day.plan(at_s, "roll_term", share=1.0, x=3.0, gap_s=1.0, how="busy")
 
 
+def laggards(day: Timetable) -> None:
+    """Workers are slow to load weights; routers start again just before these must be in force."""
+    changes(day)
+    for at_s in day.times(3.0, day.length_s - 14.0, 11.0, 16.0):
+        day.plan(at_s, "version_bump", count=0)
+        day.fault(at_s + day.chance.uniform(-0.5, 0.5), "srv_slow", share=0.7, x=10.0, for_s=10.0)
+        if day.chance.random() < 0.5:
+            day.plan(at_s + day.chance.uniform(3.0, 5.0), "version_bump", count=0)
+        killed_s = at_s + day.chance.uniform(3.0, 5.0)
+        day.fault(killed_s, "node_kill", share=0.4, for_s=day.chance.uniform(0.2, 0.5))
+    for at_s in day.times(9.0, day.length_s - 10.0, 22.0, 30.0):
+        day.plan(at_s, "roll_term", share=1.0, x=3.0, gap_s=1.0, how="busy")
+
+
+def versions(day: Timetable) -> None:
+    """Weights are named every 1 to 4 s for a while, as workers can't be ordered onto them."""
+    changes(day)
+    for at_s in day.times(3.0, day.length_s - 25.0, 24.0, 30.0):
+        for named_s in day.times(at_s, at_s + 18.0, 1.0, 4.0):
+            day.plan(named_s, "version_bump", count=0)
+        day.chance.choice(ORDER_TROUBLES)(day, at_s + 1.0, 12.0)
+    for at_s in day.times(9.0, day.length_s - 10.0, 18.0, 26.0):
+        day.plan(at_s, "roll_term", share=1.0, x=2.0, gap_s=1.0, how="busy")
+
+
 def _strength(how: str) -> float:
     """How strong an illness of workers is: a factor for slow ones, else a share of requests."""
     return 8.0 if how == "slow" else 0.6
@@ -341,6 +366,36 @@
     _fewer_workers(day, at_s + day.chance.uniform(1.0, 4.0), 0.0)
 
 
+def _workers_cut_from_core(day, at_s, for_s):
+    how = day.chance.choice(["", "one_way", "reset"])
+    day.fault(at_s, "srv_cut", share=0.3, for_s=for_s, how=how)
+
+
+def _workers_slow_to_load(day, at_s, for_s):
+    day.fault(at_s, "srv_slow", share=0.6, x=10.0, for_s=for_s)
+
+
+def _workers_hanging(day, at_s, for_s):
+    day.fault(at_s, "srv_grey", share=0.5, x=0.5, for_s=for_s, how="hang")
+
+
+def _orders_unanswered(day, at_s, for_s):
+    day.fault(at_s, "answer_lost", share=0.8, x=0.3, for_s=for_s)
+
+
+def _leader_killed_repeatedly(day, at_s, for_s):
+    for killed_s in day.times(at_s, at_s + for_s, 4.0, 5.0):
+        day.fault(killed_s, "node_kill", on="core", count=1, for_s=0.5, how="leader")
+
+
+ORDER_TROUBLES = [
+    _workers_cut_from_core,
+    _workers_slow_to_load,
+    _workers_slow_to_load,
+    _workers_hanging,
+    _orders_unanswered,
+    _leader_killed_repeatedly,
+]
 CORE_TROUBLES = [
     _killed_core,
     _killed_core,
@@ -396,4 +451,6 @@
     "core": core,
     "config": config,
     "restarts": restarts,
+    "laggards": laggards,
+    "versions": versions,
 }
