--- a/swiftdeck/bench/long_day_shapes.py
+++ b/swiftdeck/bench/long_day_shapes.py
@@ -197,6 +197,18 @@
         day.plan(at_s, "roll_term", share=1.0, x=2.0, gap_s=1.0, how="busy")
 
 
+def ends(day: Timetable) -> None:
+    """Planned work; near the end weights are named while workers can't be ordered onto them."""
+    changes(day)
+    terminations(day)
+    for at_s in day.times(3.0, day.length_s - 30.0, LEAST_BUMP_GAP_S, MOST_BUMP_GAP_S):
+        bump(day, at_s)
+    named_s = day.length_s - day.chance.uniform(13.0, 17.0)
+    day.plan(named_s, "version_bump", count=0)
+    began_s = named_s - day.chance.uniform(0.5, 4.0)
+    day.chance.choice(ORDER_TROUBLES)(day, began_s, day.length_s - began_s)
+
+
 def _strength(how: str) -> float:
     """How strong an illness of workers is: a factor for slow ones, else a share of requests."""
     return 8.0 if how == "slow" else 0.6
@@ -453,4 +465,5 @@
     "restarts": restarts,
     "laggards": laggards,
     "versions": versions,
+    "ends": ends,
 }
