--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -11,6 +11,7 @@
     DEADLINE_PASSED,
     NO_ROOM,
     NO_WORKER,
+    STOPPING,
     STREAM_BROKEN,
     UNREACHED,
     WORKER_BAD,
@@ -22,6 +23,7 @@
 from swiftdeck.gateway.interfaces import PROMISES, UpstreamRequest, Verdict
 from swiftdeck.gateway.ledger import Attempt, Ledger, Move, next_move
 from swiftdeck.gateway.places import Wish
+from swiftdeck.http.cuts import CutReason
 
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)\r?\n")
 EVENT_END = re.compile(rb"\r?\n\r?\n")
@@ -66,24 +68,37 @@
             gateway.placing.is_long(request),
         )
         self.aim_s = (path.target_ms or 1000) / 1000
-        self.salt = self.version = ""
+        self.salt, self.version = "", 0
         self.is_passing_on = False
 
     def _left_s(self):
         return self.ledger.deadline_s - self.loop.time()
 
     async def serve(self):
-        """Make moves until the request has its final answer."""
-        acts = {Move.PLACE: self._place, Move.SEND: self._send}
+        """Make moves until the request has its final answer, which comes at the end of the work at the latest."""
         try:
-            while True:
-                move, fault = next_move(self.ledger, self.loop.time())
-                if move not in acts:
-                    return await self._end(move, fault)
-                await acts[move]()
+            await self.gateway.requests.run(self._move_on, self._end_with_work)
         finally:
             self._leave()
 
+    async def _move_on(self):
+        acts = {Move.PLACE: self._place, Move.SEND: self._send}
+        while True:
+            move, fault = next_move(self.ledger, self.loop.time())
+            if move not in acts:
+                return await self._end(move, fault)
+            await acts[move]()
+
+    async def _end_with_work(self):
+        """Give the final answer that what was done allows; an answer that has begun can only be cut."""
+        self._leave()
+        self.gateway.board.count["endedWithWork"] += 1
+        if self.exchange.begun:
+            return self.exchange.abort(CutReason.END_OF_WORK)
+        fault = self.ledger.verdict(STOPPING)
+        self.gateway.board.count[f"faults.{fault.code}"] += 1
+        return await self.gateway.refuse(self.exchange, fault, self.request)
+
     def _leave(self):
         if self.link is not None:
             self.link.close()
@@ -172,7 +187,11 @@
         self.link = got
         if self.loop.time() >= self.ledger.deadline_s:
             return DEADLINE_PASSED
+        if not gateway.is_usable(self.request.model, worker.knows(self.request.model)):
+            self._give_back()
+            return NO_WORKER.because("the worker's weights have become too old")
         upstream_request = self._upstream_request(worker)
+        self._check_admission()
         fault = self.link.send_request(
             self.request.method,
             self.request.target,
@@ -183,6 +202,7 @@
             return fault
         attempt.was_sent, sent_s = True, self.loop.time()
         gateway.board.count["attemptsSent"] += 1
+        gateway.check_weights(self.request.model, self.version, sent_s, "sent")
         head = await self._head_in_time(worker, sent_s)
         if head is None:
             return WORKER_HANGS
@@ -192,23 +212,38 @@
             return head if head.code != BAD_RETURN.code else WORKER_BAD.because(head.reason)
         return await self._take(attempt, worker, head, sent_s)
 
+    def _check_admission(self):
+        """A request that was read after the end of admission, or is still here after that of the work, goes to no worker."""
+        drain = self.gateway.drain
+        if self.start_s < drain.admission_end_s and self.loop.time() < drain.work_end_s:
+            return
+        self.gateway.board.count["invariant.passedOnAfterAdmissionEnd"] += 1
+        self.gateway.board.note(
+            "request passed on after the end of admission",
+            request=self.request.name,
+            phase=drain.phase(self.loop.time()).value,
+        )
+
     async def _head_in_time(self, worker, sent_s):
         """The head of the answer, or None when another worker is to be tried.
 
-        Silence ends nothing that can't be repeated, and nothing at a worker that answers others meanwhile.
+        Silence ends nothing that can't be repeated, and nothing at a worker that answers others meanwhile; but where a request
+        may still wait at its worker, it is taken back before it would begin on weights that are too old.
         """
         reading = asyncio.ensure_future(self._head())
         try:
             until_s = sent_s + max(0.15, 0.7 * self.aim_s)
             while True:
-                await asyncio.wait(
-                    [reading],
-                    timeout=max(0.001, min(until_s, self.ledger.deadline_s) - self.loop.time()),
-                )
+                begin_s = self.gateway.must_begin_by_s(self.request.model, self.version)
+                wake_s = min(until_s, self.ledger.deadline_s, begin_s)
+                await asyncio.wait([reading], timeout=max(0.001, wake_s - self.loop.time()))
                 if reading.done():
                     return reading.result()
                 if self.loop.time() >= self.ledger.deadline_s:
                     return DEADLINE_PASSED
+                if self.loop.time() >= begin_s:
+                    self.gateway.board.count["oldWeightsTakenBack"] += 1
+                    return None
                 if worker.answered_s < sent_s and self._may_move(worker):
                     self.gateway.judge.failed(worker, False)
                     return None
@@ -275,13 +310,15 @@
         gateway, (status, headers) = self.gateway, head
         self.link.hear(headers)
         speak = gateway.workers_speak
-        version = speak.version(headers)
-        if version:
+        version, is_its_own = speak.version(headers), speak.worker(headers) in ("", worker.name)
+        if version and is_its_own and self.verdict is not Verdict.BAD:
             gateway.worker_registry.learn(worker, {self.request.model: version})
+            if self.verdict is Verdict.ANSWER:
+                gateway.check_weights(self.request.model, version, sent_s, "answered")
         if self.verdict in (Verdict.NOT_RUN, Verdict.ELSEWHERE):
             attempt.has_not_run = True
             gateway.board.count[f"turnedAway.{status}"] += 1
-            if self.verdict is Verdict.ELSEWHERE and speak.worker(headers) not in ("", worker.name):
+            if self.verdict is Verdict.ELSEWHERE and not is_its_own:
                 gateway.worker_registry.drop(worker.name)
             await self._drain()
             return WORKER_FULL.because(f"status {status}")
@@ -396,6 +433,9 @@
         count[f"faults.{fault.code}"] += 1
         if move is Move.BREAK:
             count["streamsBroken"] += 1
-            return self.exchange.abort()
+            is_late = fault.code == DEADLINE_PASSED.code
+            return self.exchange.abort(
+                CutReason.DEADLINE if is_late else CutReason.WORKER_BROKE_OFF
+            )
         self._leave()
         return await self.gateway.refuse(self.exchange, fault, self.request)
--- a/tests/bench/outer/test_checker.py
+++ b/tests/bench/outer/test_checker.py
@@ -3,7 +3,7 @@
 import copy
 import unittest
 
-from swiftdeck.bench.outer.checker import RULES, Bounds, check
+from swiftdeck.bench.outer.checker import LINK, PROCESS, RULES, Bounds, check
 
 DOCUMENT = {
     "version": 1,
@@ -318,10 +318,43 @@
     def test_version(self):
         late = [asked(8500, "e", "/lm/1"), *ran(8510, "e", "w#9", "/lm/1", "lm", 1, model="m")]
         self.caught("VERSION", *late)
-        self.assertEqual(check([*good(), *late], Bounds(troubles=[["router1", 4000, 5000]])), {})
-        self.assertEqual(
-            check([*good(), *late], Bounds(troubles=[["router2", 4000, 5000]])).keys(), {"VERSION"}
-        )
+        for kept_by, broken_by in (
+            (["router1", 5600, 5600, PROCESS], ["router1", 5400, 5400, PROCESS]),
+            (["core1", 2000, 2000, PROCESS], ["router2", 6000, 6000, PROCESS]),
+            (["router2", 2000, 2000, LINK], ["router2", 460, 460, PROCESS]),
+        ):
+            self.assertEqual(check([*good(), *late], Bounds(troubles=[kept_by])), {})
+            self.assertEqual(
+                check([*good(), *late], Bounds(troubles=[broken_by])).keys(), {"VERSION"}
+            )
+
+    def test_version_counts_one_settled_stretch(self):
+        late = [asked(14500, "e", "/lm/1"), *ran(14510, "e", "w#9", "/lm/1", "lm", 1, model="m")]
+        troubled = Bounds(troubles=[["core1", 5000, 6000, PROCESS]])
+        self.assertEqual(check([*good(), *late], troubled), {})
+        later = [asked(17500, "e", "/lm/1"), *ran(17510, "e", "w#9", "/lm/1", "lm", 1, model="m")]
+        self.assertEqual(check([*good(), *later], troubled).keys(), {"VERSION"})
+
+    def test_version_looks_at_workers_left_behind(self):
+        def end(at_ms, *versions):
+            workers = [
+                {"worker": f"w{at}", "versions": {"m": version}}
+                for at, version in enumerate(versions)
+            ]
+            return line(at_ms, "trafficEnds", workers=workers)
+
+        self.caught("VERSION", end(12460, 1, 1, 2, 2))
+        for kept in (
+            end(12440, 1, 1, 2, 2),
+            end(12460, 1, 2, 2, 2),
+            end(12460, 1, 1, *[2] * 20),
+        ):
+            self.assertEqual(check([*good(), kept]), {})
+        troubled = Bounds(troubles=[["core1", 5000, 6000, PROCESS]])
+        self.assertEqual(check([*good(), end(16440, 1, 1, 2, 2)], troubled), {})
+        self.assertEqual(check([*good(), end(16460, 1, 1, 2, 2)], troubled).keys(), {"VERSION"})
+        up = [line(460, "up", worker=f"w{at}", service="lm", versions={"m": 1}) for at in (0, 1)]
+        self.assertEqual(check([*good(), *up, end(12455, 1, 1, 2, 2)]), {})
 
     def test_drain(self):
         late = [asked(3800, "e"), line(3801, "arrive", worker="v", service="app", id="e")]
@@ -403,14 +436,52 @@
             self.cut(990, 1300, run, complete=True),
             self.cut(10100, 10400, ran(10200, "e", "w#9")),
             self.cut(990, 1020, [each | {"quirk": "cut"} for each in run]),
-            self.cut(990, 6000, ran(5500, "e", "w#9")),
+            self.cut(990, 7900, ran(7700, "e", "w#9")),
+            self.cut(4000, 7900, ran(7700, "e", "w#9")),
         ):
             self.assertEqual(check([*good(), term, *more]), {}, more)
+        for more in (
+            self.cut(990, 7900, ran(7600, "e", "w#9")),
+            self.cut(4010, 7900, ran(7700, "e", "w#9")),
+            self.cut(990, 6000, ran(5500, "e", "w#9")),
+        ):
+            self.caught("LOST", term, *more)
+        self.caught("LOST", hup, *self.cut(990, 7900, ran(7700, "e", "w#9")))
         elsewhere = term | {"machine": "router2"}
         self.assertEqual(check([*good(), elsewhere, *self.cut(990, 1020, run)]), {})
         troubled = Bounds(troubles=[["router1", 0, 500]])
         self.assertEqual(check([*good(), term, *self.cut(990, 1020, run)], troubled), {})
 
+    def unanswered(self, count, **more):
+        """So many requests from kept connections that a worker has run and that end without an answer."""
+        return [
+            each
+            for at in range(count)
+            for each in (
+                asked(1000, f"k{at}"),
+                *ran(1005, f"k{at}", f"w#{at + 20}"),
+                result(1100, f"k{at}", status=0, complete=False)
+                | {"sent": True, "end": "cut", "kept": True}
+                | more,
+            )
+        ]
+
+    def test_lost_without_planned_work(self):
+        self.caught("LOST", *self.unanswered(4))
+        for more in (
+            self.unanswered(3),
+            self.unanswered(4, kept=False),
+            self.unanswered(4, end="silence or deadline"),
+            [each for each in self.unanswered(4) if each["kind"] not in ("arrive", "run", "ran")],
+            [
+                each | ({"quirk": "reset"} if each["kind"] == "run" else {})
+                for each in self.unanswered(4)
+            ],
+        ):
+            self.assertEqual(check([*good(), *more]), {}, more)
+        troubled = Bounds(troubles=[["router1", 0, 500]])
+        self.assertEqual(check([*good(), *self.unanswered(4)], troubled), {})
+
     def test_recover(self):
         back = line(2000, "back", downMs=900)
         late = self.turned_away(8, 503, at_ms=20000)
--- a/tests/gateway/town.py
+++ b/tests/gateway/town.py
@@ -3,10 +3,11 @@
 import asyncio
 import random
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from swiftdeck.bench.outer.balancer import Balancer
-from swiftdeck.bench.outer.checker import Bounds, check
+from swiftdeck.bench.outer.checker import LINK, PROCESS, Bounds, check
 from swiftdeck.bench.outer.client import Client
 from swiftdeck.bench.outer.listing import WorkerList
 from swiftdeck.bench.outer.operator import Operator
@@ -33,6 +34,7 @@
     "ficu95.example",
     ("z1", "z2", "z3"),
 )
+INVARIANT = "invariant."
 BOUNDS = {
     "contact_ms": 3000,
     "drain_ms": 3000,
@@ -268,6 +270,15 @@
             if name in self.up and name not in self.forgotten
         ]
 
+    def staying_workers(self):
+        """The workers that run and aren't to leave, with the versions that they have."""
+        running = [self.up[name] for name in self.workers if name in self.world.loops]
+        return [
+            {"worker": each.name, "versions": dict(each.versions)}
+            for each in running
+            if not each.is_leaving
+        ]
+
     def forget(self, *names):
         """Let the platform see that workers are gone."""
         self.forgotten |= set(names)
@@ -417,15 +428,18 @@
         self.world.run(seconds)
         assert all(each.done() for each in self.running)
 
-    def trouble(self, name, action, for_s=0.0):
-        """Do something to a machine and note that it was in trouble meanwhile."""
-        self.troubles.append([name, self.now_ms(), self.now_ms() + int(for_s * 1000)])
+    def trouble(self, name, action, for_s=0.0, kind=LINK):
+        """Do something to a machine and note that it, or its links, were in trouble meanwhile."""
+        self.troubles.append([name, self.now_ms(), self.now_ms() + int(for_s * 1000), kind])
         return action()
 
     def kill(self, name, silent=False, back_s=None):
         """Kill a process, and start it again after a while if told so."""
         self.trouble(
-            name, lambda: self.world.kill(name, silent), back_s if back_s is not None else 1e6
+            name,
+            lambda: self.world.kill(name, silent),
+            back_s if back_s is not None else 1e6,
+            PROCESS,
         )
         if back_s is not None:
             start = self.start_core if name.startswith("core") else self.start_router
@@ -438,14 +452,14 @@
 
     def reset_connections(self, name):
         """Reset all connections of a machine."""
-        self.trouble(name, lambda: None)
+        self.trouble(name, lambda: None, kind=PROCESS)
         ip = self.machines[name]
         for each in [each for each in self.world.net.open if each.loop.ip == ip]:
             self._do(name, each.abort)
 
     def freeze(self, name, for_s):
         """Stop a process in its tracks for a while."""
-        self.trouble(name, lambda: self.world.freeze(name), for_s)
+        self.trouble(name, lambda: self.world.freeze(name), for_s, PROCESS)
         self.world.at(for_s, lambda: name in self.world.loops and self.world.thaw(name))
 
     def results(self):
@@ -463,22 +477,40 @@
         return sum(node.counters().get(name, 0) for node in self.all)
 
     def breaches(self):
-        """End the load, read the configuration back, and give the breaches of rules."""
+        """End the load, read the configuration back, and give the breaches of rules and of invariants."""
+        self.record("clients")("trafficEnds", workers=self.staying_workers())
         self.rest()
         self.operate(self.operator.read)
-        return check(
-            self.records,
-            Bounds(
-                BOUNDS["contact_ms"],
-                BOUNDS["drain_ms"],
-                BOUNDS["apply_within_ms"],
-                BOUNDS["lease_ms"],
-                BOUNDS["version_ms"],
-                BOUNDS["retry_ratio"],
-                BOUNDS["retry_window_s"] * 1000,
-                BOUNDS["extra_retries"],
-                True,
-                self.troubles,
-                BOUNDS["grace_s"] * 1000,
-            ),
+        return self.invariant_violations() | self._rules_broken()
+
+    def invariant_violations(self):
+        """What the processes themselves counted that must not happen, by the name of the counter."""
+        found = Counter()
+        for node in self.all:
+            found.update(
+                {
+                    name: count
+                    for name, count in node.counters().items()
+                    if name.startswith(INVARIANT) and count
+                }
+            )
+        return dict(found)
+
+    def _rules_broken(self):
+        return check(self.records, self.bounds())
+
+    def bounds(self):
+        """The figures of the rules, and the troubles so far."""
+        return Bounds(
+            BOUNDS["contact_ms"],
+            BOUNDS["drain_ms"],
+            BOUNDS["apply_within_ms"],
+            BOUNDS["lease_ms"],
+            BOUNDS["version_ms"],
+            BOUNDS["retry_ratio"],
+            BOUNDS["retry_window_s"] * 1000,
+            BOUNDS["extra_retries"],
+            True,
+            self.troubles,
+            BOUNDS["grace_s"] * 1000,
         )
