Bench: one try of a call, the plan of a site and the thrash run in parts with one job

caller.py made tries, read their returns and played agents. A CallTry sends one call and checks what comes back; the caller keeps the manners of tenants, with their shares and pauses as constants. Comments say units and what each field is.

--- a/swiftdeck/bench/caller.py
+++ b/swiftdeck/bench/caller.py
@@ -5,58 +5,34 @@
 
 import asyncio
 
-import msgspec
-
+from swiftdeck.bench.call_try import CONNECT_MS, CallOptions, CallTry
 from swiftdeck.config.document import key_digest
 from swiftdeck.fault import is_fault
 from swiftdeck.http.client import connect
 
-CONNECT_MS = 2000
-TOKENS_OF_A_PIECE = 16
-NOT_CONNECTED, NO_ANSWER = -1, -2
+CHARS_OF_A_TOKEN = 4
+SHORT_TOKENS = 16
+HASTY_SHARE, HASTY_S = 0.15, 3
+RETURN_PAUSES_S = [0.0, 0.0, 1.0, 4.0, 12.0]
+NO_GAP_SHARE, GAP_MEAN_S, LONGEST_GAP_S = 0.386, 1.6, 7.5
+MANNERS = (
+    (0.3, {"stream": False}),
+    (0.35, {"leave_after": 0}),
+    (0.4, {"slow_s": 0.3}),
+)
+"""Options of how callers behave, each below its share of draws: whole, going away, slow."""
+KEPT_TENANTS, KEPT_TIMEOUT_S = 3, 60
+END_S = 30
 
 
-class CallOptions(msgspec.Struct, frozen=True):
-    """How one call is made.
+class Caller:
+    """Makes calls as tenants do; each try has a marker that every piece of its return must show.
 
-    `leave_after` is the number of pieces after which the caller goes away, `slow_s` the pause
-    before each piece is read.
+    `doors` are the HTTP addresses of routers, `routers` their names by these, `keys` the keys of
+    tenants by their names. With `returns` above zero callers come back so often after a call that
+    did not end well, and some of them read slowly or go away.
     """
 
-    max_tokens: int = 64
-    idempotency: str = ""
-    timeout_s: float = 90
-    is_last: bool = False
-    stream: bool = True
-    talk: str = ""
-    turn: int = 0
-    leave_after: int | None = None
-    slow_s: float = 0.0
-
-
-def _headers(key, options):
-    headers = [("authorization", f"Bearer {key}"), ("content-type", "application/json")]
-    headers += [("idempotency-key", options.idempotency)] if options.idempotency else []
-    headers += [("conversation-end", "1")] if options.is_last else []
-    return headers
-
-
-def _empty_result():
-    return {
-        "status": 0,
-        "code": 0,
-        "notRun": False,
-        "call": "",
-        "run": "",
-        "whole": False,
-        "pieces": 0,
-        "wrong": "",
-    }
-
-
-class Caller:
-    """Makes calls as tenants do; each try has a marker that every piece of its return must show."""
-
     returns = 0
 
     def __init__(self, name, doors, record, random, keys, scale=1.0, routers=None):
@@ -73,7 +49,7 @@
     async def call(
         self, tenant, route, parts, marker="", key=None, door=None, link=None, **options
     ):
-        """One try; returns what came back and records it.
+        """Make one try; returns what came back and records it.
 
         With the marker of an earlier try it is the same call again. `options` are the fields of
         CallOptions; `link` is a connection that is kept open.
@@ -84,20 +60,9 @@
             parts = [*parts[:-1], f"{parts[-1]} [[{marker}]]"]
         door, key = door or self.random.choice(self.doors), key or self.keys[tenant]
         self._record_try(marker, tenant, route, door, key, options)
-        result = _empty_result()
-        body = msgspec.json.encode(
-            {
-                "model": route,
-                "parts": parts,
-                "maxTokens": options.max_tokens,
-                "stream": options.stream,
-            }
-        )
-        try:
-            async with asyncio.timeout(options.timeout_s):
-                await self._talk(door, _headers(key, options), body, marker, result, options, link)
-        except TimeoutError:
-            result["gaveUp"] = True
+        call_try = CallTry(marker, options)
+        body = options.body(route, parts)
+        result = await call_try.run(door, options.headers(key), body, link)
         self.record("return", marker=marker, tenant=tenant, route=route, **result)
         return result | {"parts": parts, "marker": marker}
 
@@ -115,74 +80,16 @@
             key=key_digest(key),
         )
 
-    async def _talk(self, door, headers, body, marker, result, options, kept):
-        ip, _, port = door.rpartition(":")
-        link = kept or await connect(ip, int(port), CONNECT_MS)
-        if is_fault(link):
-            result["status"] = NOT_CONNECTED
-            return
-        try:
-            got = await link.exchange("POST", "/v1/calls", headers, body, door)
-            if is_fault(got):
-                result["status"] = NO_ANSWER
-                return
-            result["status"] = got.status
-            result["retryAfter"] = got.headers.get("retry-after", "")
-            if got.headers.get("content-type") == "text/event-stream":
-                await self._read_stream(got, marker, result, options)
-            else:
-                await self._read_whole(got, marker, result, options)
-        finally:
-            if not kept:
-                link.close()
-
-    async def _read_whole(self, got, marker, result, options):
-        whole = await got.whole()
-        answer = {} if is_fault(whole) else msgspec.json.decode(whole)
-        names = ("code", "notRun", "call", "run", "reason")
-        result |= {name: answer[name] for name in names if name in answer}
-        result["whole"] = bool(answer.get("end"))
-        result["sentTo"] = "" if result["whole"] else answer.get("worker", "")
-        pieces = max(1, options.max_tokens // TOKENS_OF_A_PIECE)
-        due = "".join(f"[[{marker}]]{seq} " for seq in range(pieces))
-        if result["whole"] and answer.get("text") != due:
-            result["wrong"] = f"text {answer.get('text', '')[:200]!r}"
-
-    async def _read_stream(self, got, marker, result, options):
-        async for line in got.lines():
-            if not line.startswith(b"data:"):
-                continue
-            if options.leave_after is not None and result["pieces"] >= options.leave_after:
-                result["left"] = True
-                return
-            if options.slow_s:
-                await asyncio.sleep(options.slow_s)
-            self._take_piece(msgspec.json.decode(line[5:]), marker, result)
-
-    @staticmethod
-    def _take_piece(piece, marker, result):
-        """Add one piece of a stream to the result, and check that it belongs there."""
-        if "code" in piece:
-            result["code"], result["sentTo"] = piece["code"], piece.get("worker", "")
-            return
-        if result["run"] not in ("", piece["run"]):
-            result["wrong"] = "piece of another run"
-        result["run"], result["call"] = piece["run"], piece["call"]
-        if piece.get("end"):
-            result["whole"], result["usage"] = True, piece.get("usage", {})
-            result["worker"] = piece.get("worker", "")
-            result["waitedMs"] = piece.get("waitedMs", 0)
-            return
-        if piece["text"] != f"[[{marker}]]{result['pieces']} ":
-            result["wrong"] = f"piece {piece['text'][:60]!r} where {result['pieces']} was due"
-        result["pieces"] += 1
-
     async def agent(self, tenant, route="check", turns=5, grow=800, gap=None):
-        """One conversation, each prompt an extension of the last; returns the turns served."""
-        talk = self._marker(tenant)
-        parts = [self.book[route], f"case {talk} " + "x" * grow * 4]
+        """Hold one conversation, each prompt an extension of the last; returns the turns served.
+
+        `grow` is the mean of tokens that a turn adds; `gap` the pause between turns in seconds, a
+        drawn one if it is None.
+        """
+        talk, chars = self._marker(tenant), grow * CHARS_OF_A_TOKEN
+        parts = [self.book[route], f"case {talk} " + "x" * chars]
         for turn in range(turns):
-            got = await self.insist(
+            returned = await self.insist(
                 tenant,
                 route,
                 parts,
@@ -191,65 +98,62 @@
                 talk=talk,
                 turn=turn,
             )
-            if not got["whole"]:
+            if not returned["whole"]:
                 return turn
-            parts = [
-                *got["parts"],
-                f"said {turn}",
-                "y" * int(grow * 4 * self.random.uniform(0.3, 2)),
-            ]
+            added = "y" * int(chars * self.random.uniform(0.3, 2))
+            parts = [*returned["parts"], f"said {turn}", added]
             await asyncio.sleep(self._gap_s() if gap is None else gap)
         return turns
 
-    async def insist(self, tenant, route, parts, **more):
-        """A call whose caller comes back with the same key, whatever it met.
+    async def insist(self, tenant, route, parts, **options):
+        """Make a call whose caller comes back with the same key, whatever it met.
 
         It comes back at another router, at once or seconds later. Some have little patience: they
         leave after three seconds, and come back like the others.
         """
-        is_hasty = self.returns and self.random.random() < 0.15
-        got = await self.call(tenant, route, parts, **more | ({"timeout_s": 3} if is_hasty else {}))
+        is_hasty = self.returns and self.random.random() < HASTY_SHARE
+        patience = {"timeout_s": HASTY_S} if is_hasty else {}
+        returned = await self.call(tenant, route, parts, **options | patience)
         for _ in range(self.returns):
-            if got["whole"] or got.get("left") or self.stopping:
+            if returned["whole"] or returned.get("left") or self.stopping:
                 break
-            await asyncio.sleep(self.random.choice([0.0, 0.0, 1.0, 4.0, 12.0]))
-            got = await self.call(tenant, route, got["parts"], **more | {"marker": got["marker"]})
-        return got
+            await asyncio.sleep(self.random.choice(RETURN_PAUSES_S))
+            again = options | {"marker": returned["marker"]}
+            returned = await self.call(tenant, route, returned["parts"], **again)
+        return returned
 
     def _gap_s(self):
-        """The paper's gaps: two in five are zero, the median is 1 s, the longest 7.5 s."""
-        draw = self.random.random()
-        return 0.0 if draw < 0.386 else min(7.5, self.random.expovariate(1 / 1.6)) * self.scale
+        """Return a gap between turns: two in five are zero, the median is 1 s."""
+        if self.random.random() < NO_GAP_SHARE:
+            return 0.0
+        return min(LONGEST_GAP_S, self.random.expovariate(1 / GAP_MEAN_S)) * self.scale
 
     async def agents(self, tenant, route="check", turns=(2, 8), rest_s=1.0):
-        """Conversations one after another until told to stop."""
+        """Hold conversations one after another until told to stop."""
         while not self.stopping:
             served = await self.agent(tenant, route, self.random.randint(*turns))
             self.record("agent", tenant=tenant, turns=served)
             await asyncio.sleep(rest_s * self.random.uniform(0.5, 1.5))
 
     async def shorts(self, tenant, route="tag", every_s=0.5):
-        """Short calls until told to stop, each on its own."""
+        """Make short calls until told to stop, each on its own; `every_s` is their mean pause."""
         while not self.stopping:
+            parts = [self.book[route], "ad"]
             asyncio.ensure_future(
-                self.call(tenant, route, [self.book[route], "ad"], max_tokens=16, **self._manner())
+                self.call(tenant, route, parts, max_tokens=SHORT_TOKENS, **self._manner())
             )
             await asyncio.sleep(self.random.expovariate(1 / every_s))
 
     def _manner(self):
-        """How a caller behaves: most read a stream to its end.
+        """Return the options of how a caller behaves: most read a stream to its end.
 
         Some take it whole, go away midway, or read slowly.
         """
         draw = self.random.random() if self.returns else 1.0
-        if draw < 0.3:
-            return {"stream": False}
-        if draw < 0.35:
-            return {"leave_after": 0}
-        return {"slow_s": 0.3} if draw < 0.4 else {}
+        return next((options for share, options in MANNERS if draw < share), {})
 
     async def kept(self, tenant, route="tag", every_s=1.0):
-        """Short calls over one connection, with the key of its first day.
+        """Make short calls over one connection, with the key of its first day.
 
         The connection is kept alive for as long as its router lives.
         """
@@ -257,42 +161,47 @@
         while not self.stopping:
             if link is None or link.gone:
                 door = self.random.choice(self.doors)
-                link = await connect(door.rpartition(":")[0], int(door.rpartition(":")[2]), 2000)
-                link = None if is_fault(link) else link
-            if link is not None:
-                got = await self.call(
-                    tenant,
-                    route,
-                    [self.book[route], "ad"],
-                    max_tokens=16,
-                    key=key,
-                    door=door,
-                    link=link,
-                    stream=False,
-                    timeout_s=60,
-                )
-                if got["status"] < 1 or got.get("gaveUp"):
-                    link.close()
-                    link = None
+                link = await self._connect(door)
+            if link is not None and not await self._call_over(link, tenant, route, key, door):
+                link.close()
+                link = None
             await asyncio.sleep(self.random.expovariate(1 / every_s))
 
+    @staticmethod
+    async def _connect(door):
+        """Return a connection to a router, or None."""
+        ip, _, port = door.rpartition(":")
+        link = await connect(ip, int(port), CONNECT_MS)
+        return None if is_fault(link) else link
+
+    async def _call_over(self, link, tenant, route, key, door):
+        """Make a short call over a connection; false when it was not answered in time."""
+        returned = await self.call(
+            tenant,
+            route,
+            [self.book[route], "ad"],
+            max_tokens=SHORT_TOKENS,
+            key=key,
+            door=door,
+            link=link,
+            stream=False,
+            timeout_s=KEPT_TIMEOUT_S,
+        )
+        return returned["status"] >= 1 and not returned.get("gaveUp")
+
     async def run(self, seconds, agents, short_every_s):
-        """The traffic of a site: long checks as agents, short calls ten times as often."""
-        tasks = [
-            asyncio.ensure_future(self.agents(tenant))
-            for tenant, count in agents.items()
-            for _ in range(count)
-        ]
-        tasks += [
-            asyncio.ensure_future(self.shorts(tenant, every_s=short_every_s)) for tenant in agents
-        ]
-        tasks += [
-            asyncio.ensure_future(self.kept(tenant, every_s=short_every_s))
-            for tenant in list(agents)[:3]
-            if self.returns
-        ]
+        """Make the traffic of a site: long checks as agents, short calls ten times as often.
+
+        `agents` has the number of agents of each tenant.
+        """
+        traffic = [self.agents(tenant) for tenant, count in agents.items() for _ in range(count)]
+        traffic += [self.shorts(tenant, every_s=short_every_s) for tenant in agents]
+        if self.returns:
+            keeping = list(agents)[:KEPT_TENANTS]
+            traffic += [self.kept(tenant, every_s=short_every_s) for tenant in keeping]
+        tasks = [asyncio.ensure_future(part) for part in traffic]
         await asyncio.sleep(seconds)
         self.stopping = True
-        await asyncio.wait(tasks, timeout=30)
+        await asyncio.wait(tasks, timeout=END_S)
         for task in tasks:
             task.cancel()
--- a/swiftdeck/bench/site.py
+++ b/swiftdeck/bench/site.py
@@ -1,5 +1,7 @@
 """The two sites of the brief as plans: machines, zones, workers, tenants and a configuration."""
 
+import itertools
+
 import attrs
 
 from swiftdeck.config.document import key_digest
@@ -19,9 +21,18 @@
 }
 
 
+ZONES = 3
+CORE_PORT, HTTP_PORT, STAND_IN_PORT = 7000, 8000, 9000
+
+
 @attrs.frozen
 class Site:
-    """Where everything of a site stands."""
+    """Where everything of a site stands.
+
+    `cores` and `routers` are dicts of name, inner and http address and zone; `workers` are entries
+    of the platform's list. `keys` has the key of each tenant, `agents` the number of its agents;
+    the tenant `apart` shares no prefixes.
+    """
 
     name: str
     model: str
@@ -36,7 +47,7 @@
     tag_model: str
 
     def document(self, weights="w1", cap=4, **model) -> dict:
-        """The first configuration of the site."""
+        """Return the first configuration of the site; `model` are more fields of its models."""
         return {
             "models": {
                 name: {"weights": weights, "cap": cap} | model
@@ -58,10 +69,50 @@
         }
 
     def seeds(self):
-        """Three addresses by which processes find the others, fewer if fewer cores serve."""
+        """Return three addresses by which processes find the others, fewer if fewer cores serve."""
         return [core["inner"] for core in self.cores[:3]]
 
 
+class AddressPlan:
+    """Gives addresses to processes.
+
+    `ip` gives the IP of a machine. With one IP for all machines each process gets the next port.
+    """
+
+    def __init__(self, ip, base_port):
+        self.ip, self.is_shared = ip, ip("a") == ip("b")
+        self.ports = itertools.count(base_port)
+
+    def address(self, machine, port) -> str:
+        """Return the address of a process that has a port of its own on its machine."""
+        return f"{self.ip(machine)}:{next(self.ports) if self.is_shared else port}"
+
+    def node(self, role, number) -> dict:
+        """Return the plan of a core or a router."""
+        machine = f"{role}{number}"
+        return {
+            "name": machine,
+            "inner": self.address(machine, CORE_PORT),
+            "http": self.address(machine, HTTP_PORT),
+            "zone": _zone(number),
+        }
+
+    def worker(self, number, model) -> dict:
+        """Return the plan of a worker, as the platform lists it."""
+        machine = f"worker{number}"
+        return {
+            "name": machine,
+            "addr": self.address(machine, STAND_IN_PORT),
+            "model": model,
+            "zone": _zone(number),
+            "draining": False,
+        }
+
+
+def _zone(number) -> str:
+    return f"z{(number - 1) % ZONES + 1}"
+
+
 def plan_site(
     name="hinokuni",
     ip=lambda machine: "127.0.0.1",
@@ -70,47 +121,30 @@
     workers=None,
     models=1,
     cores=3,
-):
-    """Plan a site; with one IP for all machines each process gets ports of its own."""
-    is_hinokuni = name == "hinokuni"
-    ports = iter(range(base_port, base_port + 1000))
-    per_machine = ip("a") != ip("b")
-
-    def addr(machine, port):
-        return f"{ip(machine)}:{port if per_machine else next(ports)}"
-
-    def node(role, number):
-        machine = f"{role}{number}"
-        return {
-            "name": machine,
-            "inner": addr(machine, 7000),
-            "http": addr(machine, 8000),
-            "zone": f"z{(number - 1) % 3 + 1}",
-        }
+) -> Site:
+    """Plan a site; `workers` is their number, or None for as many as the site has.
 
+    With a second model a third of the workers serve that one.
+    """
+    is_hinokuni, plan = name == "hinokuni", AddressPlan(ip, base_port)
     count = workers or (6 if is_hinokuni else 9)
     model = "screener" if is_hinokuni else "classifier"
-    served = [model, "tagger"] if models > 1 else [model]
+    tag_model = "tagger" if models > 1 else model
     tenants = TENANTS[name]
+
+    def model_of(number):
+        return tag_model if number > count - count // 3 else model
+
     return Site(
         name=name,
         model=model,
-        cores=[node("core", number) for number in range(1, cores + 1)],
-        routers=[node("router", number) for number in range(1, routers + 1)],
-        workers=[
-            {
-                "name": f"worker{number}",
-                "addr": addr(f"worker{number}", 9000),
-                "model": served[-1 if number > count - count // 3 else 0],
-                "zone": f"z{(number - 1) % 3 + 1}",
-                "draining": False,
-            }
-            for number in range(1, count + 1)
-        ],
-        platform=addr("platform", 9000),
-        store=addr("store", 9000),
+        cores=[plan.node("core", number) for number in range(1, cores + 1)],
+        routers=[plan.node("router", number) for number in range(1, routers + 1)],
+        workers=[plan.worker(number, model_of(number)) for number in range(1, count + 1)],
+        platform=plan.address("platform", STAND_IN_PORT),
+        store=plan.address("store", STAND_IN_PORT),
         keys={tenant: f"key-{tenant}" for tenant in tenants},
         apart=tenants[2],
         agents={tenant: 4 if at < 2 else 1 for at, tenant in enumerate(tenants)},
-        tag_model=served[-1],
+        tag_model=tag_model,
     )
--- a/swiftdeck/bench/thrash.py
+++ b/swiftdeck/bench/thrash.py
@@ -1,13 +1,23 @@
 """Cache thrash on our own stand-in: growing conversations, with and without a cap."""
 
 import asyncio
+import itertools
 import random
+from collections import Counter
 
 import attrs
 
 from swiftdeck.sim.town import Town
 
-ROOM_TOKENS, SCALE = 1_650_000, 50
+ROOM_TOKENS = 1_650_000
+SCALE = 50
+"""Tokens of a character: prompts are written as short as that."""
+FIRST_TOKENS, LONGEST_TOKENS, MEAN_TOKENS = 25000, 10475, 4600
+NO_PAUSE_SHARE, MEAN_PAUSE_S, LONGEST_PAUSE_S = 0.386, 1.9, 7.5
+LEAST_TURNS, MEAN_TURNS, SPREAD_OF_TURNS = 4, 23, 6
+TRY_AGAIN_S = 2.0
+FOREVER_MS = 3600000
+"""Longer than a run, so that the bounds of a call end nothing."""
 
 
 @attrs.frozen
@@ -20,21 +30,25 @@
 
 
 def plan_turns(rng, doors) -> list[Turn]:
-    """A conversation by the paper's figures."""
-    return [
-        Turn(
-            rng.choice(doors),
-            int(min(10475, rng.expovariate(1 / 4600)) / SCALE),
-            0.0 if rng.random() < 0.386 else min(7.5, rng.expovariate(1 / 1.9)),
-        )
-        for _ in range(max(4, int(rng.gauss(23, 6))))
-    ]
+    """Return the turns of a conversation, drawn by the paper's figures."""
+    count = max(LEAST_TURNS, int(rng.gauss(MEAN_TURNS, SPREAD_OF_TURNS)))
+    return [_plan_turn(rng, doors) for _ in range(count)]
+
+
+def _plan_turn(rng, doors) -> Turn:
+    door = rng.choice(doors)
+    tokens = min(LONGEST_TOKENS, rng.expovariate(1 / MEAN_TOKENS))
+    has_pause = rng.random() >= NO_PAUSE_SHARE
+    pause_s = min(LONGEST_PAUSE_S, rng.expovariate(1 / MEAN_PAUSE_S)) if has_pause else 0.0
+    return Turn(door, int(tokens / SCALE), pause_s)
 
 
 def jain(counts) -> float:
-    """Jain's index of fairness."""
+    """Return Jain's index of fairness: 1 when all counts are equal, 0 when all are zero."""
     total = sum(counts)
-    return total * total / (len(counts) * sum(each * each for each in counts)) if total else 0.0
+    if not total:
+        return 0.0
+    return total * total / (len(counts) * sum(count * count for count in counts))
 
 
 class Thrash:
@@ -46,74 +60,69 @@
         self.cap, self.seed, self.agents, self.seconds = cap, seed, agents, seconds
         self.town = Town(seed, routers=routers, workers=1, speed=1.0)
         self.room, self.adapts = room, adapts
-        self.finished = {}
+        self.finished = Counter()
 
     async def _agent(self, tenant, number):
-        """Conversations one after another; they depend on the seed and the agent alone."""
-        caller, rng, begun = self.town.caller, random.Random(f"{self.seed}/{number}"), 0
+        """Hold conversations one after another; they depend on the seed and the agent alone."""
+        caller, rng = self.town.caller, random.Random(f"{self.seed}/{number}")
+        for conversation in itertools.count(1):
+            parts = [f"case {number} {conversation}" + "x" * (FIRST_TOKENS // SCALE)]
+            turns = plan_turns(rng, caller.doors)
+            for turn in turns:
+                returned = await self._call(tenant, parts, turn.door, turn is turns[-1])
+                parts = [*returned["parts"], "y" * turn.said_chars]
+                await asyncio.sleep(turn.pause_s)
+            self.finished[number] += 1
+
+    async def _call(self, tenant, parts, door, is_last):
+        """Call until the return is whole."""
         while True:
-            begun += 1
-            parts, turns = (
-                [f"case {number} {begun}" + "x" * (25000 // SCALE)],
-                plan_turns(rng, caller.doors),
+            returned = await self.town.caller.call(
+                tenant,
+                "check",
+                parts,
+                max_tokens=144,
+                timeout_s=4000,
+                is_last=is_last,
+                door=door,
             )
-            for at, turn in enumerate(turns):
-                while not (
-                    got := await caller.call(
-                        tenant,
-                        "check",
-                        parts,
-                        max_tokens=144,
-                        timeout_s=4000,
-                        is_last=at == len(turns) - 1,
-                        door=turn.door,
-                    )
-                )["whole"]:
-                    await asyncio.sleep(2.0)
-                parts = [*got["parts"], "y" * turn.said_chars]
-                await asyncio.sleep(turn.pause_s)
-            self.finished[(tenant, number)] = self.finished.get((tenant, number), 0) + 1
+            if returned["whole"]:
+                return returned
+            await asyncio.sleep(TRY_AGAIN_S)
 
     def run(self) -> dict:
-        """Figures of one run."""
-        town = self.town
-        town.start(cap=self.cap, idleMs=60000, pauseMs=60000, adapts=self.adapts)
-        town.up["worker1"].cache.room, town.up["worker1"].tokens_per_char = self.room, SCALE
-        town.change(
-            "PATCH",
-            {
-                "routes": {
-                    "check": {
-                        "waitMs": 3600000,
-                        "horizonMs": 3600000,
-                        "firstPieceMs": 3600000,
-                        "pieceMs": 3600000,
-                    }
-                }
-            },
-        )
-        tenants = list(town.site.keys)
-        for number in range(self.agents):
-            town.spawn(lambda number=number: self._agent(tenants[number % 8], number))
-        start_s, computed = town.world.now, town.up["worker1"].computed
+        """Make one run and return its figures."""
+        self._start()
+        town, worker = self.town, self.town.up["worker1"]
+        start_s, computed = town.world.now, worker.computed
         town.world.run(self.seconds)
-        turns = self._turns(start_s)
-        back = [item for item in town.records if item["kind"] == "return" and item["whole"]]
-        counts = [
-            self.finished.get((tenants[number % 8], number), 0) for number in range(self.agents)
-        ]
+        hits = self._hits(start_s)
+        whole = sum(item["kind"] == "return" and item["whole"] for item in town.records)
+        counts = [self.finished[number] for number in range(self.agents)]
         return {
             "cap": self.cap,
             "adapts": self.adapts,
             "finished": sum(counts),
-            "requestsPerS": round(len(back) / self.seconds, 3),
-            "hits": round(sum(turns) / max(1, len(turns)), 4),
+            "requestsPerS": round(whole / self.seconds, 3),
+            "hits": round(sum(hits) / max(1, len(hits)), 4),
             "fairness": round(jain(counts), 3),
-            "computedPerMin": int((town.up["worker1"].computed - computed) / self.seconds * 60),
+            "computedPerMin": int((worker.computed - computed) / self.seconds * 60),
         }
 
-    def _turns(self, start_s):
-        """For each call after a conversation's first, whether its whole earlier prompt was kept."""
+    def _start(self):
+        """Start the site and its agents."""
+        town = self.town
+        town.start(cap=self.cap, idleMs=60000, pauseMs=60000, adapts=self.adapts)
+        town.up["worker1"].cache.room, town.up["worker1"].tokens_per_char = self.room, SCALE
+        bounds = ("waitMs", "horizonMs", "firstPieceMs", "pieceMs")
+        town.change("PATCH", {"routes": {"check": dict.fromkeys(bounds, FOREVER_MS)}})
+        tenants = list(town.site.keys)
+        for number in range(self.agents):
+            tenant = tenants[number % len(tenants)]
+            town.spawn(lambda tenant=tenant, number=number: self._agent(tenant, number))
+
+    def _hits(self, start_s):
+        """Return for each later call of a conversation whether its earlier prompt was kept."""
         return [
             item["hitParts"] >= item["parts"] - 1
             for item in self.town.records
