--- a/tests/cases/cores.py
+++ b/tests/cases/cores.py
@@ -1,17 +1,19 @@
 """Cases of founding, joining and losing cores, for sites of one, three and five."""
 
 import functools
-import unittest
 
 from swiftdeck.bench.checker import check
 from swiftdeck.chain.agreement import ids
 from swiftdeck.http.client import fetch_json
 from swiftdeck.sim.town import Town
+from tests.cases.bases import ChangeCase
 
 
-class CoresCase(unittest.TestCase):
+class CoresCase(ChangeCase):
     """Views that are founded from the settings, grow and are mended."""
 
+    TRIES = 20
+
     def town(self, cores=5, seed=1, **more):
         borne = {"lossesBorne": (cores - 1) // 2, "cores": cores}
         return Town(
@@ -60,19 +62,6 @@
             if name in town.core_names()
         ]
 
-    def cap(self, number):
-        return {"models": {"screener": {"cap": number}}}
-
-    def insist(self, town, number, name=None):
-        """Send one change until it is acknowledged; gives how long that took."""
-        base, start_s = town.version, town.world.now
-        for _ in range(20):
-            got = town.change("PATCH", self.cap(number), base, name, change_id=f"insist-{number}")
-            if got and got[0] == 200:
-                return town.world.now - start_s
-            self.assertNotIn(got[0] if got else 0, (409, 422), got)
-        self.fail(f"never acknowledged: {got}")
-
     def read(self, town, name=None):
         got = town.ask("GET", "/v1/config", name=name)
         return got[0] == 200 and (
--- a/tests/cases/mutations.py
+++ b/tests/cases/mutations.py
@@ -1,20 +1,15 @@
 """Each mechanism taken out in turn: the case that guards it must fail without it."""
 
-import asyncio
 import contextlib
-import json
 import unittest
-from collections import deque
 from unittest import mock
 
-import attrs
-
 from swiftdeck.chain.agreement import Agreement
 from swiftdeck.chain.chain import Chain
 from swiftdeck.chain.state import ChainState
 from swiftdeck.chain.view_manager import ViewManager
 from swiftdeck.disk.journal import Journal
-from swiftdeck.fault import NO_LEASE, OLD_VIEW, WAITED_OUT
+from swiftdeck.fault import NO_LEASE
 from swiftdeck.http.server import HttpConversation
 from swiftdeck.traffic.book import Book
 from swiftdeck.traffic.books import Books
@@ -23,173 +18,61 @@
 from swiftdeck.traffic.claims import Claims
 from swiftdeck.traffic.keeper import Keeper
 from swiftdeck.traffic.lease import ConfigLease
-from swiftdeck.traffic.ledger import Ledger, Move, next_move
+from swiftdeck.traffic.ledger import Ledger
 from swiftdeck.traffic.line import Line
 from swiftdeck.traffic.moves import Moves
 from swiftdeck.traffic.takeover import Takeover
 from swiftdeck.traffic.workers import WorkerList
-from swiftdeck.wire.messages import GrantAsk
-from tests.cases import admission, calls, config, weights
-
-
-async def _claimed(self, key, run, digest, until_s):
-    return True
-
-
-def _believes(self, line, expected):
-    return (
-        json.loads(line[5:])
-        if line.strip().startswith(b'data: {"')
-        else {"run": self.run(), "seq": expected, "text": "?"}
-    )
-
-
-async def _gathers_nothing(self, addr, term):
-    return True
-
-
-def _serves(self):
-    return self.decided.number > 0
-
-
-def _adds_last(self, waiting):
-    self.tenants[waiting.tenant] = deque([waiting])
-
-
-def _takes_first_tenant(self):
-    tenant = next(iter(self.tenants))
-    first = self.tenants[tenant].popleft()
-    if not self.tenants[tenant]:
-        del self.tenants[tenant]
-    return first
-
-
-async def _syncs_nothing(self):
-    return None
-
-
-async def _copies_nothing_from_behind(self, addr, above=-1, copy_from=Chain._copy_from):
-    return OLD_VIEW if above >= 0 else await copy_from(self, addr)
-
-
-class _Endless:
-    """Pieces that outlive their attempt."""
-
-    def __get__(self, call, kind=None):
-        return call.__dict__.setdefault("kept", []) if call else self
-
-    def __set__(self, call, pieces):
-        pass
-
-
-def _forgets_grants(**fields):
-    return GrantAsk(**fields | {"was_granted": False})
-
-
-async def _as_is(self, fault):
-    return fault
-
-
-async def _polls(self, since_s, wait_s):
-    end_s = self.loop.time() + wait_s
-    while not self.host.is_ready() and self.loop.time() < end_s:
-        await asyncio.sleep(0.05)
-    return self.host.is_ready()
-
-
-def _named_by_weights(**fields):
-    return GrantAsk(**fields | {"talk": fields["chain"]})
-
-
-def _until_the_deadline(ledger, now_ms):
-    move, fault = next_move(ledger, now_ms)
-    return (
-        (Move.NOMINATE, None)
-        if move is Move.GIVE_UP and fault.notRun and now_ms < ledger.horizonMs
-        else (move, fault)
-    )
-
-
-def _waits_anew(self, router, exchange, held, tenant, route, body, start_s, init=Call.__init__):
-    init(self, router, exchange, held, tenant, route, body, router.loop.time())
-
-
-def _keeps_its_keys(self, got, install=ConfigLease._install):
-    old = self.held
-    done = install(self, got)
-    if old and old.tenant_by_key:
-        self.held = attrs.evolve(self.held, tenant_by_key=old.tenant_by_key)
-    return done
-
-
-def _any_base(self, change, examine=ChainState.examine):
-    return examine(
-        self, change | ({"base": self.stored.version} if change["t"] == "config" else {})
-    )
-
-
-def _old_group(tenant, is_apart):
-    return "shared"
-
-
-def _holds(self):
-    return self.held is not None
-
-
-async def _no_neighbour(self, ask):
-    return NO_LEASE
-
-
-def _promises(self, fault):
-    return WAITED_OUT
-
-
-def _again(ledger, now_ms):
-    move, fault = next_move(ledger, now_ms)
-    last = ledger.attempts[-1] if ledger.attempts else None
-    return (
-        (Move.NOMINATE, None)
-        if move is Move.GIVE_UP and last and last.was_sent and len(ledger.attempts) < 3
-        else (move, fault)
-    )
-
+from tests.cases import (
+    admission,
+    calls,
+    chain_faults,
+    config,
+    coordinators,
+    grants,
+    replacements,
+    weights,
+)
 
 MUTATIONS = [
     (
         "claims in the chain",
         calls.CallsCase,
         "test_a_once_only_call_is_claimed_across_routers",
-        [(Claims, "claim", _claimed)],
+        [(Claims, "claim", replacements.claimed)],
     ),
     (
         "once-only legs",
         calls.CallsCase,
         "test_a_hanging_worker_is_given_up_at_the_bound_without_a_promise",
-        [("swiftdeck.traffic.call", "next_move", _again)],
+        [("swiftdeck.traffic.call", "next_move", replacements.again)],
     ),
     (
         "promise only when nothing was sent",
         calls.CallsCase,
         "test_a_hanging_worker_is_given_up_at_the_bound_without_a_promise",
-        [(Ledger, "verdict", _promises)],
+        [(Ledger, "verdict", replacements.promises)],
     ),
     (
         "pieces checked by run and number",
         calls.CallsCase,
         "test_malformed_foreign_and_repeated_pieces_never_reach_a_caller",
-        [(Call, "_read", _believes)],
+        [(Call, "_read", replacements.believes)],
     ),
     (
         "group of a tenant kept apart",
         weights.WeightsCase,
         "test_a_tenant_kept_apart_shares_nothing",
-        [("swiftdeck.traffic.call", "group_of", _old_group)],
+        [("swiftdeck.traffic.call", "group_of", replacements.old_group)],
     ),
     (
         "lease before an attempt",
         config.ConfigCase,
         "test_a_router_cut_from_the_cores_holds_its_lease_through_a_neighbour",
-        [(ConfigLease, "is_held", _holds), (ConfigLease, "_through_others", _no_neighbour)],
+        [
+            (ConfigLease, "is_held", replacements.holds),
+            (ConfigLease, "_through_others", replacements.no_neighbour),
+        ],
     ),
     (
         "weights that a worker said",
@@ -205,51 +88,51 @@
     ),
     (
         "view lease",
-        config.ConfigCase,
+        chain_faults.ChainFaultsCase,
         "test_a_frozen_tail_wakes_holding_nothing",
-        [(Agreement, "mayServe", _serves)],
+        [(Agreement, "mayServe", replacements.serves)],
     ),
     (
         "base version compared",
         config.ConfigCase,
         "test_two_operators_writing_at_once_never_both_win",
-        [(ChainState, "examine", _any_base)],
+        [(ChainState, "examine", replacements.any_base)],
     ),
     (
         "sync before an ack",
-        config.ConfigCase,
+        chain_faults.ChainFaultsCase,
         "test_all_cores_lose_power_and_the_configuration_is_read_back_whole",
-        [(Journal, "sync", _syncs_nothing)],
+        [(Journal, "sync", replacements.syncs_nothing)],
     ),
     (
         "only synced entries are passed on",
-        config.ConfigCase,
+        chain_faults.ChainFaultsCase,
         "test_what_the_tail_answered_outlasts_a_head_that_loses_power_before_it_has_synced",
         [
             (Chain, "last_to_pass", lambda self: self.serial),
-            (Chain, "_copy_from", _copies_nothing_from_behind),
+            (Chain, "_copy_from", replacements.copies_nothing_from_behind),
         ],
     ),
     (
         "damage told from a torn record",
-        config.ConfigCase,
+        chain_faults.ChainFaultsCase,
         "test_a_damaged_last_record_is_not_taken_for_a_torn_one",
         [
             (Journal, "_is_torn", staticmethod(lambda data, at: True)),
-            (Chain, "_copy_from", _copies_nothing_from_behind),
+            (Chain, "_copy_from", replacements.copies_nothing_from_behind),
         ],
     ),
     (
         "the shorter log copies from the longer",
-        config.ConfigCase,
+        chain_faults.ChainFaultsCase,
         "test_a_head_that_lost_the_end_of_its_file_copies_from_the_longer_one",
-        [(Chain, "_copy_from", _copies_nothing_from_behind)],
+        [(Chain, "_copy_from", replacements.copies_nothing_from_behind)],
     ),
     (
         "key on each request",
         config.ConfigCase,
         "test_a_revoked_key_is_refused_on_a_kept_alive_connection",
-        [(ConfigLease, "_install", _keeps_its_keys)],
+        [(ConfigLease, "_install", replacements.keeps_its_keys)],
     ),
     (
         "no call to a draining worker",
@@ -262,7 +145,7 @@
     ),
     (
         "an old list stands for nobody",
-        calls.CallsCase,
+        grants.GrantsCase,
         "test_a_majority_behind_a_cut_does_not_obey_its_old_list_while_the_others_are_shown_a_drain",
         [(WorkerList, "is_fresh", lambda self: bool(self.body))],
     ),
@@ -270,23 +153,23 @@
         "claims in their own time",
         calls.CallsCase,
         "test_a_caller_told_not_run_is_served_at_any_router_with_the_same_key",
-        [(Call, "_promised", _as_is)],
+        [(Call, "_promised", replacements.as_is)],
     ),
     (
         "who waited longest before a new keeper",
-        admission.AdmissionCase,
+        coordinators.CoordinatorsCase,
         "test_the_line_of_a_lost_keeper_stands_anew_in_the_order_of_waiting",
-        [(Takeover, "gathered", _polls), (Line, "_add_tenant", _adds_last)],
+        [(Takeover, "gathered", replacements.polls), (Line, "_add_tenant", replacements.adds_last)],
     ),
     (
         "age of a grant",
-        admission.AdmissionCase,
+        coordinators.CoordinatorsCase,
         "test_a_grant_that_outlived_a_freeze_is_not_acted_on",
         [("swiftdeck.traffic.router.Router", "is_grant_valid", lambda self, name: True)],
     ),
     (
         "a lapsed grant is not revived by a hold",
-        admission.AdmissionCase,
+        coordinators.CoordinatorsCase,
         "test_a_grant_that_outlived_a_freeze_is_not_acted_on",
         [
             (
@@ -298,7 +181,7 @@
     ),
     (
         "late requests at a worker",
-        calls.CallsCase,
+        grants.GrantsCase,
         "test_what_a_process_frozen_between_its_look_and_its_write_sends_later_is_no_run",
         [("swiftdeck.bench.worker", "LATE_MS", 60000)],
     ),
@@ -312,7 +195,7 @@
         "conversations known without their weights",
         weights.WeightsCase,
         "test_an_open_conversation_keeps_its_admission_under_new_weights",
-        [("swiftdeck.traffic.call", "GrantAsk", _named_by_weights)],
+        [("swiftdeck.traffic.call", "GrantAsk", replacements.named_by_weights)],
     ),
     (
         "conversations of a draining worker move",
@@ -322,9 +205,9 @@
     ),
     (
         "the view is mended",
-        config.ConfigCase,
+        chain_faults.ChainFaultsCase,
         "test_each_member_may_be_killed_in_turn",
-        [(ViewManager, "_mend", _syncs_nothing)],
+        [(ViewManager, "_mend", replacements.syncs_nothing)],
     ),
     (
         "routers renew often and are nudged",
@@ -343,7 +226,7 @@
         "given up at once",
         admission.AdmissionCase,
         "test_a_full_line_and_a_long_wait_end_at_once_with_a_time_to_come_back",
-        [("swiftdeck.traffic.call", "next_move", _until_the_deadline)],
+        [("swiftdeck.traffic.call", "next_move", replacements.until_the_deadline)],
     ),
     (
         "a worker's refusal is no run",
@@ -353,7 +236,7 @@
     ),
     (
         "what was served stays open",
-        calls.CallsCase,
+        grants.GrantsCase,
         "test_a_conversation_whose_grant_is_handed_back_after_a_change_of_keeper_stays_open",
         [
             (
@@ -365,9 +248,9 @@
     ),
     (
         "one wait for a whole call",
-        calls.CallsCase,
+        grants.GrantsCase,
         "test_a_call_waits_once_for_lease_and_grant_together",
-        [("swiftdeck.traffic.router.Call", "__init__", _waits_anew)],
+        [("swiftdeck.traffic.router.Call", "__init__", replacements.waits_anew)],
     ),
     (
         "cap",
@@ -377,40 +260,40 @@
     ),
     (
         "open conversations gathered",
-        admission.AdmissionCase,
+        coordinators.CoordinatorsCase,
         "test_a_new_keeper_counts_open_conversations_before_it_grants_a_start",
-        [(Takeover, "gather", _gathers_nothing)],
+        [(Takeover, "gather", replacements.gathers_nothing)],
     ),
     (
         "tenants in turn",
         admission.AdmissionCase,
         "test_the_line_serves_tenants_in_turn",
         [
-            (Line, "take", _takes_first_tenant),
+            (Line, "take", replacements.takes_first_tenant),
             (Line, "first", lambda self: next((line[0] for line in self.tenants.values()), None)),
         ],
     ),
     (
         "silent routers' slots",
-        admission.AdmissionCase,
+        coordinators.CoordinatorsCase,
         "test_slots_of_a_dead_router_come_back_once_its_lease_has_run_out",
         [(Books, "renew_router", lambda self, router: None)],
     ),
     (
         "budget",
-        calls.CallsCase,
+        grants.GrantsCase,
         "test_the_budget_bounds_extra_tries_in_an_outage",
         [(Budget, "draw", lambda self, now_s, extra: True)],
     ),
     (
         "a call counts once",
-        calls.CallsCase,
+        grants.GrantsCase,
         "test_a_call_counts_once_however_often_its_first_attempt_is_granted",
-        [("swiftdeck.traffic.call", "GrantAsk", _forgets_grants)],
+        [("swiftdeck.traffic.call", "GrantAsk", replacements.forgets_grants)],
     ),
     (
         "one allowance for all models",
-        calls.CallsCase,
+        grants.GrantsCase,
         "test_extra_tries_of_all_models_together_stay_within_one_allowance",
         [(Keeper, "_allowance", lambda self: self.settings.budgetExtra)],
     ),
@@ -418,7 +301,7 @@
         "text of the last run alone",
         calls.CallsCase,
         "test_a_return_in_one_piece_holds_only_the_last_run",
-        [("swiftdeck.traffic.call.Call", "pieces", _Endless())],
+        [("swiftdeck.traffic.call.Call", "pieces", replacements.Endless())],
     ),
     (
         "half-closed callers",
@@ -430,7 +313,7 @@
         "slow callers",
         calls.CallsCase,
         "test_a_slow_caller_is_bounded_and_cut_off",
-        [(HttpConversation, "writable", _syncs_nothing)],
+        [(HttpConversation, "writable", replacements.syncs_nothing)],
     ),
 ]
 
