--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -247,13 +247,21 @@
         """The version of the weights on which a request should run there, 0 where none is known."""
         return worker.knows(model) or self.old_weights.ages.newest(model)
 
+    def note_sending(self, model: str, version: int):
+        """Count a request that is sent on older weights, and the highest age of a newer naming at which one was."""
+        outdated_s = self.old_weights.ages.outdated_s(model, version) if version else None
+        if outdated_s is not None:
+            count, age_ms = self.board.count, int((self.loop.time() - outdated_s) * 1000)
+            count["oldWeightsSent"] += 1
+            count["oldWeightsAgeMostMs"] = max(count["oldWeightsAgeMostMs"], age_ms)
+
     def check_weights(self, model: str, version: int, sent_s: float, what: str):
         """Count a request that was sent to weights for which the bound had passed, or that was answered by such.
 
         Holds whenever the cores can be reached; without a majority of them nobody could order the worker.
         """
-        late_s = sent_s - self.old_weights.bound_until_s(model, version)
-        if version and late_s > 0 and not self._has_lost_cores():
+        late_s = sent_s - self.old_weights.bound_until_s(model, version) if version else 0.0
+        if late_s > 0 and not self._has_lost_cores():
             self.board.count[OLD_WEIGHTS] += 1
             self.board.note(
                 "old weights", what=what, model=model, version=version, lateMs=int(late_s * 1000)
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -202,6 +202,7 @@
             return fault
         attempt.was_sent, sent_s = True, self.loop.time()
         gateway.board.count["attemptsSent"] += 1
+        gateway.note_sending(self.request.model, self.version)
         gateway.check_weights(self.request.model, self.version, sent_s, "sent")
         head = await self._head_in_time(worker, sent_s)
         if head is None:
--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -1,6 +1,7 @@
 """New weights cross the fleet: the chain's head orders workers onto them, a few at a time."""
 
 import asyncio
+import contextlib
 import math
 
 import attrs
@@ -10,26 +11,24 @@
 from swiftdeck.fault import is_fault
 from swiftdeck.gateway.listing import Listing
 from swiftdeck.gateway.old_weights import OldWeights
+from swiftdeck.gateway.swap_pace import Candidate, SwapPace
 from swiftdeck.gateway.worker_registry import WorkerRegistry
 from swiftdeck.wire.messages import SwapNews
 
 TAKEN, HOLDS, OLD_FENCE = 202, 200, 412
 RESTART_S, WAITED = 1.4, "waited"
-STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 200, 4.0, 0.15
-SLOT_S = 2.0
+STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 100, 4.0, 0.15
+SLOT_S = 3.0
 """How long a worker that is being ordered holds back the next one; after that it is slow, or silent."""
-LEAST_SHARE, MOST_SHARE = 1 / 4, 1 / 2
-"""Shares of a model's workers that are ordered at once, with time to spare and in a hurry."""
-USUAL_SWAP_S, NEW_SWAP_WEIGHT = 0.8, 0.5
-"""How long a worker takes to be moved, before any was timed, and how much each one counts in the mean."""
 
 
 @attrs.define
 class Swap:
-    """A worker that is being moved to newer weights."""
+    """A worker that is being moved to newer weights, and until when routers could have used it."""
 
     model: str
     begun_s: float
+    until_s: float
     task: asyncio.Task | None = None
 
 
@@ -79,7 +78,7 @@
         self.busy: dict[str, Swap] = {}
         self.since_s, self.headed_in, self.headed_s = None, 0, -math.inf
         self.tried_s, self.waited_in = {}, b""
-        self.telling, self.seen_view, self.swap_s = {}, 0, USUAL_SWAP_S
+        self.telling, self.seen_view, self.pace = {}, 0, SwapPace()
         self.old_weights = OldWeights(
             WeightAges(), core.settings.oldWeightsMs / 1000, core.settings.weightsBoundMs / 1000
         )
@@ -87,6 +86,7 @@
     def start(self):
         """Go on comparing what workers have with what is named."""
         self.loop = asyncio.get_running_loop()
+        self.kick = asyncio.Event()
         self.started_s, self.started_in = self.loop.time(), self.core.agreement.decided.number
         self.waited_in = self.core.folder.read(WAITED)
         self.task = asyncio.ensure_future(self._minding())
@@ -119,7 +119,9 @@
 
     async def _minding(self):
         while True:
-            await asyncio.sleep(LOOK_S)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.kick.wait(), LOOK_S)
+            self.kick.clear()
             self._note_ages()
             fence = self.fence()
             if not fence:
@@ -145,39 +147,28 @@
         self.tried_s = {name: at for name, at in self.tried_s.items() if name in workers}
         able = [each for each in workers.values() if model in each.weights]
         behind = [
-            each
+            self._candidate(each, model)
             for each in able
             if each.knows(model) < version
             and not each.listed.draining
             and each.name not in self.busy
         ]
-        behind.sort(key=lambda each: self.tried_s.get(each.name, -math.inf))
-        for worker in behind[: self._free_slots(model, len(able), behind)]:
-            self._begin(worker, model, version)
-
-    def _free_slots(self, model, able_count, behind):
-        """How many workers more may be ordered now."""
         now_s = self.loop.time()
-        left_s = min(
-            (self.old_weights.sent_until_s(model, each.knows(model)) - now_s for each in behind),
-            default=math.inf,
-        )
-        if left_s <= 0:
-            return len(behind)
         taken = sum(
-            swap.model == model and now_s - swap.begun_s < SLOT_S for swap in self.busy.values()
+            swap.model == model and now_s < swap.until_s and now_s < swap.begun_s + SLOT_S
+            for swap in self.busy.values()
         )
-        return max(0, self._at_once(able_count, len(behind) + taken, left_s) - taken)
+        for worker in self.pace.chosen(behind, len(able), taken, now_s):
+            self._begin(worker, model, version)
 
-    def _at_once(self, able_count, behind_count, left_s):
-        """How many are to be ordered at a time, so that all are moved in the time that is left, by what one took of late."""
-        needed = math.ceil(behind_count * self.swap_s / left_s)
-        most = max(1, int(able_count * MOST_SHARE))
-        return min(most, max(1, int(able_count * LEAST_SHARE), needed))
+    def _candidate(self, worker, model):
+        until_s = self.old_weights.sent_until_s(model, worker.knows(model))
+        return Candidate(worker, until_s, self.tried_s.get(worker.name, -math.inf))
 
     def _begin(self, worker, model, version):
         now_s = self.loop.time()
-        swap = self.busy[worker.name] = Swap(model, now_s)
+        until_s = self.old_weights.sent_until_s(model, worker.knows(model))
+        swap = self.busy[worker.name] = Swap(model, now_s, until_s)
         self.tried_s[worker.name] = now_s
         swap.task = asyncio.ensure_future(self._swap(worker, model, version))
 
@@ -219,10 +210,6 @@
         finally:
             self.busy.pop(worker.name, None)
 
-    def _time_swap(self, worker):
-        took_s = self.loop.time() - self.busy[worker.name].begun_s
-        self.swap_s += NEW_SWAP_WEIGHT * (took_s - self.swap_s)
-
     async def _await_version(self, worker, model, version, holds):
         end_s = self.loop.time() + GIVE_UP_S
         await asyncio.sleep(0 if holds else 0.42)
@@ -238,5 +225,6 @@
         if holds:
             self.core.worker_registry.learn(worker, {model: version})
             self.core.board.count["swapsDone"] += 1
-            self._time_swap(worker)
+            self.pace.note(self.loop.time() - self.busy[worker.name].begun_s)
+            self.kick.set()
             self._tell(worker, model, version, 0)
--- a/swiftdeck/platform/settings.py
+++ b/swiftdeck/platform/settings.py
@@ -135,7 +135,7 @@
             budgetShare=bounds.retry_ratio,
             budgetExtra=int(bounds.extra_retries),
             budgetWindowMs=int(bounds.retry_window_s * 1000),
-            oldWeightsMs=int(max(500, bounds.version_ms - 2500)),
+            oldWeightsMs=int(max(500, bounds.version_ms - 1500)),
             weightsBoundMs=int(bounds.version_ms),
             orderLeaseMs=int(bounds.lease_ms + bounds.thaw_slack_ms),
             viewLicenceMs=1500,
--- a/tests/gateway/test_swap.py
+++ b/tests/gateway/test_swap.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 
 from swiftdeck.gateway.interfaces import Listed
-from swiftdeck.gateway.swap import RESTART_S, Swap, Swaps
+from swiftdeck.gateway.swap import RESTART_S, SLOT_S, Swap, Swaps
 from swiftdeck.gateway.worker_registry import WorkerRegistry
 
 MODEL, LEASE_S, SEND_S = "m", 3.3, 5.5
@@ -39,7 +39,8 @@
     def begin(self, worker, model, version):
         self.begun.append(worker.name)
         self.swaps.tried_s[worker.name] = self.now_s
-        self.swaps.busy[worker.name] = Swap(model, self.now_s)
+        until_s = self.swaps.old_weights.sent_until_s(MODEL, worker.knows(MODEL))
+        self.swaps.busy[worker.name] = Swap(model, self.now_s, until_s)
 
     def fence_after(self, seconds, number=None, place=0):
         self.now_s += seconds
@@ -83,31 +84,14 @@
         self.swaps._order_some(MODEL, 2)
         return len(self.begun) - before
 
-    def test_a_quarter_is_ordered_at_once_where_that_is_enough(self):
+    def test_a_quarter_is_ordered_at_once_and_all_when_the_others_may_not_be_used_either(self):
         self.workers(*[1] * 12)
-        self.assertEqual([self.ordered_after(each) for each in (0.0, 1.0)], [3, 0])
-
-    def test_more_are_ordered_where_a_worker_takes_long_or_little_time_is_left(self):
-        self.workers(*[1] * 12)
-        self.swaps.swap_s = 2.0
-        self.assertEqual(self.ordered_after(0.0), 5)
-        self.swaps.busy.clear()
-        self.assertEqual(self.ordered_after(SEND_S - 0.1), 6)
-
-    def test_all_are_ordered_once_the_others_may_not_be_used_either(self):
-        self.workers(*[1] * 12)
-        self.assertEqual([self.ordered_after(each) for each in (0.0, SEND_S)], [3, 9])
-
-    def test_what_a_worker_took_sets_the_pace(self):
-        self.workers(*[1] * 4)
-        self.ordered_after(0.0)
-        self.now_s += 3.0
-        self.swaps._time_swap(self.registry.workers["w0"])
-        self.assertGreater(self.swaps.swap_s, 1.5)
+        self.assertEqual([self.ordered_after(each) for each in (0.0, 1.0, SEND_S)], [3, 0, 9])
 
     def test_a_worker_that_is_slow_holds_the_others_back_for_a_while_only(self):
         self.workers(*[1] * 4)
-        self.assertEqual([self.ordered_after(each) for each in (0.0, 1.9, 0.2)], [1, 0, 1])
+        times = (0.0, SLOT_S - 0.1, 0.2)
+        self.assertEqual([self.ordered_after(each) for each in times], [1, 0, 1])
 
     def test_a_worker_whose_version_is_not_known_is_ordered(self):
         self.workers(0, 2, 2, 2)
