A lost connection excuses a cut only where it is the client's

A handler that meets a lost connection of another kind ended its client's connection as though the client had left; it is now answered as any failure. Test with a planted one.

--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -286,14 +286,19 @@
             if exchange is None or not exchange.finished:
                 self.abort(CutReason.UNANSWERED)
             return
-        except ConnectionError:
-            self.abort(CutReason.CLIENT_LEFT)
         except Exception as error:
-            await self.fail(exchange, error)
+            if isinstance(error, ConnectionError) and self.is_ending():
+                self.abort(CutReason.CLIENT_LEFT)
+            else:
+                await self.fail(exchange, error)
         finally:
             self.task = self.feed = None
         self.next()
 
+    def is_ending(self) -> bool:
+        """Whether nothing more can be written, as the client left or the connection was cut."""
+        return self.gone or self.transport.is_closing()
+
     async def fail(self, exchange, error):
         """End an exchange whose handler failed: by an answer that says so, where none has begun."""
         self.server.count["faults.%d" % HANDLER_FAILED.code] += 1
--- a/tests/http/test_connections.py
+++ b/tests/http/test_connections.py
@@ -169,6 +169,16 @@
         self.assertEqual(self.cuts(), planted)
         self.assertIn("request cut", self.notes)
 
+    def test_a_lost_connection_that_is_not_the_clients_is_no_excuse(self):
+        async def loses_another(exchange):
+            raise ConnectionResetError("planted")
+
+        self.serve(loses_another)
+        client = self.connect(GET % b"/a")
+        self.world.run(0.1)
+        self.assertIn(b'"code":404', client.got)
+        self.assertEqual(self.cuts(), {})
+
     def test_an_answer_that_has_begun_and_is_not_ended_in_time_is_a_violation(self):
         self.serve()
         self.connect(GET % b"/a")
