Model: no more than a minority of the founders loses its disk before all cores vote

A founder that loses its disk before the chain has its voters can't be told from an empty core (docs/ROADMAP.md), so a second one in the founding leaves no chain. The model's random schedules struck that: two founders of five wiped in the first event, and one of three replaced and another wiped 6 s later, while the rest still waited for the first. The storms now start with three seed addresses too.

--- a/swiftdeck/sim/model/cluster.py
+++ b/swiftdeck/sim/model/cluster.py
@@ -64,6 +64,7 @@
         self.folders, self.up, self.gone = {}, {}, set()
         self.healing, self.applied, self.skipped = 0, [], []
         self.disk_losses_s, self.empty, self.last_change_s = [], set(), 0.0
+        self.has_settled = False
         self.served_s, self.on_power_cut = 0.0, lambda for_s: None
         self.is_first_start, self.acknowledged = True, Acknowledged(self)
         self.invariants = Invariants(self)
@@ -201,11 +202,12 @@
 
     def _is_bearable(self, action):
         """Whether no more disks are lost at once than may be; other losses may overlap beyond that."""
+        self.has_settled = self.has_settled or self.is_settled()
         is_calm = not self.healing and self.world.now > self.last_change_s + CATCH_UP_S
-        if is_calm:
+        if is_calm and self.has_settled:
             self.empty.clear()
         wiped = set(self._wiped_by(action))
-        is_bearable = not wiped or len(self.empty | wiped) <= self.losses_borne
+        is_bearable = not wiped or len(self.empty | wiped) <= self._disks_borne()
         if is_bearable:
             self.empty |= wiped
             self.last_change_s = self.world.now
@@ -215,11 +217,13 @@
         """The cores whose disks an action empties."""
         if action.kind not in LOSES_DISK:
             return []
-        voters = len(self.invariants.newest_view().voters) or SEEDS_TOLD
-        bearable = min(self.losses_borne, (voters - 1) // 2)
-        count = bearable if action.kind is Kind.CLOSING else 1
+        count = self._disks_borne() if action.kind is Kind.CLOSING else 1
         return self._from(action.core)[:count]
 
+    def _disks_borne(self):
+        """How many disks may be lost at once: until all cores vote, a majority of the founders must keep theirs."""
+        return self.losses_borne if self.has_settled else (SEEDS_TOLD - 1) // 2
+
     def _from(self, name):
         """The present cores, from one of them on."""
         present = self.present()
--- a/swiftdeck/sim/model/run.py
+++ b/swiftdeck/sim/model/run.py
@@ -61,6 +61,7 @@
             cluster.on_power_cut = self._restart_router
         cluster.watch_service()
         self._demand(cluster.run(until=cluster.is_settled, limit_s=SETTLE_S), "at the start")
+        cluster.has_settled = True
         if not self.cluster.invariants.breaches:
             self._strike_and_settle()
             self._close()
--- a/tests/gateway/loss_town.py
+++ b/tests/gateway/loss_town.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from tests.gateway.core_town import SEEDS
 from tests.gateway.orders import FINAL, OrderTown
 
 READ_EVERY_S, RECOVERY_S = 0.25, 12.0
@@ -13,6 +14,7 @@
     def __init__(self, seed=1, cores=3, routers=1):
         super().__init__(seed, cores, routers)
         self.tolerate = (cores - 1) // 2
+        self.seeds = [self.machines[f"core{at}"] for at in range(1, SEEDS + 1)]
         self.newest, self.reading_on = 3, []
 
     def start(self):
