--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -31,6 +31,9 @@
 FRAMING = (b"content-length", b"transfer-encoding")
 BODILESS = (204, 304)
 MARGIN_S, WAIT_SHARE, ASKED_MOST = 0.015, 0.2, 6
+BEGUN_MARGIN_S = 2 * MARGIN_S
+"""A final answer is to be there before the deadline, by the first margin; one that has begun, or that a worker works on, has all of
+its time."""
 
 
 def _unframed(headers):
@@ -68,9 +71,8 @@
             gateway.placing.is_long(request),
         )
         self.aim_s = (path.target_ms or 1000) / 1000
-        self.salt = self.version = ""
+        self.salt, self.version = "", 0
         self.is_passing_on = False
-        self.work_limit = None
 
     def _left_s(self):
         return self.ledger.deadline_s - self.loop.time()
@@ -78,25 +80,10 @@
     async def serve(self):
         """Make moves until the request has its final answer, which comes at the end of the work at the latest."""
         try:
-            async with asyncio.timeout_at(self._work_end_s()) as self.work_limit:
-                await self._move_on()
-        except TimeoutError:
-            if not self.work_limit.expired():
-                raise
-            await self._end_with_work()
+            await self.gateway.requests.run(self._move_on, self._end_with_work)
         finally:
-            self.work_limit = None
             self._leave()
 
-    def _work_end_s(self):
-        drain = self.gateway.drain
-        return drain.work_end_s if drain.has_begun() else None
-
-    def end_by(self, work_end_s):
-        """Have the final answer given at a time, whatever is under way."""
-        if self.work_limit is not None and not self.work_limit.expired():
-            self.work_limit.reschedule(work_end_s)
-
     async def _move_on(self):
         acts = {Move.PLACE: self._place, Move.SEND: self._send}
         while True:
@@ -203,6 +190,9 @@
         self.link = got
         if self.loop.time() >= self.ledger.deadline_s:
             return DEADLINE_PASSED
+        if not gateway.is_usable(self.request.model, worker.knows(self.request.model)):
+            self._give_back()
+            return NO_WORKER.because("the worker's weights have become too old")
         upstream_request = self._upstream_request(worker)
         self._check_admission()
         fault = self.link.send_request(
@@ -215,6 +205,7 @@
             return fault
         attempt.was_sent, sent_s = True, self.loop.time()
         gateway.board.count["attemptsSent"] += 1
+        gateway.check_weights(self.request.model, self.version, sent_s, "sent")
         head = await self._head_in_time(worker, sent_s)
         if head is None:
             return WORKER_HANGS
@@ -239,20 +230,23 @@
     async def _head_in_time(self, worker, sent_s):
         """The head of the answer, or None when another worker is to be tried.
 
-        Silence ends nothing that can't be repeated, and nothing at a worker that answers others meanwhile.
+        Silence ends nothing that can't be repeated, and nothing at a worker that answers others meanwhile; but where a request
+        may still wait at its worker, it is taken back before it would begin on weights that are too old.
         """
         reading = asyncio.ensure_future(self._head())
         try:
             until_s = sent_s + max(0.15, 0.7 * self.aim_s)
             while True:
-                await asyncio.wait(
-                    [reading],
-                    timeout=max(0.001, min(until_s, self.ledger.deadline_s) - self.loop.time()),
-                )
+                begin_s = self.gateway.must_begin_by_s(self.request.model, self.version)
+                wake_s = min(until_s, self.ledger.deadline_s, begin_s)
+                await asyncio.wait([reading], timeout=max(0.001, wake_s - self.loop.time()))
                 if reading.done():
                     return reading.result()
                 if self.loop.time() >= self.ledger.deadline_s:
                     return DEADLINE_PASSED
+                if self.loop.time() >= begin_s:
+                    self.gateway.board.count["oldWeightsTakenBack"] += 1
+                    return None
                 if worker.answered_s < sent_s and self._may_move(worker):
                     self.gateway.judge.failed(worker, False)
                     return None
@@ -286,7 +280,7 @@
         return UpstreamRequest(
             worker.name,
             self.tenant,
-            max(1, int(self._left_s() * 1000)),
+            max(1, int((self._left_s() + MARGIN_S) * 1000)),
             gateway.urgency(self.route, self.tenant, self.is_long),
             str(version) if version else "",
             self.salt,
@@ -319,13 +313,15 @@
         gateway, (status, headers) = self.gateway, head
         self.link.hear(headers)
         speak = gateway.workers_speak
-        version = speak.version(headers)
-        if version:
+        version, is_its_own = speak.version(headers), speak.worker(headers) in ("", worker.name)
+        if version and is_its_own and self.verdict is not Verdict.BAD:
             gateway.worker_registry.learn(worker, {self.request.model: version})
+            if self.verdict is Verdict.ANSWER:
+                gateway.check_weights(self.request.model, version, sent_s, "answered")
         if self.verdict in (Verdict.NOT_RUN, Verdict.ELSEWHERE):
             attempt.has_not_run = True
             gateway.board.count[f"turnedAway.{status}"] += 1
-            if self.verdict is Verdict.ELSEWHERE and speak.worker(headers) not in ("", worker.name):
+            if self.verdict is Verdict.ELSEWHERE and not is_its_own:
                 gateway.worker_registry.drop(worker.name)
             await self._drain()
             return WORKER_FULL.because(f"status {status}")
@@ -367,7 +363,7 @@
         is_good = 200 <= status < 300
         is_framed = is_bodiless or any(name.lower() in FRAMING for name, _ in headers)
         try:
-            async with asyncio.timeout_at(self.ledger.deadline_s):
+            async with asyncio.timeout_at(self.ledger.deadline_s + BEGUN_MARGIN_S):
                 fault = await self._pass_on(worker, is_framed, is_good, sent_s)
         except TimeoutError:
             if not self.is_passing_on:
