--- a/swiftdeck/soak/processes.py
+++ b/swiftdeck/soak/processes.py
@@ -10,7 +10,6 @@
 
 from swiftdeck.bench.outer.site_forms import SETTINGS_VARIABLE
 
-
 PROGRAM = "swiftdeck.soak.program"
 POLL_S = 0.05
 
