--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -256,7 +256,9 @@
             count["oldWeightsAgeMostMs"] = max(count["oldWeightsAgeMostMs"], age_ms)
 
     def check_weights(self, model: str, version: int, sent_s: float, what: str):
-        """Count a request that was sent to weights for which the bound had passed, or that was answered by such.
+        """Count a request that was sent to weights for which the bound had passed.
+
+        Or that was answered on such weights, though it named newer ones.
 
         Holds whenever the cores can be reached; without a majority of them nobody could order the worker.
         """
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -317,7 +317,7 @@
         version, is_its_own = speak.version(headers), speak.worker(headers) in ("", worker.name)
         if version and is_its_own and self.verdict is not Verdict.BAD:
             gateway.worker_registry.learn(worker, {self.request.model: version})
-            if self.verdict is Verdict.ANSWER:
+            if self.verdict is Verdict.ANSWER and version < self.version:
                 gateway.check_weights(self.request.model, version, sent_s, "answered")
         if self.verdict in (Verdict.NOT_RUN, Verdict.ELSEWHERE):
             attempt.has_not_run = True
--- a/tests/gateway/cases/old_weights.py
+++ b/tests/gateway/cases/old_weights.py
@@ -5,6 +5,7 @@
 import math
 from unittest import mock
 
+from swiftdeck.bench.outer.worker import PlatformWorker
 from swiftdeck.gateway.gateway import OLD_WEIGHTS, Gateway
 from swiftdeck.gateway.swap import Swaps
 from tests.gateway.case import SiteCase
@@ -87,6 +88,24 @@
         self.assertGreater(town.count(OLD_WEIGHTS), 20)
         self.assertTrue(self.old_runs(town))
 
+    def test_the_invariant_counts_answers_of_workers_that_ran_on_other_weights_than_named(self):
+        refusal = PlatformWorker._refusal
+
+        def careless(self, head, name, model):
+            head = {key: text for key, text in head.items() if key != "swiftdeck-expected-version"}
+            return refusal(self, head, name, model)
+
+        town = self.town(1, rate=30.0)
+        with orders_nothing(), mock.patch.object(PlatformWorker, "_refusal", careless):
+            self.name(town, 2)
+            town.world.run(VERSION_S + 1.0)
+            self.assertEqual(town.count(OLD_WEIGHTS), 0)
+            for registry in (town.up[name].worker_registry for name in town.routers()):
+                for worker in registry.workers.values():
+                    registry.learn(worker, dict.fromkeys(worker.weights, 2))
+            town.world.run(2.0)
+        self.assertGreater(town.count(OLD_WEIGHTS), 20)
+
     def crowd(self):
         """Requests wait at the only worker of a model, whose runs go on for longer than old weights may be begun on."""
 
