The records of a member's log are typed

Bare maps with letters as keys were read by a chain of comparisons. Now each kind is a struct with its meaning, on the disk in the same form as before; a record of no known kind counts as damage.

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from swiftdeck.board.owner import Owner
+from swiftdeck.chain import log_records
 from swiftdeck.chain.config_updates import ConfigUpdates
 from swiftdeck.chain.state import ChainState
 from swiftdeck.chain.state_transfer import StateTransfer
@@ -138,28 +139,35 @@
     def _load(self):
         """Read the log. Its first record is synced before this core knows any view, so that a later log without any is lost."""
         try:
-            records = self.journal.load()
+            loaded = self.journal.load()
+            records = loaded if is_fault(loaded) else log_records.read(loaded)
         except OSError as error:
             records = DISK_FAILED.because(error)
+        except msgspec.ValidationError as error:
+            records = DAMAGED.because(f"{self.journal.name}: {error}")
         if is_fault(records):
             self.fault, self.needs_copy = records, True
             return
         for record in records:
-            if record["k"] == "state":
-                self.state.from_bytes(record["state"])
-                self.serial, self.entries = record["n"], {}
-                self.is_partial = record.get("partial", False)
-            elif record["k"] == "complete":
-                self.is_partial = False
-            elif record["k"] == "e":
-                self._apply(record["n"], record["b"])
-        known = self.agreement.decided
-        self.must_compare = known.number > 0
-        if not records and not known.number:
-            self.unwritten.append({"k": "begin"})
+            self._restore(record)
+        is_known = self.agreement.decided.number > 0
+        self.must_compare = is_known
+        if not records and not is_known:
+            self.unwritten.append(log_records.Begin())
         elif not records and self.agreement.position() >= 0:
             self.fault, self.needs_copy = DAMAGED.because("chain.log is missing"), True
 
+    def _restore(self, record):
+        match record:
+            case log_records.State():
+                self.state.from_bytes(record.data)
+                self.serial, self.entries = record.serial, {}
+                self.is_partial = record.is_partial
+            case log_records.Entry():
+                self._apply(record.serial, record.body)
+            case log_records.Complete():
+                self.is_partial = False
+
     def trouble(self):
         """Why this member should leave the chain, empty when it need not."""
         if self.journal.stallMs() > 1000:
@@ -213,7 +221,7 @@
         if not self.is_partial:
             return True
         try:
-            self.journal.append({"k": "complete"})
+            self.journal.append(log_records.Complete())
             await self.journal.sync()
         except OSError as error:
             self._fail(error)
@@ -370,7 +378,7 @@
     def _append(self, serial, body):
         """Take an entry in; `_sync` writes it with all others that came since the last one."""
         self._apply(serial, body)
-        self.unwritten.append({"k": "e", "n": serial, "b": body})
+        self.unwritten.append(log_records.Entry(serial, body))
 
     def _fail(self, error):
         self.fault = (DISK_FULL if error.errno == 28 else DISK_FAILED).because(error)
@@ -405,7 +413,7 @@
             self.durable = Durable(self.state.stored.version, self.state.config)
 
     def _state_record(self, serial, data):
-        return {"k": "state", "n": serial, "state": data, "partial": self.is_partial}
+        return log_records.State(serial, data, self.is_partial)
 
     async def _rewrite(self):
         data, serial, self.unwritten = self.state.to_bytes(), self.serial, []
