--- a/swiftdeck/bench/outer/site_forms.py
+++ b/swiftdeck/bench/outer/site_forms.py
@@ -136,6 +136,11 @@
     }
 
 
+def with_idle_ms(document: dict, idle_ms: int) -> dict:
+    """A configuration with another bound for connections at rest."""
+    return document | {"limits": document["limits"] | {"idle-ms": idle_ms}}
+
+
 @attrs.frozen
 class MachineSettings:
     """What the settings file of a machine says."""
--- a/swiftdeck/bench/outer/worker.py
+++ b/swiftdeck/bench/outer/worker.py
@@ -399,6 +399,7 @@
         for number in range(max(1, after - 1) if quirk == "back" else after + 1, count + 1):
             await asyncio.sleep(self.plan.get("step_s", STEP_S) * (1 + len(self.active) / 8))
             if asyncio.get_running_loop().time() >= end_s:
+                self.record("brokeOff", worker=self.name, id=name, run=run)
                 exchange.abort()
                 return False
             if quirk == "stall" and number > (after + count) // 2:
--- a/swiftdeck/soak/operators.py
+++ b/swiftdeck/soak/operators.py
@@ -5,6 +5,7 @@
 import random
 
 from swiftdeck.bench.outer.operator import CONFIG, Operator
+from swiftdeck.bench.outer.site_forms import with_idle_ms
 from swiftdeck.bench.record import boot_ms
 from swiftdeck.http.client import fetch_json
 from swiftdeck.soak.site import MODEL, changing_route, is_changing
@@ -13,6 +14,7 @@
 ROUTES_MOST, REMOVE_SHARE = 12, 0.45
 CHANGE_PAUSE_S, WEIGHTS_PAUSE_S = (0.05, 0.4), (1.0, 7.0)
 RECENT_ROUTES = 24
+LIMITS_SHARE, IDLE_MS = 0.08, (300, 1500, 15000)
 LOST_AFTER_MS, RETRY_PAUSE_S = (5, 30, 1000), 0.1
 
 
@@ -60,20 +62,29 @@
                     return
             await asyncio.sleep(READ_PAUSE_S[1])
 
-    async def change_routes(self):
-        """Send one change of routes; gives its status."""
+    async def change(self):
+        """Send one change, of routes or of a bound for all connections; gives its status."""
+        is_of_limits = self.random.random() < LIMITS_SHARE
+        status = await (self._change_limits() if is_of_limits else self._change_routes())
+        if status != 200:
+            await self.catch_up()
+        return status
+
+    async def _change_limits(self):
+        """Send the whole configuration with another time for connections at rest."""
+        document = with_idle_ms(self.document, self.random.choice(IDLE_MS))
+        return await self.put(document, next(self.versions))
+
+    async def _change_routes(self):
         version = next(self.versions)
         held = [each["name"] for each in self.document["routes"] if is_changing(each["name"])]
         is_full = len(held) >= ROUTES_MOST
         remove = held[:1] if held and (is_full or self.random.random() < REMOVE_SHARE) else []
-        status = await self.patch(
+        return await self.patch(
             version,
             put={"routes": [changing_route(version).outward()]},
             remove={"routes": remove} if remove else None,
         )
-        if status != 200:
-            await self.catch_up()
-        return status
 
 
 class Operators:
@@ -124,14 +135,14 @@
 
     async def _changing(self):
         while not self.is_ending:
-            self.statuses.append(await self.changers[0].change_routes())
+            self.statuses.append(await self.changers[0].change())
             await asyncio.sleep(self.random.uniform(*CHANGE_PAUSE_S))
 
     async def _changing_too(self):
         while not self.is_ending:
             if asyncio.get_running_loop().time() < self.second_until_s:
                 await self.changers[1].catch_up()
-                self.statuses.append(await self.changers[1].change_routes())
+                self.statuses.append(await self.changers[1].change())
             await asyncio.sleep(self.random.uniform(*CHANGE_PAUSE_S))
 
     async def _naming(self):
--- a/swiftdeck/soak/verdict.py
+++ b/swiftdeck/soak/verdict.py
@@ -10,7 +10,7 @@
 from swiftdeck.soak.site import BOUNDS, GRACE_S
 
 SERVED_SHARE, REQUESTS_EACH_S, CHANGES_EACH_S = 0.5, 1.0, 0.3
-LOST, CONFIG, CRASH = "LOST", "CONFIG", "crash"
+LOST, CONFIG, BROKEN_OFF = "LOST", "CONFIG", "broken off"
 RECORDS, VERDICT, SCHEDULE = "records.jsonl", "verdict.json", "schedule.txt"
 
 
@@ -74,11 +74,12 @@
     )
 
 
-def with_crashes(items) -> list:
-    """The records, with runs that ended with their worker marked as broken off by it."""
+def with_broken_off(items) -> list:
+    """The records, with runs marked that their worker broke off by a crash or at the deadline."""
     ended = {run for item in items if item["kind"] == "crashed" for run in item["runs"]}
+    ended |= {item["run"] for item in items if item["kind"] == "brokeOff"}
     return [
-        item | {"quirk": CRASH} if item["kind"] == "run" and item["run"] in ended else item
+        item | {"quirk": BROKEN_OFF} if item["kind"] == "run" and item["run"] in ended else item
         for item in items
     ]
 
@@ -89,7 +90,7 @@
     A planned stop or start takes a machine, or with a core the whole site, out of contact like any
     other trouble; LOST alone is about planned work, and is excused by unplanned trouble only.
     """
-    items = with_crashes(items)
+    items = with_broken_off(items)
     every = [*troubles.noted, *troubles.planned]
     found = check(items, bounds_of(every, slack))
     found.pop(LOST, None)
