Two checks of mechanisms failed for the wrong reason; one mechanism had no case

`mutations` asks that a case fails without its mechanism. Two replacements broke their cases by errors of their own: the claim's took an argument too many, so that each call met an internal fault; the hold's could not be sent as a message. With replacements that work, the claim's case still fails as it should (200, 200, 200 instead of 200, 409, 409), but the hold's case passed: a router that wakes with an old grant reached its worker before its hold was answered, so nothing held that a hold doesn't revive a lapsed grant.

A new case puts 0.2 s between router and worker, where the hold is answered first: it passes, and fails without the mechanism (two runs under a cap of one). No logic of the product changes.

--- a/tests/cases/coordinators.py
+++ b/tests/cases/coordinators.py
@@ -268,10 +268,20 @@
         for is_claimed in (False, True):
             self.freeze_after_a_grant(is_claimed)
 
-    def freeze_after_a_grant(self, is_claimed):
+    def test_a_grant_that_lapsed_is_not_revived_by_a_hold_before_its_worker_is_reached(self):
+        self.freeze_after_a_grant(True, link_s=0.2)
+
+    def freeze_after_a_grant(self, is_claimed, link_s=0.0):
+        """Freeze a router that has a grant until its place is another's; it then sends nothing.
+
+        It is frozen when it has asked for its claim, or has it. `link_s` is how much longer its
+        bytes take to the worker: with 0.2 s its hold is answered before its connection is.
+        """
         town = self.town(cap=1, routers=4, idleMs=200, pauseMs=100, listOldMs=20000)
         keeper = town.keeper()
         name, other = [each for each in town.router_names() if each != keeper][:2]
+        worker = town.site.workers[0]["addr"].rpartition(":")[0]
+        town.world.net.slow[(town.addresses[name]["inner"].rpartition(":")[0], worker)] = link_s
         ask, held = Claims.claim, []
 
         def freezes(claims, *what):
--- a/tests/cases/mutations.py
+++ b/tests/cases/mutations.py
@@ -2,15 +2,19 @@
 
 import contextlib
 import unittest
+from collections import Counter
 from unittest import mock
 
+import attrs
+
 from swiftdeck.chain.agreement import Agreement
 from swiftdeck.chain.chain import Chain
 from swiftdeck.chain.state import ChainState
 from swiftdeck.chain.view_manager import ViewManager
 from swiftdeck.disk.journal import Journal
-from swiftdeck.fault import NO_LEASE
+from swiftdeck.fault import HANDLER_FAILED, NO_LEASE
 from swiftdeck.http.server import HttpConversation
+from swiftdeck.sim.town import Town
 from swiftdeck.traffic.book import Book
 from swiftdeck.traffic.books import Books
 from swiftdeck.traffic.budget import Budget
@@ -170,14 +174,8 @@
     (
         "a lapsed grant is not revived by a hold",
         coordinators.CoordinatorsCase,
-        "test_a_grant_that_outlived_a_freeze_is_not_acted_on",
-        [
-            (
-                "swiftdeck.traffic.keeper.HoldReturn",
-                "lost",
-                property(lambda self: (), lambda self, value: None),
-            )
-        ],
+        "test_a_grant_that_lapsed_is_not_revived_by_a_hold_before_its_worker_is_reached",
+        [("swiftdeck.traffic.keeper", "HoldReturn", replacements.loses_nothing)],
     ),
     (
         "late requests at a worker",
@@ -318,8 +316,21 @@
 ]
 
 
-def run_without(changes, case, name) -> bool:
-    """Whether a case passes with these parts replaced."""
+@attrs.frozen
+class Outcome:
+    """How a case ends without a mechanism.
+
+    `internal_faults` counts what raised in handlers and tasks of the site: a replacement that
+    doesn't fit its place breaks a case too, which says nothing of the mechanism.
+    """
+
+    passes: bool
+    internal_faults: int
+
+
+@contextlib.contextmanager
+def replaced(changes):
+    """Put other parts in place of some, each named by its owner and its attribute."""
     with contextlib.ExitStack() as stack:
         for owner, attribute, other in changes:
             target = f"{owner}.{attribute}" if isinstance(owner, str) else None
@@ -328,13 +339,40 @@
                 if target
                 else mock.patch.object(owner, attribute, other)
             )
-        result = unittest.TestResult()
+        yield
+
+
+@contextlib.contextmanager
+def noted_sites():
+    """Give a list that takes all sites that are made meanwhile."""
+    sites, start = [], Town.__init__
+
+    def noted_start(site, *arguments, **settings):
+        sites.append(site)
+        start(site, *arguments, **settings)
+
+    with mock.patch.object(Town, "__init__", noted_start):
+        yield sites
+
+
+def run_without(changes, case, name) -> Outcome:
+    """Run a case with these parts replaced."""
+    result = unittest.TestResult()
+    with replaced(changes), noted_sites() as sites:
         case(name).run(result)
-        return result.wasSuccessful()
+    counters = sum((site.counters() for site in sites), Counter())
+    internal_faults = (
+        counters[f"faults.{HANDLER_FAILED.code}"]
+        + counters[f"http.faults.{HANDLER_FAILED.code}"]
+        + sum(len(site.world.faults) for site in sites)
+    )
+    return Outcome(result.wasSuccessful(), internal_faults)
 
 
 class MutationsTest(unittest.TestCase):
     def test_each_mechanism_is_missed_by_its_case(self):
         for what, case, name, changes in MUTATIONS:
             with self.subTest(what):
-                self.assertFalse(run_without(changes, case, name), f"{name} passes without: {what}")
+                outcome = run_without(changes, case, name)
+                self.assertFalse(outcome.passes, f"{name} passes without: {what}")
+                self.assertEqual(outcome.internal_faults, 0, f"replacement fails for: {what}")
--- a/tests/cases/replacements.py
+++ b/tests/cases/replacements.py
@@ -12,11 +12,13 @@
 from swiftdeck.traffic.call import Call
 from swiftdeck.traffic.lease import ConfigLease
 from swiftdeck.traffic.ledger import Move, next_move
-from swiftdeck.wire.messages import GrantAsk
+from swiftdeck.wire.messages import GrantAsk, HoldReturn
 
 
-async def claimed(self, key, run, digest, until_s):
-    return True
+def claimed(self, key, run, digest):
+    done = self.loop.create_future()
+    done.set_result(True)
+    return done
 
 
 def believes(self, line, expected):
@@ -27,6 +29,10 @@
     )
 
 
+def loses_nothing(**fields):
+    return HoldReturn(**fields | {"lost": []})
+
+
 async def gathers_nothing(self, addr, term):
     return True
 
