--- a/swiftdeck/soak/troubles.py
+++ b/swiftdeck/soak/troubles.py
@@ -5,13 +5,15 @@
 
 import msgspec
 
+from swiftdeck.bench.outer.checker import LINK, PROCESS
+from swiftdeck.bench.outer.site_forms import READY_PATH
 from swiftdeck.http.client import fetch_json
 from swiftdeck.soak.link_filter import Cut
 from swiftdeck.soak.schedule import Kind
 from swiftdeck.soak.site import GRACE_S
 
 FOREVER_MS = 1 << 50
-READY, ASK_MS, ASK_PAUSE_S, UP_WITHIN_S = "/swiftdeck/ready", 1000, 0.1, 30.0
+ASK_MS, ASK_PAUSE_S, UP_WITHIN_S = 1000, 0.1, 30.0
 FORGOTTEN_S, DRAINED_S = 3.0, 4.6
 CUT_REPEAT_S = 0.2
 
@@ -51,9 +53,9 @@
         await asyncio.gather(*tasks)
         sending.cancel()
 
-    def note(self, machine):
+    def note(self, machine, kind=PROCESS):
         """Note the begin of unplanned trouble at a machine; its end is noted by `end`."""
-        self.noted.append([machine, self.now_ms(), FOREVER_MS])
+        self.noted.append([machine, self.now_ms(), FOREVER_MS, kind])
         return self.noted[-1]
 
     def end(self, noted):
@@ -61,14 +63,14 @@
         noted[2] = self.now_ms()
 
     def _is_troubled(self, machine, since_ms):
-        return any(name == machine and end >= since_ms for name, _, end in self.noted)
+        return any(name == machine and end >= since_ms for name, _, end, _ in self.noted)
 
     async def await_up(self, machine):
         """Wait until a machine's process answers at all; whether it does in time."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + UP_WITHIN_S
         while loop.time() < end_s:
-            path = READY if machine.role == "router" else "/v1/counters"
+            path = READY_PATH if machine.role == "router" else "/v1/counters"
             if await fetch_json(machine.operations, "GET", path, timeoutMs=ASK_MS):
                 return True
             await asyncio.sleep(ASK_PAUSE_S)
@@ -84,7 +86,7 @@
         if process.is_replaced:
             return
         process.is_replaced, begin_ms = True, self.now_ms()
-        stop = [trouble.target, begin_ms, FOREVER_MS]
+        stop = [trouble.target, begin_ms, FOREVER_MS, PROCESS]
         self.planned.append(stop)
         self.plan("planned", machine=trouble.target, what="term")
         process.send(signal.SIGTERM)
@@ -138,7 +140,7 @@
     async def _cut(self, trouble):
         """Cut a machine off from others: both ways, or only what comes in, or what goes out."""
         way, end = trouble.how.split()
-        noted, names = self.note(trouble.target), []
+        noted, names = self.note(trouble.target, LINK), []
         own, others = (
             self.site.machines[trouble.target],
             [self.site.machines[name] for name in trouble.others],
