--- a/swiftdeck/sim/faults/operator.py
+++ b/swiftdeck/sim/faults/operator.py
@@ -35,17 +35,18 @@
         async def send():
             path, headers = f"/v1/config?base={base}", [("change-id", change_id)]
             door = town.addresses[name]["http"]
-            got = await fetch_json(door, "PATCH", path, document, headers, CHANGE_TIMEOUT_MS)
-            if got and got[0] == 200:
-                town.version = max(town.version, got[1]["version"])
+            answer = await fetch_json(door, "PATCH", path, document, headers, CHANGE_TIMEOUT_MS)
+            status, body = answer or (0, {"changeId": change_id})
+            if status == 200:
+                town.version = max(town.version, body["version"])
                 on_success()
             town.record("operator")(
                 "change",
                 method="PATCH",
                 base=base,
                 document=document,
-                status=got[0] if got else 0,
-                answer=got[1] if got else {"changeId": change_id},
+                status=status,
+                answer=body,
                 askedMs=asked_ms,
             )
 
@@ -59,8 +60,8 @@
 
         async def send():
             door = self.town.addresses[name]["http"]
-            got = await fetch_json(door, "GET", "/v1/config", timeoutMs=READ_TIMEOUT_MS)
-            self._record_reading(got, asked_ms)
+            answer = await fetch_json(door, "GET", "/v1/config", timeoutMs=READ_TIMEOUT_MS)
+            self._record_reading(answer, asked_ms)
 
         self.town.spawn(send)
 
@@ -70,7 +71,7 @@
         town.record("operator")("dayEnds")
         changes = [item for item in town.records if item["kind"] == "change"]
         known = {item["answer"].get("changeId") for item in changes if item["status"] == 200}
-        for item in [each for each in changes if each["status"] not in DECIDED]:
+        for item in [change for change in changes if change["status"] not in DECIDED]:
             change_id = item["answer"].get("changeId", "")
             if change_id and change_id not in known:
                 self._settle(item, town.ask("GET", f"/v1/changes/{change_id}"))
@@ -80,19 +81,25 @@
     def _now_ms(self):
         return int(self.town.world.now * 1000)
 
-    def _settle(self, item, got):
-        if got and got[0] == 200:
-            answer = {"status": 200, "answer": got[1], "atMs": self._now_ms(), "settled": True}
-            item |= answer
-
-    def _record_reading(self, got, asked_ms):
-        is_good = bool(got) and got[0] == 200
+    def _settle(self, change, answer):
+        """Complete the record of an undecided change that was taken after all."""
+        if answer and answer[0] == 200:
+            change |= {
+                "status": 200,
+                "answer": answer[1],
+                "atMs": self._now_ms(),
+                "settled": True,
+            }
+
+    def _record_reading(self, answer, asked_ms):
+        status, body = answer or (0, {})
+        is_good = status == 200
         self.town.record("operator")(
             "read",
-            status=got[0] if got else 0,
-            version=got[1]["version"] if is_good else 0,
+            status=status,
+            version=body["version"] if is_good else 0,
             askedMs=asked_ms,
-            **({"document": got[1]["document"]} if is_good else {}),
+            **({"document": body["document"]} if is_good else {}),
         )
 
 
--- a/swiftdeck/sim/town.py
+++ b/swiftdeck/sim/town.py
@@ -17,9 +17,16 @@
 from swiftdeck.sim.world import World
 from swiftdeck.traffic.router import Router
 
+START_LIMIT_S = 30
+"""How long the cores may take to serve, and a router to coordinate."""
+
 
 class Town:
-    """Starts the processes of a site in virtual time, and collects the records."""
+    """Starts the processes of a site in virtual time, and collects the records.
+
+    `up` has the newest process of each name, `all` every one that ever ran. `settings` go to the
+    cores and routers; `version` is the newest one that an operator of this site knows.
+    """
 
     def __init__(
         self,
@@ -123,41 +130,49 @@
 
         self.world.start("store", self.site.store.rpartition(":")[0], main)
 
-    def start(self, **model):
-        """Start everything and put the first configuration."""
-        for node in self.site.cores:
-            self.start_core(node["name"])
+    def start_platform(self):
+        """Start the platform."""
 
-        async def platform():
+        async def main():
             self.up["platform"] = Platform(
                 self.site.platform, self.record("platform"), self.site.workers
             )
             await self.up["platform"].start()
 
-        self.world.start("platform", self.site.platform.rpartition(":")[0], platform)
+        self.world.start("platform", self.site.platform.rpartition(":")[0], main)
+
+    def start(self, **model):
+        """Start everything and put the first configuration, with these fields of its models."""
+        for node in self.site.cores:
+            self.start_core(node["name"])
+        self.start_platform()
         self.start_store()
         for worker in self.site.workers:
             self.start_worker(worker["name"])
         for node in self.site.routers:
             self.start_router(node["name"])
-        self.world.start("operator", self.ip("operator"), lambda: asyncio.sleep(0))
-        self.world.start("callers", self.ip("callers"), lambda: asyncio.sleep(0))
-        doors = [node["http"] for node in self.site.routers]
+        self._start_clients()
+        self.world.run(until=self.cores_serve, limit_s=START_LIMIT_S)
+        answer = self.change("PUT", self.site.document(**model))
+        assert answer[0] == 200, answer
+        self.is_first_start = False
+        self.world.run(until=lambda: self.keeper() is not None, limit_s=START_LIMIT_S)
+        self.world.run(0.5)
+        return self
+
+    def _start_clients(self):
+        """Start the machines of operators and callers, which do nothing by themselves."""
+        for machine in ("operator", "callers"):
+            self.world.start(machine, self.ip(machine), lambda: asyncio.sleep(0))
+        names = {node["http"]: node["name"] for node in self.site.routers}
         self.caller = Caller(
             "c",
-            doors,
+            list(names),
             self.record("caller"),
             random.Random(self.world.random.random()),
             self.site.keys,
-            routers={node["http"]: node["name"] for node in self.site.routers},
+            routers=names,
         )
-        self.world.run(until=self.cores_serve, limit_s=30)
-        got = self.change("PUT", self.site.document(**model))
-        assert got[0] == 200, got
-        self.is_first_start = False
-        self.world.run(until=lambda: self.keeper() is not None, limit_s=30)
-        self.world.run(0.5)
-        return self
 
     def cores_serve(self):
         """Whether some core may answer for the chain."""
