--- a/tests/cases/coordinators.py
+++ b/tests/cases/coordinators.py
@@ -279,45 +279,44 @@
         """
         town = self.town(cap=1, routers=4, idleMs=200, pauseMs=100, listOldMs=20000)
         keeper = town.keeper()
-        name, other = [each for each in town.router_names() if each != keeper][:2]
+        name, other = [router for router in town.router_names() if router != keeper][:2]
+        ip = town.addresses[name]["inner"].rpartition(":")[0]
         worker = town.site.workers[0]["addr"].rpartition(":")[0]
-        town.world.net.slow[(town.addresses[name]["inner"].rpartition(":")[0], worker)] = link_s
-        ask, held = Claims.claim, []
-
-        def freezes(claims, *what):
-            got = ask(claims, *what)
-            if claims is town.up[name].claims and not held:
-                held.append(name)
-                (got.add_done_callback if is_claimed else town.world.loops[name].call_soon)(
-                    lambda *_: town.world.freeze(name)
-                )
-            return got
-
-        def runs():
-            return len([item for item in town.records if item["kind"] == "run"])
-
-        with mock.patch.object(Claims, "claim", freezes):
-            late = town.spawn(
-                lambda: town.caller.call(
-                    "oita",
-                    "check",
-                    ["b", "y"],
-                    idempotency="k",
-                    max_tokens=3200,
-                    door=town.addresses[name]["http"],
-                )
-            )
+        town.world.net.slow[(ip, worker)] = link_s
+        with mock.patch.object(Claims, "claim", self.freezing_claim(town, name, is_claimed)):
+            late = self.call_at(town, name, "oita", ["b", "y"], idempotency="k")
             town.world.run(6)
-            long = town.spawn(
-                lambda: town.caller.call(
-                    "saga", "check", ["b", "z"], max_tokens=3200, door=town.addresses[other]["http"]
-                )
-            )
+            long = self.call_at(town, other, "saga", ["b", "z"])
             town.world.run(1)
-            self.assertEqual(runs(), 1)
+            self.assertEqual(self.run_count(town), 1)
             town.up[name].lease.until_s += 20
             town.world.thaw(name)
             town.world.run(1)
-            self.assertEqual(runs(), 1, is_claimed)
+            self.assertEqual(self.run_count(town), 1, is_claimed)
             town.world.run(until=lambda: late and long, limit_s=90)
         self.sound(town)
+
+    def freezing_claim(self, town, name, is_claimed):
+        """Give a claim that freezes a router once, when it has asked for it or has it."""
+        claim, frozen = Claims.claim, []
+
+        def freezes(claims, *call):
+            held = claim(claims, *call)
+            if claims is town.up[name].claims and not frozen:
+                frozen.append(name)
+                when = held.add_done_callback if is_claimed else town.world.loops[name].call_soon
+                when(lambda *_: town.world.freeze(name))
+            return held
+
+        return freezes
+
+    def call_at(self, town, name, tenant, parts, **options):
+        """Make a long call at a router; gives the list that takes its return."""
+        door = town.addresses[name]["http"]
+        return town.spawn(
+            lambda: town.caller.call(tenant, "check", parts, max_tokens=3200, door=door, **options)
+        )
+
+    def run_count(self, town):
+        """How many calls began at workers."""
+        return sum(item["kind"] == "run" for item in town.records)
