Orders that had no effect are tried again after half a second

A worker that is busy with an order beyond the 4 s for which its head looks after it would have been ordered at each look, once routers may not use it any more.

--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -18,6 +18,8 @@
 TAKEN, HOLDS, OLD_FENCE = 202, 200, 412
 RESTART_S, WAITED = 1.4, "waited"
 STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 100, 4.0, 0.15
+TELL_S = 0.2
+"""How often routers are told again that a worker is being moved."""
 SLOT_S = 3.0
 """How long a worker that is being ordered holds back the next one; after that it is slow, or silent."""
 
@@ -211,7 +213,7 @@
             self.busy.pop(worker.name, None)
 
     async def _await_version(self, worker, model, version, holds):
-        end_s = self.loop.time() + GIVE_UP_S
+        end_s, tell_s = self.loop.time() + GIVE_UP_S, 0.0
         await asyncio.sleep(0 if holds else 0.42)
         while not holds and self.loop.time() < end_s:
             got = await self.orders.versions(worker.listed.addr)
@@ -220,7 +222,9 @@
                 if not holds and not got[1]:
                     return
             if not holds:
-                self._tell(worker, model, 0, 600)
+                if self.loop.time() >= tell_s:
+                    tell_s = self.loop.time() + TELL_S
+                    self._tell(worker, model, 0, 600)
                 await asyncio.sleep(ASK_MS / 1000)
         if holds:
             self.core.worker_registry.learn(worker, {model: version})
--- a/swiftdeck/gateway/swap_pace.py
+++ b/swiftdeck/gateway/swap_pace.py
@@ -6,8 +6,8 @@
 
 LEAST_SHARE, MOST_SHARE = 1 / 4, 1 / 2
 """Shares of a model's workers that are ordered at once, with time to spare and in a hurry."""
-RETRY_S = 3.0
-"""For how long a worker that was ordered to no effect comes after the others."""
+AGAIN_S, RETRY_S = 0.5, 3.0
+"""For how long a worker that was ordered to no effect is left alone, and for how long it comes after the others."""
 USUAL_SWAP_S, NEW_SWAP_WEIGHT = 0.8, 0.5
 """How long a worker takes to be moved, before any was timed, and how much each one counts in the mean."""
 
@@ -37,6 +37,7 @@
 
     def chosen(self, behind: list[Candidate], able_count: int, taken: int, now_s: float):
         """The workers to be ordered now, where so many that routers could use are being moved already."""
+        behind = [each for each in behind if now_s - each.tried_s >= AGAIN_S]
         idle = [each for each in behind if each.until_s <= now_s]
         in_use = sorted(
             (each for each in behind if each.until_s > now_s),
--- a/tests/gateway/test_swap_pace.py
+++ b/tests/gateway/test_swap_pace.py
@@ -3,7 +3,7 @@
 import unittest
 from types import SimpleNamespace
 
-from swiftdeck.gateway.swap_pace import RETRY_S, Candidate, SwapPace
+from swiftdeck.gateway.swap_pace import AGAIN_S, RETRY_S, Candidate, SwapPace
 
 NOW_S = 100.0
 
@@ -47,6 +47,11 @@
         tried_s = [NOW_S - RETRY_S + 0.1, NOW_S - RETRY_S - 0.1, NOW_S - 1.0]
         self.assertEqual(self.chosen([3.0, 6.0, 6.0], tried_s=tried_s), [1])
 
+    def test_what_was_tried_just_now_is_left_alone(self):
+        tried_s = [NOW_S - AGAIN_S + 0.1, NOW_S - AGAIN_S - 0.1]
+        for left_s in (-1.0, 3.0):
+            self.assertEqual(self.chosen([left_s] * 2, tried_s=tried_s), [1])
+
     def test_the_pace_follows_what_workers_took(self):
         for _ in range(6):
             self.pace.note(2.0)
