--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -212,6 +212,19 @@
         finally:
             self.busy.pop(worker.name, None)
 
+    def _note_moved(self, worker, model, version):
+        swap, now_s = self.busy[worker.name], self.loop.time()
+        self.pace.note(now_s - swap.begun_s)
+        self.core.board.note(
+            "worker moved",
+            worker=worker.name,
+            model=model,
+            version=version,
+            tookMs=int((now_s - swap.begun_s) * 1000),
+            spareMs=int(min(3600.0, swap.until_s - now_s) * 1000),
+            atOnce=len(self.busy),
+        )
+
     async def _await_version(self, worker, model, version, holds):
         end_s, tell_s = self.loop.time() + GIVE_UP_S, 0.0
         await asyncio.sleep(0 if holds else 0.42)
@@ -229,6 +242,6 @@
         if holds:
             self.core.worker_registry.learn(worker, {model: version})
             self.core.board.count["swapsDone"] += 1
-            self.pace.note(self.loop.time() - self.busy[worker.name].begun_s)
+            self._note_moved(worker, model, version)
             self.kick.set()
             self._tell(worker, model, version, 0)
