--- a/swiftdeck/gateway/swap_pace.py
+++ b/swiftdeck/gateway/swap_pace.py
@@ -4,7 +4,7 @@
 
 from swiftdeck.gateway.worker_registry import Worker
 
-LEAST_SHARE, MOST_SHARE = 1 / 4, 1 / 2
+LEAST_SHARE, MOST_SHARE = 1 / 4, 1 / 3
 """Shares of a model's workers that are ordered at once, with time to spare and in a hurry."""
 AGAIN_S, RETRY_S = 0.5, 3.0
 """For how long a worker that was ordered to no effect is left alone, and for how long it comes after the others."""
@@ -56,4 +56,4 @@
             default=0.0,
         )
         most = max(1, int(able_count * MOST_SHARE))
-        return int(min(most, max(1, int(able_count * LEAST_SHARE), needed + 0.5)))
+        return int(min(most, max(1, int(able_count * LEAST_SHARE), needed)))
