--- a/tests/gateway/cases/overlapping_losses.py
+++ b/tests/gateway/cases/overlapping_losses.py
@@ -112,6 +112,60 @@
                 town.folders[name].full = False
 
 
+class MinorityBehind:
+    """A minority is cut off and misses changes; what befalls the others then, and when the cut heals, is told by `then`."""
+
+    def __init__(self, seed, cores, then):
+        town = self.town = LossTown(seed, cores).start()
+        names = town.order_rng.sample(town.cores(), cores)
+        self.behind, self.others = names[: town.tolerate], names[town.tolerate :]
+        pairs = town.split(self.behind)
+        town.world.run(4)
+        self.acknowledged = [town.change(), town.change()]
+        getattr(self, f"_{then}")(pairs)
+        town.world.run(until=lambda: town.head() is not None, limit_s=12)
+        self.acknowledged.append(town.change())
+
+    def _disk_lost(self, pairs):
+        """One of the others loses its disk, the rest are dark for a while, and the cut heals meanwhile."""
+        emptied, *dark = self.others
+        self.town.lose(emptied, wiped=True)
+        for name in dark:
+            self.town.lose(name)
+        self.town.world.net.heal(pairs)
+        self.town.world.run(0.5)
+        self.town.back(emptied)
+        self.town.world.run(4)
+        self.town.back(*dark)
+
+    def _both_restarted(self, pairs):
+        """Those that are cut off start again, then the others, and the cut heals."""
+        for side in (self.behind, self.others):
+            for name in side:
+                self.town.lose(name)
+            self.town.world.run(0.5)
+            self.town.back(*side)
+        self.town.world.run(2)
+        self.town.world.net.heal(pairs)
+
+    def _killed_after_heal(self, pairs):
+        """Just after the cut has healed the others are killed, and come back later."""
+        self.town.world.net.heal(pairs)
+        self.town.world.run(self.town.order_rng.uniform(0.0, 1.5))
+        for name in self.others:
+            self.town.kill(name)
+        self.town.world.run(4)
+        self.town.back(*self.others)
+
+    def _other_halves(self, pairs):
+        """The cut heals, and at once another one leaves the former minority in the larger half."""
+        self.town.world.net.heal(pairs)
+        self.town.world.run(self.town.order_rng.uniform(0.0, 1.0))
+        pairs = self.town.split(self.others[: self.town.tolerate])
+        self.town.world.run(6)
+        self.town.world.net.heal(pairs)
+
+
 class OverlappingLossesCase(unittest.TestCase):
     def test_a_core_that_was_never_whole_takes_nothing_over_after_a_restart(self):
         for seed, freeze_s in ((1, 2.41), (1, 2.62), (2, 2.41), (2, 2.69)):
@@ -142,6 +196,21 @@
                 self.assertEqual(case.acknowledged, [TAKEN] * 3)
                 self.assertEqual(case.town.found(), [])
 
+    def test_a_minority_that_missed_changes_takes_nothing_over(self):
+        for seed, then in enumerate(("disk_lost", "both_restarted", "killed_after_heal")):
+            for cores in (3, 5):
+                with self.subTest(then=then, cores=cores):
+                    case = MinorityBehind(seed, cores, then)
+                    self.assertEqual(case.acknowledged, [TAKEN] * 3)
+                    self.assertEqual(case.town.found(), [])
+
+    def test_one_pair_of_halves_after_the_other(self):
+        for seed, cores in ((1, 3), (2, 5)):
+            with self.subTest(cores=cores):
+                case = MinorityBehind(seed, cores, "other_halves")
+                self.assertEqual(case.acknowledged, [TAKEN] * 3)
+                self.assertEqual(case.town.found(), [])
+
     def test_storms_of_losses_halves_and_closing_faults(self):
         for seed, cores in ((1, 3), (2, 5)):
             with self.subTest(seed=seed, cores=cores):
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -22,7 +22,7 @@
     "config_change": "route weights timeout tenant quota idle",
     "config_race": "plain",
     "config_storm": "plain",
-    "core_cut": "plain one_way seeds both leader race hard meet drain reset refuse",
+    "core_cut": "plain one_way seeds both leader race hard meet drain reset refuse behind split relieve",
     "disk_full": "plain leader",
     "disk_slow": "plain leader",
     "disk_stall": "plain leader",
@@ -54,7 +54,7 @@
     "srv_slow": "plain",
     "version_bump": "plain",
     "closing power_off_all": "plain timed taken",
-    "closing wipe_after_ack": "plain aimed timed taken",
+    "closing wipe_after_ack": "plain aimed timed taken oldest",
     "closing kill_all": "plain timed taken",
 }
 # What an entry may say: never a service, a zone or a class of requests, which the day's seed picks.
