--- a/tests/gateway/cases/old_weights.py
+++ b/tests/gateway/cases/old_weights.py
@@ -80,6 +80,15 @@
             with self.subTest(name):
                 self.assertEqual(self.unordered(seed, *steps), [])
 
+    def test_old_weights_end_in_time_though_a_core_goes_for_good(self):
+        """The core is settled again `contact_ms` after the loss, as most of it runs."""
+
+        def lose(town):
+            town.kill("core3", silent=True)
+            town.troubles[-1][2] = town.now_ms()
+
+        self.assertEqual(self.unordered(2, (1.9, lose)), [])
+
     def test_the_invariant_counts_requests_on_weights_that_are_too_old(self):
         town = self.town(1, rate=30.0)
         with orders_nothing(), mock.patch.object(Gateway, "is_usable", lambda *_: True):
