--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -63,8 +63,8 @@
     until no order of the one before can be on its way, and for as long as two holders must lie apart. A head that only started
     again counts this from its start: nobody else ordered under its view, and the head before it had lost its lease by then.
 
-    A core that was the head shortly before, and is it again, goes on: whoever was the head meanwhile has not sat its own pause
-    out, and gave no order. So views that change often don't keep everybody from ordering.
+    A core that was the head shortly before with its pause over, and is it again, goes on: whoever was the head meanwhile has not
+    sat its own pause out, and gave no order. So views that change often don't keep everybody from ordering.
 
     As many workers are ordered at a time as have to be while routers may still use the others. Once that time is over the rest
     get nothing to do until they have been ordered, so all are.
@@ -98,15 +98,24 @@
             return 0
         number, now_s = agreement.decided.number, self.loop.time()
         pause_s = self.core.settings.orderLeaseMs / 1000
-        stays = self.headed_in in (number, number - 1)
-        stays = stays or now_s - self.headed_s < pause_s - RESTART_S
-        if self.since_s is None or not stays:
+        if self.since_s is None or not self._stays_head(number, pause_s):
             self.since_s = self.started_s + RESTART_S if number == self.started_in else now_s
             if self.waited_in == self._waited(number):
                 self.since_s = -math.inf
         self.headed_in, self.headed_s = number, now_s
         return number if now_s - self.since_s >= pause_s else 0
 
+    def _stays_head(self, number, pause_s):
+        """Whether no other core can have ordered since this one was last the head.
+
+        After views of others that holds only if the pause was over by then: one that still runs would end on time in which
+        another core, whose own pause began earlier, was the head.
+        """
+        if self.headed_in in (number, number - 1):
+            return True
+        was_short = self.loop.time() - self.headed_s < pause_s - RESTART_S
+        return was_short and self.headed_s - self.since_s >= pause_s
+
     def _waited(self, number):
         return f"{self.core.agreement.coreId} {number}".encode()
 
--- a/swiftdeck/gateway/swap_pace.py
+++ b/swiftdeck/gateway/swap_pace.py
@@ -6,8 +6,8 @@
 
 LEAST_SHARE, MOST_SHARE = 1 / 4, 1 / 2
 """Shares of a model's workers that are ordered at once, with time to spare and in a hurry."""
-RETRY_S = 3.0
-"""For how long a worker that was ordered to no effect comes after the others."""
+RETRY_S, IDLE_RETRY_S = 3.0, 0.5
+"""For how long a worker that was ordered to no effect comes after the others, and when one that is idle is ordered again."""
 USUAL_SWAP_S, NEW_SWAP_WEIGHT = 0.8, 0.5
 """How long a worker takes to be moved, before any was timed, and how much each one counts in the mean."""
 
@@ -37,7 +37,11 @@
 
     def chosen(self, behind: list[Candidate], able_count: int, taken: int, now_s: float):
         """The workers to be ordered now, where so many that routers could use are being moved already."""
-        idle = [each for each in behind if each.until_s <= now_s]
+        idle = [
+            each
+            for each in behind
+            if each.until_s <= now_s and now_s - each.tried_s >= IDLE_RETRY_S
+        ]
         in_use = sorted(
             (each for each in behind if each.until_s > now_s),
             key=lambda each: (now_s - each.tried_s < RETRY_S, each.until_s, each.tried_s),
--- a/tests/gateway/test_swap_pace.py
+++ b/tests/gateway/test_swap_pace.py
@@ -3,7 +3,7 @@
 import unittest
 from types import SimpleNamespace
 
-from swiftdeck.gateway.swap_pace import RETRY_S, Candidate, SwapPace
+from swiftdeck.gateway.swap_pace import IDLE_RETRY_S, RETRY_S, Candidate, SwapPace
 
 NOW_S = 100.0
 
@@ -40,6 +40,10 @@
     def test_those_that_may_not_be_used_are_all_moved_and_others_keep_their_pace(self):
         self.assertEqual(self.chosen([-1.0, 6.0, -0.1, 6.0, 6.0, 6.0]), [0, 2, 1])
 
+    def test_an_idle_one_that_was_ordered_to_no_effect_is_ordered_again_after_a_pause(self):
+        tried_s = [NOW_S - IDLE_RETRY_S + 0.01, NOW_S - IDLE_RETRY_S]
+        self.assertEqual(self.chosen([-1.0, -1.0], tried_s=tried_s), [1])
+
     def test_those_whose_time_ends_first_come_first(self):
         self.assertEqual(self.chosen([6.0, 5.0, 3.0, 6.0]), [2])
 
