Answers of our own to HEAD have no body, and one connection's error doesn't end a stop

Change: the method of the request that was read decides; a last answer that can't be written cuts its own connection only.

--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -26,6 +26,8 @@
 HEAD_LIMIT = 32768
 RESET = struct.pack("ii", 1, 0)
 LOOK_S = 0.01
+HEAD = "HEAD"
+"""The method whose answers have no body."""
 FOREVER = DrainTimes(math.inf, math.inf)
 HEAD_END, CHUNKS_END = re.compile(rb"\n\r?\n"), b"\r\n\r\n"
 
@@ -98,14 +100,15 @@
             status,
             [("content-type", "application/json"), ("content-length", str(len(data))), *headers],
         )
-        await self.piece(data)
+        if self.method != HEAD:
+            await self.piece(data)
         self.finish()
 
     async def whole(self, status, headers, body: bytes):
         """A whole return of bytes."""
         if not self.begun:
             self.begin(status, [*headers, ("content-length", str(len(body)))])
-            if body and status != 204 and self.method != "HEAD":
+            if body and status != 204 and self.method != HEAD:
                 await self.piece(body)
             self.finish()
 
@@ -142,7 +145,7 @@
         self.server = server
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=server.head_limit)
         self.loop = asyncio.get_running_loop()
-        self.request, self.body, self.body_size = None, [], 0
+        self.request, self.body, self.body_size, self.method = None, [], 0, b""
         self.task = self.wakeup = self.transport = None
         self.paused = self.feed = self.exchange = self.cut_reason = None
         self.gone = self.dropping = self.is_chunked = False
@@ -215,6 +218,8 @@
         """Handle what h11 has."""
         while (self.task is None or self.feed is not None) and not self.dropping:
             event = self.next_event()
+            if isinstance(event, h11.Request):
+                self.method = event.method
             if self.feed is not None:
                 if isinstance(event, h11.Data):
                     self.feed.put_nowait(bytes(event.data))
@@ -320,6 +325,7 @@
             and (self.server.keeps_connections() or self.conn.trailing_data[0])
         ):
             self.conn.start_next_cycle()
+            self.method = b""
             self.before, self.latest = b"", self.conn.trailing_data[0]
             self.rest(self.server.idleMs)
             self.transport.resume_reading()
@@ -372,7 +378,8 @@
                     ],
                 )
             )
-            self.send(h11.Data(data=data))
+            if self.method != HEAD.encode():
+                self.send(h11.Data(data=data))
             self.send(h11.EndOfMessage())
         self.transport.close()
 
@@ -474,7 +481,18 @@
         self.is_stopped = True
         self.server.close()
         for each in list(self.open):
-            each.stop()
+            try:
+                each.stop()
+            except (ConnectionError, h11.LocalProtocolError) as error:
+                self.close_failed(each, error)
+
+    def close_failed(self, conversation, error):
+        """Cut a connection whose last answer can't be written, so that the others still get theirs."""
+        if isinstance(error, ConnectionError):
+            return conversation.abort(CutReason.CLIENT_LEFT)
+        self.count["faults.%d" % HANDLER_FAILED.code] += 1
+        self.note("last answer failed", code=HANDLER_FAILED.code, reason=repr(error))
+        conversation.abort(CutReason.HANDLER_FAILED)
 
     async def finish(self, limit_s: float, fault: Fault):
         """Let the answers that are under way come to their end; what is left after so long gets a fault."""
@@ -483,7 +501,10 @@
         while self.open and loop.time() < end_s:
             await asyncio.sleep(LOOK_S)
         for each in list(self.open):
-            await each.give_up(fault)
+            try:
+                await each.give_up(fault)
+            except (ConnectionError, h11.LocalProtocolError) as error:
+                self.close_failed(each, error)
         if self.open:
             await asyncio.sleep(LOOK_S)
 
