--- a/tests/gateway/cases/old_weights.py
+++ b/tests/gateway/cases/old_weights.py
@@ -11,7 +11,7 @@
 from tests.gateway.case import SiteCase
 from tests.gateway.town import BOUNDS, MODEL, PlatformTown, route
 
-VERSION_S = BOUNDS["version_ms"] / 1000
+VERSION_S, CONTACT_S = BOUNDS["version_ms"] / 1000, BOUNDS["contact_ms"] / 1000
 
 
 def orders_nothing():
@@ -80,6 +80,17 @@
             with self.subTest(name):
                 self.assertEqual(self.unordered(seed, *steps), [])
 
+    def test_old_weights_end_in_time_though_a_core_goes_for_good(self):
+        """The core is settled again `contact_ms` after the loss, as most of it runs."""
+        with orders_nothing():
+            town = self.town(15, rate=30.0, cores=5, routers=10, tolerate=2)
+            self.name(town, 2)
+            town.world.run(1.0)
+            town.kill("core5", silent=True)
+            town.troubles[-1][2] = town.now_ms()
+            town.world.run(CONTACT_S + 1.5 * VERSION_S)
+        self.assertEqual(self.old_runs(town), [])
+
     def test_the_invariant_counts_requests_on_weights_that_are_too_old(self):
         town = self.town(1, rate=30.0)
         with orders_nothing(), mock.patch.object(Gateway, "is_usable", lambda *_: True):
--- a/tests/gateway/test_swap.py
+++ b/tests/gateway/test_swap.py
@@ -68,6 +68,26 @@
         self.assertEqual(self.fence_after(LEASE_S - RESTART_S + 0.01, 7), 0)
         self.assertEqual(self.fence_after(LEASE_S + 0.01), 7)
 
+    def test_two_heads_in_turn_never_order_within_the_time_that_holders_must_lie_apart(self):
+        """A pause that was not over when another core became the head begins anew."""
+        self.lead()
+        other = Swaps(self.swaps.core, None)
+        other.loop = self.swaps.loop
+        other.started_s, other.started_in = 0.0, 1
+        holders, last = [], (self.swaps, self.now_s)
+        for number in range(5, 14):
+            self.agreement.decided.number = number
+            head = other if number % 2 else self.swaps
+            for _ in range(10):
+                self.now_s += 0.1
+                if not head.fence():
+                    continue
+                holder, at_s = last
+                if holder is not head and self.now_s - at_s < LEASE_S:
+                    holders.append((number, round(self.now_s - at_s, 2)))
+                last = (head, self.now_s)
+        self.assertEqual(holders, [])
+
     def workers(self, *versions, leaving=()):
         listed = [
             Listed(f"w{at}", f"10.0.0.{at}:80", "lm", "z", 4, at in leaving, {MODEL: version}, 0)
--- a/tests/http/test_connections.py
+++ b/tests/http/test_connections.py
@@ -48,6 +48,11 @@
     raise RuntimeError("planted")
 
 
+async def fails_at_once(exchange):
+    """Fail before an answer begins."""
+    raise RuntimeError("planted")
+
+
 async def floods(exchange):
     """Answer with more than a client that reads nothing can take."""
     exchange.begin(200, [("transfer-encoding", "chunked")])
@@ -207,3 +212,32 @@
         self.world.run(0.1)
         self.assertEqual(self.cuts()["requestsCut.clientFault"], 1)
         self.assertNotIn("invariant.requestsCut", self.cuts())
+
+    def test_head_gets_answers_of_our_own_without_a_body(self):
+        """A head with a part of its body here, one whose handler fails, and one whose handler hangs."""
+        whole = b"HEAD /h HTTP/1.1\r\nHost: x\r\n\r\n"
+        part = whole[:-2] + b"Content-Length: 9\r\n\r\npar"
+        for handler, sent, status in (
+            (fails_at_once, whole, b"500"),
+            (waits, whole, b"502"),
+            (waits, part, b"503"),
+        ):
+            with self.subTest(status):
+                self.setUp()
+                self.serve(handler)
+                client = self.connect(sent)
+                self.world.run(0.1)
+                self.world.do("s", self.stop_and_finish)
+                self.assertTrue(client.got.startswith(b"HTTP/1.1 " + status), client.got)
+                self.assertEqual((client.is_over, self.world.faults), (True, []))
+
+    async def stop_and_finish(self):
+        self.server.stop()
+        await self.server.finish(0.2, WORKER_LOST)
+
+    def test_a_head_that_comes_too_slowly_is_closed(self):
+        self.serve(waits)
+        client = self.connect(b"HEAD /h HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\npar")
+        self.world.run(SLOW_S + 0.5)
+        self.assertTrue(client.got.startswith(b"HTTP/1.1 408"), client.got)
+        self.assertEqual((client.is_over, self.world.faults), (True, []))
--- a/tests/member/test_core_watch.py
+++ b/tests/member/test_core_watch.py
@@ -8,6 +8,7 @@
 from swiftdeck.wire.mesh import Mesh
 from swiftdeck.wire.messages import Member
 
+CONTACT_MS = 3000
 NAMES = ("core1", "core2", "core3", "router4", "router5")
 
 
@@ -50,6 +51,19 @@
         self.start("core2")
         self.assertTrue(all(each < 3000 for each in self.calm_ms(3).values()))
 
+    def test_a_core_that_goes_for_good_counts_from_soon_after_that(self):
+        """By the rules the core is settled again so long after that, and times count from then."""
+        for trouble in (self.kill_for_good, self.world.freeze):
+            with self.subTest(trouble.__name__):
+                self.setUp()
+                trouble("core2")
+                calm = self.calm_ms(10)
+                late = {name: 10_000 - calm[name] for name in NAMES if name != "core2"}
+                self.assertTrue(all(each <= CONTACT_MS for each in late.values()), late)
+
+    def kill_for_good(self, name):
+        self.world.kill(name, silent=True)
+
     def test_a_core_that_was_cut_off_is_a_change_when_it_goes_and_when_it_is_back(self):
         self.world.net.cut(["10.0.0.2"], [f"10.0.0.{at}" for at in (1, 3, 4, 5)])
         self.assertLess(self.calm_ms(6)["core1"], 6000)
