--- a/tests/gateway/cases/overlapping_losses.py
+++ b/tests/gateway/cases/overlapping_losses.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from swiftdeck.chain import log_records
 from swiftdeck.chain.chain import Chain
 from swiftdeck.chain.state_transfer import StateTransfer
 from swiftdeck.gateway.swap import Swaps
@@ -174,6 +175,13 @@
                 self.assertEqual((case.acknowledged, case.was_partial), (TAKEN, True))
                 self.assertEqual(case.found(), [])
 
+    def test_without_the_mark_on_its_disk_it_would(self):
+        def unmarked(self, serial, data):
+            return log_records.State(serial, data)
+
+        with mock.patch.object(Chain, "_state_record", unmarked):
+            self.assertNotEqual(PartialMember(1, 2.41).found(), [])
+
     def test_a_core_joins_only_with_a_copy_of_the_view_that_it_joins(self):
         for seed in (1, 2):
             with self.subTest(seed=seed):
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -22,7 +22,8 @@
     "config_change": "route weights timeout tenant quota idle",
     "config_race": "plain",
     "config_storm": "plain",
-    "core_cut": "plain one_way seeds both leader race hard meet drain reset refuse behind split relieve",
+    "core_cut": "plain one_way seeds both leader race hard meet drain reset refuse behind split"
+    " relieve",
     "disk_full": "plain leader",
     "disk_slow": "plain leader",
     "disk_stall": "plain leader",
