--- a/swiftdeck/soak/link_filter.py
+++ b/swiftdeck/soak/link_filter.py
@@ -35,11 +35,11 @@
         return self
 
     async def start(self):
-        """Start the mesh, and listen for cuts."""
-        await self.start_mesh()
+        """Listen for cuts, and start the mesh."""
         self.endpoint, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: ControlProtocol(self), local_addr=self.control
         )
+        await self.start_mesh()
 
     def close(self):
         """Close the mesh, and listen no more."""
