--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -459,12 +459,12 @@
 
     async def start(self, ip, port):
         """Listen."""
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: HttpConversation(self), ip, port)
+        self.loop = asyncio.get_running_loop()
+        self.server = await self.loop.create_server(lambda: HttpConversation(self), ip, port)
 
     def phase(self) -> Phase:
         """What is done with a request that is read now."""
-        return self.drain.phase(asyncio.get_running_loop().time())
+        return self.drain.phase(self.loop.time())
 
     def keeps_connections(self) -> bool:
         """Whether a connection may rest after an answer."""
