--- a/tests/sim/model/test_finds.py
+++ b/tests/sim/model/test_finds.py
@@ -31,6 +31,6 @@
         self.assert_stands("32:blackout:core1:0.05", "70:blackout:core1:0.05", **founding)
 
     def test_a_disk_lost_by_the_only_member_of_a_view_leaves_the_copies_of_the_others(self):
-        """Two cores are killed one after the other; the last member loses its disk before one of them has joined."""
+        """Two cores are killed; the last member loses its disk before one of them has joined."""
         strikes = ("28:kill:core1:1.6", "60:kill:core2:1.6", "79:wipe:core3:0.05")
         self.assert_stands(*strikes, orders=(0.0,), is_cold=True, has_router=False)
