--- a/swiftdeck/bench/long_day_shapes.py
+++ b/swiftdeck/bench/long_day_shapes.py
@@ -2,6 +2,14 @@
 
 from collections.abc import Callable
 
+from swiftdeck.bench.long_day_troubles import (
+    AFTER_BUMP,
+    CORE_TROUBLES,
+    DRAIN_TROUBLES,
+    ORDER_TROUBLES,
+    TROUBLES,
+    strength,
+)
 from swiftdeck.bench.timetable import Timetable
 
 LEAST_CHANGES, MOST_CHANGES, CHANGES_PER_S = 300, 600, 4.0
@@ -17,17 +25,6 @@
     "stale_match",
     "shared_key",
 ]
-WORKER_ILLS = ["hang", "mute", "slow", "errors", "shed", "busy", "reset"]
-LEADER_CUTS = [
-    "leader",
-    "split",
-    "both",
-    "relieve",
-    "lure",
-    "oldest",
-    "leader one_way",
-    "leader race",
-]
 FIRST_CHANGE_S, LAST_CHANGE_S = 1.0, 3.0
 LEAST_BUMP_GAP_S, MOST_BUMP_GAP_S = 3.0, 15.0
 BURST_ODDS, BURST_BUMPS, BURST_S = 0.2, 3, 2.0
@@ -130,7 +127,7 @@
         for_s = day.chance.uniform(5.0, 12.0)
         how = day.chance.choice(["", "hang", "mute", "slow"])
         if how:
-            day.fault(at_s, "srv_grey", share=0.5, x=_strength(how), for_s=for_s, how=how)
+            day.fault(at_s, "srv_grey", share=0.5, x=strength(how), for_s=for_s, how=how)
         else:
             day.fault(at_s, "srv_slow", share=0.5, x=6.0, for_s=for_s)
 
@@ -209,252 +206,20 @@
     day.chance.choice(ORDER_TROUBLES)(day, began_s, day.length_s - began_s)
 
 
-def _strength(how: str) -> float:
-    """How strong an illness of workers is: a factor for slow ones, else a share of requests."""
-    return 8.0 if how == "slow" else 0.6
-
-
-def _grey_workers(day, at_s, for_s):
-    how = day.chance.choice(WORKER_ILLS)
-    share = day.chance.choice([0.2, 0.5])
-    day.fault(at_s, "srv_grey", share=share, x=_strength(how), for_s=for_s, how=how)
-
-
-def _slow_workers(day, at_s, for_s):
-    day.fault(at_s, "srv_slow", share=0.4, x=5.0, for_s=for_s)
-
-
-def _crashed_workers(day, at_s, for_s):
-    how = day.chance.choice(["", "dark", "gone", "across", "joined"])
-    day.fault(at_s, "srv_crash", share=0.2, for_s=for_s, how=how)
-
-
-def _cut_workers(day, at_s, for_s):
-    how = day.chance.choice(["", "fronts", "some", "one_way", "reset"])
-    day.fault(at_s, "srv_cut", share=0.2, for_s=for_s, how=how)
-
-
-def _reused_addresses(day, at_s, for_s):
-    how = day.chance.choice(["", "drain", "dark"])
-    day.fault(at_s, "replace_with_reuse", share=0.15, for_s=for_s, how=how)
-
-
-def _spoilt_answers(day, at_s, for_s):
-    how = day.chance.choice(["", "extra", "unframed", "early", "extra late"])
-    day.fault(at_s, "garble", share=0.5, x=0.03, for_s=for_s, how=how)
-
-
-def _lost_answers(day, at_s, for_s):
-    day.fault(
-        at_s, "answer_lost", share=0.5, x=0.04, for_s=for_s, how=day.chance.choice(["", "reset"])
-    )
-
-
-def _lost_events(day, at_s, for_s):
-    day.fault(at_s, "events_gap", share=0.5, for_s=for_s)
-
-
-def _slow_memory(day, at_s, for_s):
-    day.fault(at_s, "kv_slow", share=0.3, x=8.0, for_s=for_s)
-
-
-def _killed_routers(day, at_s, for_s):
-    how = day.chance.choice(["", "power", "reader", "giver", "drain"])
-    day.fault(at_s, "node_kill", share=0.2, for_s=for_s, how=how)
-
-
-def _frozen_routers(day, at_s, for_s):
-    day.fault(at_s, "node_freeze", share=0.15, for_s=for_s)
-
-
-def _slow_routers(day, at_s, for_s):
-    day.fault(at_s, "node_slow", share=0.15, x=5.0, for_s=for_s)
-
-
-def _cut_routers(day, at_s, for_s):
-    how = day.chance.choice(["", "all", "servers", "reset", "refuse"])
-    day.fault(at_s, "node_cut", share=0.2, for_s=for_s, how=how)
-
-
-def _herd_killed(day, at_s, for_s):
-    day.fault(
-        at_s, "herd_kill", share=0.5, for_s=min(for_s, 2.0), how=day.chance.choice(["", "power"])
-    )
-
-
-def _reset_connections(day, at_s, for_s):
-    day.fault(at_s, "reset_conns", share=0.3, x=0.5, for_s=for_s)
-
-
-def _stepped_clocks(day, at_s, for_s):
-    how = day.chance.choice(["back", "ahead", "leader"])
-    day.fault(at_s, "clock_step", share=0.3, x=2500.0, for_s=for_s, how=how)
-
-
-def _burst(day, at_s, for_s):
-    day.fault(at_s, "burst", x=1.6, for_s=for_s)
-
-
-def _lost_acks(day, at_s, for_s):
-    day.fault(at_s, "ack_lost", x=0.7, for_s=for_s)
-
-
-def _killed_core(day, at_s, for_s):
-    how = day.chance.choice(["leader", "power leader", "leader race", "seed", "meet drain"])
-    day.fault(at_s, "node_kill", on="core", count=1, for_s=min(for_s, 3.0), how=how)
-
-
-def _killed_all_cores(day, at_s, for_s):
-    how = day.chance.choice(["", "power", "off", "taken all"])
-    day.fault(at_s, "herd_kill", on="core", for_s=min(for_s, 2.0), how=how)
-
-
-def _frozen_core(day, at_s, for_s):
-    day.fault(at_s, "node_freeze", on="core", count=1, for_s=for_s, how="leader")
-
-
-def _cut_core(day, at_s, for_s):
-    day.fault(at_s, "core_cut", count=1, for_s=for_s, how=day.chance.choice(LEADER_CUTS))
-
-
-def _core_left_behind(day, at_s, for_s):
-    day.fault(at_s, "core_cut", count=1, for_s=for_s, how="behind")
-
-
-def _stalled_disk(day, at_s, for_s):
-    day.fault(at_s, "disk_stall", count=1, for_s=for_s, how=day.chance.choice(["leader", ""]))
-
-
-def _slow_disk(day, at_s, for_s):
-    day.fault(
-        at_s, "disk_slow", count=1, x=30.0, for_s=for_s, how=day.chance.choice(["leader", ""])
-    )
-
-
-def _full_disk(day, at_s, for_s):
-    day.fault(at_s, "disk_full", count=1, for_s=for_s)
-
-
-def _acknowledged_then_killed(day, at_s, for_s):
-    how = day.chance.choice(["kill", "timed", "taken", ""])
-    day.fault(at_s, "after_ack_kill", for_s=min(for_s, 3.0), how=how)
-
-
-def _acknowledged_then_wiped(day, at_s, for_s):
-    day.fault(at_s, "after_ack_wipe", for_s=for_s, how=day.chance.choice(["", "oldest"]))
-
-
-def _replaced_core(day, at_s, for_s):
-    how = day.chance.choice(["", "planned", "oldest"])
-    day.fault(at_s, "replace_core", x=1.0, for_s=for_s, how=how)
-
-
-def _released(day, at_s, for_s):
-    day.plan(at_s, "release", share=0.4, x=2.0, gap_s=1.0)
-
-
-def _more_workers(day, at_s, for_s):
-    day.plan(at_s, "scale_out", share=0.3, gap_s=1.0)
-
-
-def _fewer_workers(day, at_s, for_s):
-    day.plan(at_s, "scale_in", share=0.15, how=day.chance.choice(["", "spot"]))
-
-
-def _killed_after_bump(day, at_s):
-    day.fault(at_s, "node_kill", share=0.4, for_s=day.chance.uniform(0.3, 2.0))
-
-
-def _crashed_after_bump(day, at_s):
-    _crashed_workers(day, at_s, day.chance.uniform(0.5, 3.0))
-
-
-def _released_after_bump(day, at_s):
-    _released(day, at_s, 0.0)
-
-
-def _scaled_after_bump(day, at_s):
-    _more_workers(day, at_s, 0.0)
-    _fewer_workers(day, at_s + day.chance.uniform(1.0, 4.0), 0.0)
-
-
-def _workers_cut_from_core(day, at_s, for_s):
-    how = day.chance.choice(["", "one_way", "reset"])
-    day.fault(at_s, "srv_cut", share=0.3, for_s=for_s, how=how)
-
-
-def _workers_slow_to_load(day, at_s, for_s):
-    day.fault(at_s, "srv_slow", share=0.6, x=10.0, for_s=for_s)
-
-
-def _workers_hanging(day, at_s, for_s):
-    day.fault(at_s, "srv_grey", share=0.5, x=0.5, for_s=for_s, how="hang")
-
-
-def _orders_unanswered(day, at_s, for_s):
-    day.fault(at_s, "answer_lost", share=0.8, x=0.3, for_s=for_s)
-
-
-def _leader_killed_repeatedly(day, at_s, for_s):
-    for killed_s in day.times(at_s, at_s + for_s, 4.0, 5.0):
-        day.fault(killed_s, "node_kill", on="core", count=1, for_s=0.5, how="leader")
+def drains(day: Timetable) -> None:
+    """Routers get SIGTERM and SIGHUP without a rest, as workers leave or are ill."""
+    changes(day)
+    bumps(day)
+    for at_s in day.times(3.0, day.length_s - 12.0, 9.0, 12.0):
+        gap_s = day.chance.choice([0.5, 0.7, 1.0])
+        day.plan(at_s, "roll_term", share=1.0, x=3.0, gap_s=gap_s, how="busy")
+    for at_s in day.times(5.0, day.length_s - 8.0, 3.0, 6.0):
+        day.plan(at_s, "hup", share=0.5, gap_s=0.3)
+    for at_s in day.times(6.0, day.length_s - 12.0, 8.0, 14.0):
+        for_s = day.chance.uniform(3.0, 7.0)
+        day.chance.choice(DRAIN_TROUBLES)(day, at_s, for_s)
 
 
-ORDER_TROUBLES = [
-    _workers_cut_from_core,
-    _workers_slow_to_load,
-    _workers_slow_to_load,
-    _workers_hanging,
-    _orders_unanswered,
-    _leader_killed_repeatedly,
-]
-CORE_TROUBLES = [
-    _killed_core,
-    _killed_core,
-    _killed_all_cores,
-    _frozen_core,
-    _cut_core,
-    _cut_core,
-    _core_left_behind,
-    _stalled_disk,
-    _slow_disk,
-    _full_disk,
-    _acknowledged_then_killed,
-    _acknowledged_then_wiped,
-    _replaced_core,
-]
-TROUBLES = [
-    *CORE_TROUBLES[1:5],
-    *CORE_TROUBLES[6:],
-    _grey_workers,
-    _slow_workers,
-    _crashed_workers,
-    _cut_workers,
-    _reused_addresses,
-    _spoilt_answers,
-    _lost_answers,
-    _lost_events,
-    _slow_memory,
-    _killed_routers,
-    _frozen_routers,
-    _slow_routers,
-    _cut_routers,
-    _herd_killed,
-    _reset_connections,
-    _stepped_clocks,
-    _burst,
-    _lost_acks,
-    _released,
-    _more_workers,
-    _fewer_workers,
-]
-AFTER_BUMP = [
-    _killed_after_bump,
-    _killed_after_bump,
-    _crashed_after_bump,
-    _released_after_bump,
-    _scaled_after_bump,
-]
 SHAPES: dict[str, Callable[[Timetable], None]] = {
     "terms": terms,
     "mixed": mixed,
@@ -466,4 +231,5 @@
     "laggards": laggards,
     "versions": versions,
     "ends": ends,
+    "drains": drains,
 }
