--- a/swiftdeck/bench/long_day_shapes.py
+++ b/swiftdeck/bench/long_day_shapes.py
@@ -6,7 +6,9 @@
     AFTER_BUMP,
     CORE_TROUBLES,
     DRAIN_TROUBLES,
+    LASTING_CORE_LOSSES,
     ORDER_TROUBLES,
+    SHORT_CORE_LOSSES,
     TROUBLES,
     strength,
 )
@@ -220,6 +222,32 @@
         day.chance.choice(DRAIN_TROUBLES)(day, at_s, for_s)
 
 
+def lasting(day: Timetable) -> None:
+    """A core is away for long, so that the others count as settled, while workers are slow to load."""
+    changes(day)
+    for at_s in day.times(3.0, day.length_s - 20.0, 19.0, 23.0):
+        day.plan(at_s, "version_bump", count=0)
+        day.chance.choice(LASTING_CORE_LOSSES)(day, at_s + day.chance.uniform(-0.5, 3.0), 14.0)
+        day.fault(at_s + 0.3, "srv_slow", share=0.7, x=10.0, for_s=13.0)
+        if day.chance.random() < 0.5:
+            killed_s = at_s + day.chance.uniform(2.0, 5.0)
+            day.fault(killed_s, "node_kill", share=0.4, for_s=0.5)
+    for at_s in day.times(15.0, day.length_s - 10.0, 20.0, 26.0):
+        day.plan(at_s, "roll_term", share=1.0, x=3.0, gap_s=1.0, how="busy")
+
+
+def heads(day: Timetable) -> None:
+    """The leader is cut off or stands still for a second, again and again, as weights are named."""
+    changes(day)
+    for at_s in day.times(3.0, day.length_s - 20.0, 16.0, 20.0):
+        for named_s in day.times(at_s, at_s + 12.0, 1.5, 4.0):
+            day.plan(named_s, "version_bump", count=0)
+        for lost_s in day.times(at_s + 0.5, at_s + 11.0, 1.8, 3.2):
+            day.chance.choice(SHORT_CORE_LOSSES)(day, lost_s, day.chance.uniform(0.6, 1.5))
+    for at_s in day.times(9.0, day.length_s - 10.0, 18.0, 26.0):
+        day.plan(at_s, "roll_term", share=1.0, x=2.0, gap_s=1.0, how="busy")
+
+
 SHAPES: dict[str, Callable[[Timetable], None]] = {
     "terms": terms,
     "mixed": mixed,
@@ -232,4 +260,6 @@
     "versions": versions,
     "ends": ends,
     "drains": drains,
+    "lasting": lasting,
+    "heads": heads,
 }
--- a/swiftdeck/bench/long_day_troubles.py
+++ b/swiftdeck/bench/long_day_troubles.py
@@ -148,6 +148,16 @@
     day.fault(at_s, "core_cut", count=1, for_s=for_s, how="behind")
 
 
+def dark_leader(day, at_s, for_s):
+    """The leader loses power."""
+    day.fault(at_s, "node_kill", on="core", count=1, for_s=for_s, how="power leader")
+
+
+def cut_leader(day, at_s, for_s):
+    """The leader is cut off from the other cores."""
+    day.fault(at_s, "core_cut", count=1, for_s=for_s, how="leader")
+
+
 def stalled_disk(day, at_s, for_s):
     """A disk of a core that answers nothing."""
     day.fault(at_s, "disk_stall", count=1, for_s=for_s, how=day.chance.choice(["leader", ""]))
@@ -245,6 +255,8 @@
         day.fault(killed_s, "node_kill", on="core", count=1, for_s=0.5, how="leader")
 
 
+LASTING_CORE_LOSSES = [dark_leader, cut_leader, frozen_core]
+SHORT_CORE_LOSSES = [dark_leader, cut_leader, cut_leader, frozen_core]
 ORDER_TROUBLES = [
     workers_cut_from_core,
     workers_slow_to_load,
