--- a/swiftdeck/bench/long_day_shapes.py
+++ b/swiftdeck/bench/long_day_shapes.py
@@ -223,10 +223,11 @@
 
 
 def lasting(day: Timetable) -> None:
-    """A core is away for long, so that the others count as settled, while workers are slow to load."""
+    """A core is away for long and the others count as settled; workers are slow to load."""
     changes(day)
     for at_s in day.times(3.0, day.length_s - 20.0, 19.0, 23.0):
         day.plan(at_s, "version_bump", count=0)
+        day.plan(at_s + 16.0, "version_bump", count=0)
         day.chance.choice(LASTING_CORE_LOSSES)(day, at_s + day.chance.uniform(-0.5, 3.0), 14.0)
         day.fault(at_s + 0.3, "srv_slow", share=0.7, x=10.0, for_s=13.0)
         if day.chance.random() < 0.5:
