--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -31,6 +31,9 @@
 FRAMING = (b"content-length", b"transfer-encoding")
 BODILESS = (204, 304)
 MARGIN_S, WAIT_SHARE, ASKED_MOST = 0.015, 0.2, 6
+BEGUN_MARGIN_S = 2 * MARGIN_S
+"""A final answer is to be there before the deadline, by the first margin; one that has begun, or that a worker works on, has all of
+its time."""
 
 
 def _unframed(headers):
@@ -202,6 +205,7 @@
             return fault
         attempt.was_sent, sent_s = True, self.loop.time()
         gateway.board.count["attemptsSent"] += 1
+        gateway.note_sending(self.request.model, self.version)
         gateway.check_weights(self.request.model, self.version, sent_s, "sent")
         head = await self._head_in_time(worker, sent_s)
         if head is None:
@@ -277,7 +281,7 @@
         return UpstreamRequest(
             worker.name,
             self.tenant,
-            max(1, int(self._left_s() * 1000)),
+            max(1, int((self._left_s() + MARGIN_S) * 1000)),
             gateway.urgency(self.route, self.tenant, self.is_long),
             str(version) if version else "",
             self.salt,
@@ -313,7 +317,7 @@
         version, is_its_own = speak.version(headers), speak.worker(headers) in ("", worker.name)
         if version and is_its_own and self.verdict is not Verdict.BAD:
             gateway.worker_registry.learn(worker, {self.request.model: version})
-            if self.verdict is Verdict.ANSWER:
+            if self.verdict is Verdict.ANSWER and version < self.version:
                 gateway.check_weights(self.request.model, version, sent_s, "answered")
         if self.verdict in (Verdict.NOT_RUN, Verdict.ELSEWHERE):
             attempt.has_not_run = True
@@ -360,7 +364,7 @@
         is_good = 200 <= status < 300
         is_framed = is_bodiless or any(name.lower() in FRAMING for name, _ in headers)
         try:
-            async with asyncio.timeout_at(self.ledger.deadline_s):
+            async with asyncio.timeout_at(self.ledger.deadline_s + BEGUN_MARGIN_S):
                 fault = await self._pass_on(worker, is_framed, is_good, sent_s)
         except TimeoutError:
             if not self.is_passing_on:
--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -1,6 +1,7 @@
 """New weights cross the fleet: the chain's head orders workers onto them, a few at a time."""
 
 import asyncio
+import contextlib
 import math
 
 import attrs
@@ -10,24 +11,24 @@
 from swiftdeck.fault import is_fault
 from swiftdeck.gateway.listing import Listing
 from swiftdeck.gateway.old_weights import OldWeights
+from swiftdeck.gateway.swap_pace import Candidate, SwapPace
 from swiftdeck.gateway.worker_registry import WorkerRegistry
 from swiftdeck.wire.messages import SwapNews
 
 TAKEN, HOLDS, OLD_FENCE = 202, 200, 412
 RESTART_S, WAITED = 1.4, "waited"
-STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 200, 4.0, 0.15
-SLOT_S = 2.0
+STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 100, 4.0, 0.15
+SLOT_S = 3.0
 """How long a worker that is being ordered holds back the next one; after that it is slow, or silent."""
-CALM_SHARE, HURRIED_SHARE, HURRY_S = 1 / 4, 1 / 2, 2.0
-"""Shares of a model's workers that are ordered at once: with time to spare, and in the last seconds before it is over."""
 
 
 @attrs.define
 class Swap:
-    """A worker that is being moved to newer weights."""
+    """A worker that is being moved to newer weights, and until when routers could have used it."""
 
     model: str
     begun_s: float
+    until_s: float
     task: asyncio.Task | None = None
 
 
@@ -62,11 +63,11 @@
     until no order of the one before can be on its way, and for as long as two holders must lie apart. A head that only started
     again counts this from its start: nobody else ordered under its view, and the head before it had lost its lease by then.
 
-    A core that was the head shortly before, and is it again, goes on: whoever was the head meanwhile has not sat its own pause
-    out, and gave no order. So views that change often don't keep everybody from ordering.
+    A core that was the head shortly before with its pause over, and is it again, goes on: whoever was the head meanwhile has not
+    sat its own pause out, and gave no order. So views that change often don't keep everybody from ordering.
 
-    Few workers are ordered at a time while routers may still use the others. Once that time is over the rest get nothing to do
-    until they have been ordered, so all are.
+    As many workers are ordered at a time as have to be while routers may still use the others. Once that time is over the rest
+    get nothing to do until they have been ordered, so all are.
 
     Weights are ordered only once their naming is committed: what this core alone has taken in may be lost with it, and a
     worker can't be taken back to older weights.
@@ -77,7 +78,7 @@
         self.busy: dict[str, Swap] = {}
         self.since_s, self.headed_in, self.headed_s = None, 0, -math.inf
         self.tried_s, self.waited_in = {}, b""
-        self.telling, self.seen_view = {}, 0
+        self.telling, self.seen_view, self.pace = {}, 0, SwapPace()
         self.old_weights = OldWeights(
             WeightAges(), core.settings.oldWeightsMs / 1000, core.settings.weightsBoundMs / 1000
         )
@@ -85,6 +86,7 @@
     def start(self):
         """Go on comparing what workers have with what is named."""
         self.loop = asyncio.get_running_loop()
+        self.kick = asyncio.Event()
         self.started_s, self.started_in = self.loop.time(), self.core.agreement.decided.number
         self.waited_in = self.core.folder.read(WAITED)
         self.task = asyncio.ensure_future(self._minding())
@@ -96,15 +98,24 @@
             return 0
         number, now_s = agreement.decided.number, self.loop.time()
         pause_s = self.core.settings.orderLeaseMs / 1000
-        stays = self.headed_in in (number, number - 1)
-        stays = stays or now_s - self.headed_s < pause_s - RESTART_S
-        if self.since_s is None or not stays:
+        if self.since_s is None or not self._stays_head(number, pause_s):
             self.since_s = self.started_s + RESTART_S if number == self.started_in else now_s
             if self.waited_in == self._waited(number):
                 self.since_s = -math.inf
         self.headed_in, self.headed_s = number, now_s
         return number if now_s - self.since_s >= pause_s else 0
 
+    def _stays_head(self, number, pause_s):
+        """Whether no other core can have ordered since this one was last the head.
+
+        After views of others that holds only if the pause was over by then: one that still runs would end on time in which
+        another core, whose own pause began earlier, was the head.
+        """
+        if self.headed_in in (number, number - 1):
+            return True
+        was_short = self.loop.time() - self.headed_s < pause_s - RESTART_S
+        return was_short and self.headed_s - self.since_s >= pause_s
+
     def _waited(self, number):
         return f"{self.core.agreement.coreId} {number}".encode()
 
@@ -117,7 +128,9 @@
 
     async def _minding(self):
         while True:
-            await asyncio.sleep(LOOK_S)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.kick.wait(), LOOK_S)
+            self.kick.clear()
             self._note_ages()
             fence = self.fence()
             if not fence:
@@ -143,34 +156,28 @@
         self.tried_s = {name: at for name, at in self.tried_s.items() if name in workers}
         able = [each for each in workers.values() if model in each.weights]
         behind = [
-            each
+            self._candidate(each, model)
             for each in able
             if each.knows(model) < version
             and not each.listed.draining
             and each.name not in self.busy
         ]
-        behind.sort(key=lambda each: self.tried_s.get(each.name, -math.inf))
-        for worker in behind[: self._free_slots(model, len(able), behind)]:
-            self._begin(worker, model, version)
-
-    def _free_slots(self, model, able_count, behind):
-        """How many workers more may be ordered now."""
         now_s = self.loop.time()
-        left_s = min(
-            (self.old_weights.sent_until_s(model, each.knows(model)) - now_s for each in behind),
-            default=math.inf,
-        )
-        if left_s <= 0:
-            return len(behind)
-        at_once = max(1, int(able_count * (CALM_SHARE if left_s > HURRY_S else HURRIED_SHARE)))
         taken = sum(
-            swap.model == model and now_s - swap.begun_s < SLOT_S for swap in self.busy.values()
+            swap.model == model and now_s < swap.until_s and now_s < swap.begun_s + SLOT_S
+            for swap in self.busy.values()
         )
-        return max(0, at_once - taken)
+        for worker in self.pace.chosen(behind, len(able), taken, now_s):
+            self._begin(worker, model, version)
+
+    def _candidate(self, worker, model):
+        until_s = self.old_weights.sent_until_s(model, worker.knows(model))
+        return Candidate(worker, until_s, self.tried_s.get(worker.name, -math.inf))
 
     def _begin(self, worker, model, version):
         now_s = self.loop.time()
-        swap = self.busy[worker.name] = Swap(model, now_s)
+        until_s = self.old_weights.sent_until_s(model, worker.knows(model))
+        swap = self.busy[worker.name] = Swap(model, now_s, until_s)
         self.tried_s[worker.name] = now_s
         swap.task = asyncio.ensure_future(self._swap(worker, model, version))
 
@@ -227,4 +234,6 @@
         if holds:
             self.core.worker_registry.learn(worker, {model: version})
             self.core.board.count["swapsDone"] += 1
+            self.pace.note(self.loop.time() - self.busy[worker.name].begun_s)
+            self.kick.set()
             self._tell(worker, model, version, 0)
--- a/swiftdeck/soak/verdict.py
+++ b/swiftdeck/soak/verdict.py
@@ -10,7 +10,7 @@
 from swiftdeck.soak.site import BOUNDS, GRACE_S
 
 SERVED_SHARE, REQUESTS_EACH_S, CHANGES_EACH_S = 0.5, 1.0, 0.3
-LOST, CRASH = "LOST", "crash"
+LOST, CONFIG, BROKEN_OFF = "LOST", "CONFIG", "broken off"
 RECORDS, VERDICT, SCHEDULE = "records.jsonl", "verdict.json", "schedule.txt"
 
 
@@ -59,14 +59,14 @@
 def bounds_of(troubles, slack) -> Bounds:
     """The site's bounds for the checker; those of time are widened."""
     return Bounds(
-        int(BOUNDS["contact-ms"] * slack),
-        int(BOUNDS["drain-ms"] * slack),
-        int(BOUNDS["apply-within-ms"] * slack),
-        BOUNDS["lease-ms"],
-        int(BOUNDS["version-ms"] * slack),
-        BOUNDS["retry-ratio"],
-        BOUNDS["retry-window-s"] * 1000,
-        BOUNDS["extra-retries"],
+        int(BOUNDS.contact_ms * slack),
+        int(BOUNDS.drain_ms * slack),
+        int(BOUNDS.apply_within_ms * slack),
+        BOUNDS.lease_ms,
+        int(BOUNDS.version_ms * slack),
+        BOUNDS.retry_ratio,
+        BOUNDS.retry_window_s * 1000,
+        BOUNDS.extra_retries,
         True,
         troubles,
         int(GRACE_S * 1000),
@@ -74,11 +74,12 @@
     )
 
 
-def with_crashes(items) -> list:
-    """The records, with runs that ended with their worker marked as broken off by it."""
+def with_broken_off(items) -> list:
+    """The records, with runs marked that their worker broke off by a crash or at the deadline."""
     ended = {run for item in items if item["kind"] == "crashed" for run in item["runs"]}
+    ended |= {item["run"] for item in items if item["kind"] == "brokeOff"}
     return [
-        item | {"quirk": CRASH} if item["kind"] == "run" and item["run"] in ended else item
+        item | {"quirk": BROKEN_OFF} if item["kind"] == "run" and item["run"] in ended else item
         for item in items
     ]
 
@@ -89,12 +90,32 @@
     A planned stop or start takes a machine, or with a core the whole site, out of contact like any
     other trouble; LOST alone is about planned work, and is excused by unplanned trouble only.
     """
-    items = with_crashes(items)
+    items = with_broken_off(items)
     every = [*troubles.noted, *troubles.planned]
     found = check(items, bounds_of(every, slack))
     found.pop(LOST, None)
     cut_off = list(lost(Records(items), bounds_of(troubles.noted, slack)))
-    return found | ({LOST: cut_off} if cut_off else {})
+    old = list(old_reads(items, int(BOUNDS.apply_within_ms * slack)))
+    found |= {LOST: cut_off} if cut_off else {}
+    return found | ({CONFIG: [*found.get(CONFIG, ()), *old]} if old else {})
+
+
+def old_reads(items, apply_within_ms):
+    """Reads that a core, in contact or not, answered with a configuration that is too old."""
+    told = sorted(
+        (item["atMs"], item["version"])
+        for item in items
+        if item["kind"] == "told" and item["status"] == 200
+    )
+    for read in items:
+        if read["kind"] != "configRead":
+            continue
+        due = [version for at_ms, version in told if at_ms + apply_within_ms < read["sentMs"]]
+        if due and read["version"] < max(due):
+            yield (
+                f"{read['core']} showed configuration {read['version']} to a read sent "
+                f"at {read['sentMs']}, {max(due)} was acknowledged long before"
+            )
 
 
 def judge(soak) -> Verdict:
