--- a/tests/gateway/cases/overlapping_losses.py
+++ b/tests/gateway/cases/overlapping_losses.py
@@ -181,8 +181,10 @@
         town.lose(second)
         town.world.run(1.0)
         town.back(first)
+        alone = town.up[last].agreement
+        town.world.run(until=lambda: len(alone.decided.members) == 1, limit_s=10)
         joined = town.up[first].agreement
-        self.has_joined = town.world.run(until=lambda: joined.position() >= 0, limit_s=15)
+        self.has_joined = town.world.run(until=lambda: joined.position() >= 0, limit_s=10)
         self.was_whole = town.up[first].chain.is_whole()
         town.lose(first)
         town.lose(last, wiped=True)
