--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -18,6 +18,8 @@
 TAKEN, HOLDS, OLD_FENCE = 202, 200, 412
 RESTART_S, WAITED = 1.4, "waited"
 STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 100, 4.0, 0.15
+TELL_S = 0.2
+"""How often routers are told again that a worker is being moved."""
 SLOT_S = 3.0
 """How long a worker that is being ordered holds back the next one; after that it is slow, or silent."""
 
@@ -63,8 +65,8 @@
     until no order of the one before can be on its way, and for as long as two holders must lie apart. A head that only started
     again counts this from its start: nobody else ordered under its view, and the head before it had lost its lease by then.
 
-    A core that was the head shortly before, and is it again, goes on: whoever was the head meanwhile has not sat its own pause
-    out, and gave no order. So views that change often don't keep everybody from ordering.
+    A core that was the head shortly before with its pause over, and is it again, goes on: whoever was the head meanwhile has not
+    sat its own pause out, and gave no order. So views that change often don't keep everybody from ordering.
 
     As many workers are ordered at a time as have to be while routers may still use the others. Once that time is over the rest
     get nothing to do until they have been ordered, so all are.
@@ -98,15 +100,24 @@
             return 0
         number, now_s = agreement.decided.number, self.loop.time()
         pause_s = self.core.settings.orderLeaseMs / 1000
-        stays = self.headed_in in (number, number - 1)
-        stays = stays or now_s - self.headed_s < pause_s - RESTART_S
-        if self.since_s is None or not stays:
+        if self.since_s is None or not self._stays_head(number, pause_s):
             self.since_s = self.started_s + RESTART_S if number == self.started_in else now_s
             if self.waited_in == self._waited(number):
                 self.since_s = -math.inf
         self.headed_in, self.headed_s = number, now_s
         return number if now_s - self.since_s >= pause_s else 0
 
+    def _stays_head(self, number, pause_s):
+        """Whether no other core can have ordered since this one was last the head.
+
+        After views of others that holds only if the pause was over by then: one that still runs would end on time in which
+        another core, whose own pause began earlier, was the head.
+        """
+        if self.headed_in in (number, number - 1):
+            return True
+        was_short = self.loop.time() - self.headed_s < pause_s - RESTART_S
+        return was_short and self.headed_s - self.since_s >= pause_s
+
     def _waited(self, number):
         return f"{self.core.agreement.coreId} {number}".encode()
 
@@ -211,7 +222,7 @@
             self.busy.pop(worker.name, None)
 
     async def _await_version(self, worker, model, version, holds):
-        end_s = self.loop.time() + GIVE_UP_S
+        end_s, tell_s = self.loop.time() + GIVE_UP_S, 0.0
         await asyncio.sleep(0 if holds else 0.42)
         while not holds and self.loop.time() < end_s:
             got = await self.orders.versions(worker.listed.addr)
@@ -220,7 +231,9 @@
                 if not holds and not got[1]:
                     return
             if not holds:
-                self._tell(worker, model, 0, 600)
+                if self.loop.time() >= tell_s:
+                    tell_s = self.loop.time() + TELL_S
+                    self._tell(worker, model, 0, 600)
                 await asyncio.sleep(ASK_MS / 1000)
         if holds:
             self.core.worker_registry.learn(worker, {model: version})
