--- a/tests/gateway/cases/old_weights.py
+++ b/tests/gateway/cases/old_weights.py
@@ -91,6 +91,23 @@
             town.world.run(CONTACT_S + 1.5 * VERSION_S)
         self.assertEqual(self.old_runs(town), [])
 
+    def test_old_weights_that_are_over_stay_so_when_a_core_comes_or_goes(self):
+        """One settled stretch ends them, also for a router that started since and knows the last change only."""
+
+        def restart_core(town):
+            town.kill("core3", back_s=1.0)
+
+        def restart_router(town):
+            town.kill("router1", back_s=0.5)
+
+        over_s = VERSION_S + 1.0
+        for steps in (
+            ((over_s, restart_core),),
+            ((over_s, restart_core), (over_s + 2.0, restart_router)),
+        ):
+            with self.subTest(len(steps)):
+                self.assertEqual(self.unordered(10, *steps), [])
+
     def test_the_invariant_counts_requests_on_weights_that_are_too_old(self):
         town = self.town(1, rate=30.0)
         with orders_nothing(), mock.patch.object(Gateway, "is_usable", lambda *_: True):
