Old weights whose time passed in one settled stretch are over for good

Change: a naming with a settled stretch of the bound behind it is over, and that travels with the ages, for routers that start again and new tails.

--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -289,6 +289,7 @@
     model: str = bp.string_field(1)
     version: int = bp.uint64_field(2)
     age_ms: int = bp.uint32_field(3)
+    is_over: bool = bp.bool_field(4)
 
 
 @message
--- a/tests/gateway/test_old_weights.py
+++ b/tests/gateway/test_old_weights.py
@@ -5,7 +5,7 @@
 
 from swiftdeck.chain.weight_ages import WeightAges
 from swiftdeck.gateway.old_weights import OldWeights
-from swiftdeck.wire.messages import NamedWeights
+from swiftdeck.wire.messages import LeaseReturn, NamedWeights
 
 SEND_S, BOUND_S, NAMED_S = 5.5, 8.0, 100.0
 
@@ -35,6 +35,28 @@
         self.old.core_changed_s = NAMED_S - 4.0
         self.assertEqual(self.times(), [5.5, 7.6, 8.0])
 
+    def test_weights_whose_bound_had_passed_when_the_core_changed_are_over_for_good(self):
+        for passed_s, times in ((7.9, [13.4, 15.5, 15.9]), (8.0, [5.5, 7.6, 8.0])):
+            self.setUp()
+            self.old.core_changed_s = NAMED_S + passed_s
+            self.assertEqual(self.times(), times)
+
+    def test_only_the_time_since_the_last_change_ends_weights(self):
+        for passed_s in (5.0, 12.0, 19.9):
+            self.old.core_changed_s = NAMED_S + passed_s
+        self.assertEqual(self.times(), [25.4, 27.5, 27.9])
+        self.old.core_changed_s = NAMED_S + 27.9
+        self.assertEqual(self.times(), [5.5, 7.6, 8.0])
+
+    def test_that_weights_are_over_is_told_to_others(self):
+        self.old.core_changed_s = NAMED_S + 9.0
+        told = LeaseReturn().parse(bytes(LeaseReturn(named=self.old.ages.told(NAMED_S + 9.5))))
+        self.setUp()
+        self.old.core_changed_s = NAMED_S + 7.0
+        self.old.ages.merge(told.named, NAMED_S + 9.5)
+        self.assertEqual(self.times(), [5.5, 7.6, 8.0])
+        self.assertEqual(self.times(2), [math.inf] * 3)
+
     def test_what_a_router_suspects_never_goes_beyond_the_bound(self):
         for suspected_s, sent_until_s in ((1.0, 6.5), (4.0, 7.0), (50.0, 7.0), (-9.0, 5.5)):
             self.old.suspected_s = NAMED_S + suspected_s
