--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -324,6 +324,8 @@
             gateway.board.count[f"turnedAway.{status}"] += 1
             if self.verdict is Verdict.ELSEWHERE and not is_its_own:
                 gateway.worker_registry.drop(worker.name)
+            elif self.verdict is Verdict.ELSEWHERE and not version:
+                gateway.worker_registry.forget_version(worker, self.request.model)
             await self._drain()
             return WORKER_FULL.because(f"status {status}")
         if self.verdict is Verdict.BAD:
--- a/swiftdeck/gateway/worker_registry.py
+++ b/swiftdeck/gateway/worker_registry.py
@@ -63,6 +63,11 @@
         for model, version in weights.items():
             worker.weights[model] = max(worker.weights.get(model, 0), version)
 
+    @staticmethod
+    def forget_version(worker: Worker, model: str):
+        """A life has other weights than was believed, without saying which: it is asked for the newest next."""
+        worker.weights.pop(model, None)
+
     def serving(self, service: str):
         """Workers of a service that the list shows as ready."""
         return [each for each in self.by_service.get(service, ()) if not each.listed.draining]
--- a/tests/gateway/test_worker_registry.py
+++ b/tests/gateway/test_worker_registry.py
@@ -34,6 +34,15 @@
         worker_registry.take([listed("w1-again", weights={"m": 1})])
         self.assertEqual(worker_registry.workers["w1-again"].knows("m"), 1)
 
+    def test_a_version_that_was_wrong_is_forgotten_until_the_list_tells_it_again(self):
+        worker_registry = WorkerRegistry()
+        worker_registry.take([listed("w1", weights={"m": 3, "n": 1})])
+        worker = worker_registry.workers["w1"]
+        worker_registry.forget_version(worker, "m")
+        self.assertEqual([worker.knows(model) for model in ("m", "n")], [0, 1])
+        worker_registry.take([listed("w1", weights={"m": 4, "n": 1})])
+        self.assertEqual(worker.knows("m"), 4)
+
     def test_watchers_hear_of_who_comes_and_goes(self):
         worker_registry, heard = WorkerRegistry(), []
         worker_registry.watchers.append(lambda: heard.append(sorted(worker_registry.workers)))
