Only a stretch that was watched ends older weights for good

A router that starts, or had no lease for a while, doesn't know what befell the core meanwhile: the first change that it hears of ends nothing, and a stretch ends when the core was last seen without the change. Ended by a guess, weights would be out of use for the whole fleet, as what is over is told to all.

--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -240,7 +240,8 @@
             lost_since_s = (now_s if lost_since_s is None else lost_since_s) if is_lost else None
             if is_lost and now_s - lost_since_s > LOST_S:
                 self.lost_cores_s = now_s
-            self.old_weights.core_changed_s = max(self.lease.core_changed_s, self.lost_cores_s)
+            changed_s = max(self.lease.core_changed_s, self.lost_cores_s)
+            self.old_weights.follow_core(changed_s, self.lease.core_seen_s)
             await next_beat(0.25)
 
     def version(self, model: str, worker) -> int:
--- a/swiftdeck/gateway/old_weights.py
+++ b/swiftdeck/gateway/old_weights.py
@@ -6,6 +6,8 @@
 """What is left of the bound where a router only suspects trouble: it may be wrong, and still has to keep it."""
 BEGIN_SPARE_S = 0.4
 """How long before the bound a request that hasn't been answered is taken back."""
+LONG_AGO_S = -1e8
+"""Before this lies the time of a change that isn't known yet; nothing is concluded from the first one."""
 
 
 class OldWeights:
@@ -19,18 +21,17 @@
 
     def __init__(self, ages, send_s: float, bound_s: float):
         self.ages, self.send_s, self.bound_s = ages, send_s, bound_s
-        self._core_changed_s = self.suspected_s = -math.inf
-
-    @property
-    def core_changed_s(self) -> float:
-        """When the core last changed."""
-        return self._core_changed_s
-
-    @core_changed_s.setter
-    def core_changed_s(self, changed_s: float):
-        if changed_s > self._core_changed_s:
-            self.ages.end_within(self._core_changed_s, changed_s, self.bound_s)
-        self._core_changed_s = changed_s
+        self.core_changed_s = self.core_seen_s = self.suspected_s = -math.inf
+
+    def follow_core(self, changed_s: float, seen_s: float):
+        """Take in when the core last changed, as it was seen at a later time.
+
+        The stretch before a change ends when the core was last seen without it: there may have been others since.
+        """
+        if changed_s > self.core_changed_s > LONG_AGO_S:
+            settled_s = min(changed_s, self.core_seen_s)
+            self.ages.end_within(self.core_changed_s, settled_s, self.bound_s)
+        self.core_changed_s, self.core_seen_s = changed_s, seen_s
 
     def _counts_from_s(self, model, version, outdated_s):
         """What the times for a version count from."""
--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -150,7 +150,7 @@
         now_s, view = self.loop.time(), self.core.agreement.decided.number
         if view != self.seen_view:
             self.seen_view, self.old_weights.suspected_s = view, now_s
-        self.old_weights.core_changed_s = self.core.core_watch.changed_s
+        self.old_weights.follow_core(self.core.core_watch.changed_s, now_s)
         self.old_weights.ages.note(self.core.chain.state.config.document.models, now_s)
 
     def _order_some(self, model, version):
--- a/swiftdeck/traffic/lease.py
+++ b/swiftdeck/traffic/lease.py
@@ -46,7 +46,7 @@
         self.held, self.until_s, self.watchers = None, -1.0, []
         self.waiting, self.stopping, self.must_have_whole = [], False, False
         self.failures, self.peeks, self.routers = 0, False, 0
-        self.weight_ages, self.core_changed_s = WeightAges(), -1e9
+        self.weight_ages, self.core_changed_s, self.core_seen_s = WeightAges(), -1e9, -1e9
         mesh.on(Nudge, self.on_nudge)
         mesh.on(Relay, self.on_relay)
 
@@ -111,6 +111,7 @@
         self.weight_ages.merge(got.named, self.loop.time())
         if got.core_calm_ms:
             self.core_changed_s = max(self.core_changed_s, sentS - got.core_calm_ms / 1000)
+            self.core_seen_s = sentS
 
     async def _peek(self):
         """Take what a tail has on its disk, to serve by without a lease: it was committed once, if perhaps not last."""
--- a/tests/gateway/test_old_weights.py
+++ b/tests/gateway/test_old_weights.py
@@ -35,24 +35,36 @@
         self.old.core_changed_s = NAMED_S - 4.0
         self.assertEqual(self.times(), [5.5, 7.6, 8.0])
 
+    def follow(self, *changes, seen_s=0.0):
+        """Let the core change at times after the naming, and be seen so long after each."""
+        for changed_s in changes:
+            self.old.follow_core(NAMED_S + changed_s, NAMED_S + changed_s + seen_s)
+
     def test_weights_whose_bound_had_passed_when_the_core_changed_are_over_for_good(self):
         for passed_s, times in ((7.9, [13.4, 15.5, 15.9]), (8.0, [5.5, 7.6, 8.0])):
             self.setUp()
-            self.old.core_changed_s = NAMED_S + passed_s
+            self.follow(-20.0, seen_s=40.0)
+            self.follow(passed_s)
             self.assertEqual(self.times(), times)
 
     def test_only_the_time_since_the_last_change_ends_weights(self):
-        for passed_s in (5.0, 12.0, 19.9):
-            self.old.core_changed_s = NAMED_S + passed_s
+        self.follow(-5.0, 5.0, 12.0, 19.9, seen_s=9.0)
         self.assertEqual(self.times(), [25.4, 27.5, 27.9])
-        self.old.core_changed_s = NAMED_S + 27.9
+        self.follow(27.9)
         self.assertEqual(self.times(), [5.5, 7.6, 8.0])
 
+    def test_nothing_is_concluded_from_the_first_change_or_from_a_time_in_which_none_was_seen(self):
+        self.follow(9.0, seen_s=3.0)
+        self.assertEqual(self.times(), [14.5, 16.6, 17.0])
+        self.follow(30.0)
+        self.assertEqual(self.times(), [35.5, 37.6, 38.0])
+
     def test_that_weights_are_over_is_told_to_others(self):
-        self.old.core_changed_s = NAMED_S + 9.0
+        self.follow(-1.0, seen_s=10.0)
+        self.follow(9.0)
         told = LeaseReturn().parse(bytes(LeaseReturn(named=self.old.ages.told(NAMED_S + 9.5))))
         self.setUp()
-        self.old.core_changed_s = NAMED_S + 7.0
+        self.follow(7.0)
         self.old.ages.merge(told.named, NAMED_S + 9.5)
         self.assertEqual(self.times(), [5.5, 7.6, 8.0])
         self.assertEqual(self.times(2), [math.inf] * 3)
