A core that joined a view too small to acknowledge anything counts as complete

Cause: a copy made from outside the chain counts as partial until the core was whole as a member. With one loss borne, a core that joined the last member of a view and was killed before it was whole stayed partial when that member lost its disk: the third core was no member, and no core led, for ever, with one disk lost.

Change: before it asks to join a view of at most `lossesBorne` members, a core puts the number of the next view on its disk, in a record of its own. Once the decided view has that very number and this core is a member of it (heard of at once, after a restart, or on the disk at a start), it notes that it is complete. The small view acknowledged nothing that the tail's log did not have, and what the next one acknowledges passes through this core. So that nothing can come after that log, a view of so few members takes no change that was under way when it began, and its members give nothing away before all they have is synced.

Who may act on old knowledge: a core whose wish failed, when the next view acknowledges without it. Its record names another view; a new copy drops it.

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -103,6 +103,7 @@
         self.committed_in, self.committed = 0, 0
         self.committed_config = self.state.config
         self.fault, self.needs_copy, self.must_compare, self.is_partial = None, False, False, False
+        self.complete_in = 0
         self.whole_in, self.last_in, self.whole_since_s = 0, 0, 0.0
         self.transfer, self.updates = StateTransfer(self), ConfigUpdates(board)
         self.incoming, self.committers, self.holders = [], [], {}
@@ -162,11 +163,13 @@
             case log_records.State():
                 self.state.from_bytes(record.data)
                 self.serial, self.entries = record.serial, {}
-                self.is_partial = record.is_partial
+                self.is_partial, self.complete_in = record.is_partial, 0
             case log_records.Entry():
                 self._apply(record.serial, record.body)
             case log_records.Complete():
                 self.is_partial = False
+            case log_records.CompleteIn():
+                self.complete_in = record.view
 
     def trouble(self):
         """Why this member should leave the chain, empty when it need not."""
@@ -179,11 +182,16 @@
         self.next_last, self.pass_failed_s = None, None
         if self.agreement.position() >= 0:
             self.transfer.is_copy = False
+            if view.number == self.complete_in and self.is_partial:
+                self.owner.send(self._note_joined, view.number)
         if len(view.members) < 2:
             self.must_compare = False
+        self._lead_if_complete()
+        self.kick.set()
+
+    def _lead_if_complete(self):
         if self.agreement.position() == 0 and not (self.must_compare or self.lacks_entries()):
             self._become_whole()
-        self.kick.set()
 
     def _become_whole(self):
         view = self.agreement.decided.number
@@ -226,9 +234,36 @@
         except OSError as error:
             self._fail(error)
             return False
-        self.is_partial = False
+        self.is_partial, self.complete_in = False, 0
         return True
 
+    async def expect_join(self, view):
+        """Put on the disk that the view after this one makes the copy here complete, if that can be said.
+
+        A view that acknowledges nothing leaves nothing that its whole tail's log did not have, and what
+        the next one acknowledges passes through all its members. A later view may hold what was
+        acknowledged without this core. Gives whether the disk is well.
+        """
+        return await self.owner.send(self._expect_join, view)
+
+    async def _expect_join(self, view):
+        number = view.number + 1
+        if self._bears_losses(view) or self.complete_in == number:
+            return True
+        try:
+            self.journal.append(log_records.CompleteIn(number))
+            await self.journal.sync()
+        except OSError as error:
+            self._fail(error)
+            return False
+        self.complete_in = number
+        return True
+
+    async def _note_joined(self, number):
+        """Act on the record of `expect_join`, unless another copy has taken the place of that one."""
+        if self.complete_in == number and await self._note_complete():
+            self._lead_if_complete()
+
     def is_first(self):
         return self.agreement.position() == 0
 
@@ -256,8 +291,20 @@
         while len(self.entries) > KEPT_ENTRIES:
             del self.entries[next(iter(self.entries))]
 
-    def _has_copies(self):
-        return len(self.agreement.decided.members) > self.losses_borne
+    def _bears_losses(self, view):
+        return len(view.members) > self.losses_borne
+
+    def has_copies(self):
+        """Whether this view has more members than may be lost, without which nothing is acknowledged."""
+        return self._bears_losses(self.agreement.decided)
+
+    def awaits_last_sync(self):
+        """Whether this member of a view that takes no changes has yet to sync what it had before that view.
+
+        Until then it makes no other member whole, nor gives its log away: a core that joins such a view
+        counts as complete with the log of its tail, to which nothing may be added.
+        """
+        return not self.has_copies() and self.serial > self.synced
 
     def _may_write(self):
         """Whether this is the head and may take changes now."""
@@ -266,7 +313,7 @@
     async def on_write(self, ask, sender):
         if not self._may_write():
             return NOT_HEAD
-        if not self._has_copies():
+        if not self.has_copies():
             return NO_VIEW.because(
                 f"fewer than {self.losses_borne + 1} members acknowledge nothing"
             )
@@ -289,7 +336,8 @@
             return
         view, waiting = self.agreement.decided.number, []
         for change, done in taken:
-            got = self._take_one(change) if self._may_write() else NOT_HEAD
+            may_take = self._may_write() and self.has_copies()
+            got = self._take_one(change) if may_take else NOT_HEAD
             if is_fault(got):
                 self._finish(done, got)
             else:
@@ -338,7 +386,7 @@
         end_s = self.loop.time() + min(ask.wait_ms, 30000) / 1000
         while True:
             is_its_tail = ask.view == self.agreement.decided.number and self.isLast()
-            if not is_its_tail or not self.is_whole() or not self._has_copies():
+            if not is_its_tail or not self.is_whole() or not self.has_copies():
                 return NOT_TAIL
             if self.synced >= ask.serial:
                 return Done(count=self.synced)
@@ -417,7 +465,10 @@
 
     async def _rewrite(self):
         data, serial, self.unwritten = self.state.to_bytes(), self.serial, []
-        await self.journal.rewrite([self._state_record(serial, data)])
+        records = [self._state_record(serial, data)]
+        if self.complete_in:
+            records.append(log_records.CompleteIn(self.complete_in))
+        await self.journal.rewrite(records)
         self._mark_synced(serial)
         self.rewrite_bytes = max(1 << 20, 4 * len(data))
         self.board.count["rewrites"] += 1
@@ -472,6 +523,7 @@
             at < 0
             or at + 1 >= len(view.members)
             or not (self.is_whole() or is_comparing)
+            or self.awaits_last_sync()
             or self.fault is not None
         ):
             return False
@@ -573,6 +625,7 @@
             self._fail(error)
             return self.fault
         self.state, self.serial, self.entries, self.synced = state, serial, {}, serial
+        self.complete_in = 0
         self._mark_synced(serial)
         self.fault, self.needs_copy = None, False
         self.transfer.snapshots.clear()
@@ -588,7 +641,7 @@
         """What became of a change, once this tail's own disk has all that was applied when it was found."""
         end_s, found, serial = self.loop.time() + min(ask.waitMs, 30000) / 1000, None, 0
         while True:
-            if not self.may_tell() or not self._has_copies():
+            if not self.may_tell() or not self.has_copies():
                 return NOT_TAIL
             if found is None:
                 found, serial = self._outcome(ask.changeId), self.serial
--- a/swiftdeck/chain/log_records.py
+++ b/swiftdeck/chain/log_records.py
@@ -26,7 +26,16 @@
     """From here on this member has, or is passed, all that is committed."""
 
 
-Record = Begin | State | Entry | Complete
+class CompleteIn(msgspec.Struct, tag_field="k", tag="complete-in", frozen=True):
+    """The copy here is complete if the view of this very number has this core as a member.
+
+    It was made of the view before, which was too small to acknowledge anything.
+    """
+
+    view: int
+
+
+Record = Begin | State | Entry | Complete | CompleteIn
 
 
 def read(records: list[dict]) -> list[Record]:
--- a/swiftdeck/chain/state_transfer.py
+++ b/swiftdeck/chain/state_transfer.py
@@ -114,7 +114,7 @@
             return OLD_VIEW.because(
                 f"log of view {ask.view}, here {chain.agreement.decided.number}"
             )
-        if not self._is_whole_tail() or chain.fault is not None:
+        if not self._is_whole_tail() or chain.fault is not None or chain.awaits_last_sync():
             return NOT_TAIL
         entries, size = [], 0
         for serial in range(ask.serial + 1, chain.synced + 1):
--- a/swiftdeck/chain/view_manager.py
+++ b/swiftdeck/chain/view_manager.py
@@ -256,6 +256,8 @@
         fault = await self.chain.copy_from(tail.addr, view.number)
         if is_fault(fault) or view is not self.agreement.decided:
             return
+        if not await self.chain.expect_join(view) or view is not self.agreement.decided:
+            return
         ask = JoinAsk(coreId=self.agreement.coreId, addr=self.me.addr, view=view.number)
         self.chain.must_compare = True
         for ref in view.members:
--- a/swiftdeck/sim/model/cluster.py
+++ b/swiftdeck/sim/model/cluster.py
@@ -163,7 +163,7 @@
     def is_serving(self):
         """Whether a head takes changes and a tail tells of them."""
         chains = [core.chain for core in self.running().values()]
-        return any(each._may_write() and each._has_copies() for each in chains) and any(
+        return any(each._may_write() and each.has_copies() for each in chains) and any(
             each.may_tell() for each in chains
         )
 
--- a/swiftdeck/sim/model/invariants.py
+++ b/swiftdeck/sim/model/invariants.py
@@ -181,6 +181,7 @@
                 chain.needs_copy,
                 chain.must_compare,
                 chain.is_partial,
+                chain.complete_in,
                 len(chain.incoming),
                 len(chain.holders),
             ]
--- a/tests/gateway/cases/overlapping_losses.py
+++ b/tests/gateway/cases/overlapping_losses.py
@@ -7,6 +7,8 @@
 from swiftdeck.chain import log_records
 from swiftdeck.chain.chain import Chain
 from swiftdeck.chain.state_transfer import StateTransfer
+from swiftdeck.chain.view_manager import ViewManager
+from swiftdeck.fault import NO_VIEW
 from swiftdeck.gateway.swap import Swaps
 from tests.gateway.loss_storm import LossStorm
 from tests.gateway.loss_town import RECOVERY_S, LossTown
@@ -194,6 +196,63 @@
         self.has_head = town.world.run(until=lambda: town.head() is not None, limit_s=RECOVERY_S)
 
 
+class RefusedJoins:
+    """While it holds, no core lets those in whose identities are here; the views that they ask to join are noted."""
+
+    def __init__(self):
+        self.core_ids, self.asked = set(), []
+
+    def patch(self, joining=ViewManager.on_join):
+        """What has to be in force as the cores start."""
+
+        async def on_join(manager, ask, sender):
+            if ask.coreId not in self.core_ids:
+                return await joining(manager, ask, sender)
+            self.asked.append(ask.view)
+            return NO_VIEW
+
+        return mock.patch.object(ViewManager, "on_join", on_join)
+
+
+class JoinedTooLate:
+    """A core's wish to join the last member fails, and another core joins in its place, which makes acknowledgements again.
+
+    The core joins the view of both by its log, and starts again before it was whole.
+    """
+
+    def __init__(self, seed):
+        refused = RefusedJoins()
+        with refused.patch():
+            self._play(LossTown(seed).start(), refused)
+
+    def _play(self, town, refused):
+        self.town = town
+        last, second, first = (town.member(at) for at in range(3))
+        alone = town.up[last].agreement
+        town.lose(first)
+        town.world.run(4)
+        town.lose(second)
+        town.world.run(until=lambda: len(alone.decided.members) == 1, limit_s=10)
+        town.back(first)
+        town.world.run(0.01)
+        late = town.up[first]
+        refused.core_ids.add(late.agreement.coreId)
+        town.world.run(until=lambda: refused.asked, limit_s=10)
+        self.expects = late.chain.complete_in - refused.asked[0]
+        town.back(second)
+        town.world.run(until=lambda: len(alone.decided.members) == 2, limit_s=10)
+        self.acknowledged = town.change()
+        refused.core_ids.clear()
+        town.world.run(until=lambda: late.agreement.position() >= 0, limit_s=10)
+        self.has_joined, self.was_whole = late.agreement.position() >= 0, late.chain.is_whole()
+        self.copies = late.chain.board.count["copies"]
+        for name in (first, last, second):
+            town.lose(name)
+        town.back(first)
+        town.world.run(3)
+        self.is_partial = town.up[first].chain.is_partial
+
+
 class OverlappingLossesCase(unittest.TestCase):
     def test_a_core_that_joined_the_last_member_may_lead_when_that_one_is_lost(self):
         case = JoinedTheLastMember(1)
@@ -201,6 +260,24 @@
         self.assertTrue(case.has_head, case.town.told())
         self.assertEqual(case.town.found(), [])
 
+    def test_a_core_that_joined_a_later_view_than_it_asked_for_counts_as_partial(self):
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                case = JoinedTooLate(seed)
+                self.assertEqual((case.expects, case.acknowledged), (1, TAKEN))
+                self.assertEqual((case.has_joined, case.was_whole, case.copies), (True, False, 1))
+                self.assertTrue(case.is_partial)
+                self.assertEqual(case.town.found(), [])
+
+    def test_it_would_count_as_complete_if_any_later_view_counted(self):
+        def on_view(self, view, taking=Chain.on_view):
+            if 0 < self.complete_in < view.number:
+                self.complete_in = view.number
+            taking(self, view)
+
+        with mock.patch.object(Chain, "on_view", on_view):
+            self.assertFalse(JoinedTooLate(1).is_partial)
+
     def test_a_core_that_was_never_whole_takes_nothing_over_after_a_restart(self):
         for seed, freeze_s in ((1, 2.41), (1, 2.62), (2, 2.41), (2, 2.69)):
             with self.subTest(seed=seed, freeze_s=freeze_s):
