Old weights are sent to until 2 s before the bound

Cause: with 1.5 s, a request that waits over 1.1 s at a slow worker rests on being taken back in time, and not every worker drops what its caller took back.

--- a/swiftdeck/platform/settings.py
+++ b/swiftdeck/platform/settings.py
@@ -12,6 +12,8 @@
 
 PATH_VARIABLE = "SWIFTDECK_CONFIG"
 SEED_PORT_OF = "control"
+OLD_WEIGHTS_SPARE_MS = 2000
+"""How long before the bound routers stop sending to older weights: requests may wait at a worker before they begin."""
 
 
 class Listen(msgspec.Struct, rename="kebab", frozen=True):
@@ -135,7 +137,7 @@
             budgetShare=bounds.retry_ratio,
             budgetExtra=int(bounds.extra_retries),
             budgetWindowMs=int(bounds.retry_window_s * 1000),
-            oldWeightsMs=int(max(500, bounds.version_ms - 1500)),
+            oldWeightsMs=int(max(500, bounds.version_ms - OLD_WEIGHTS_SPARE_MS)),
             weightsBoundMs=int(bounds.version_ms),
             orderLeaseMs=int(bounds.lease_ms + bounds.thaw_slack_ms),
             viewLicenceMs=1500,
