Soak: a machine that stood still explains a late planned stop

Late stops are judged at the end now, when pauses are noted; with slack a stop has more time before SIGKILL.

--- a/swiftdeck/soak/run.py
+++ b/swiftdeck/soak/run.py
@@ -60,7 +60,13 @@
             self.size.traffic,
         )
         self.troubles = Troubles(
-            self.site, self.processes, self.stand_ins, self.operators, self._record, boot_ms
+            self.site,
+            self.processes,
+            self.stand_ins,
+            self.operators,
+            self._record,
+            boot_ms,
+            self.size.slack,
         )
         self.invariants = InvariantWatch(self.processes)
         self.stalls = StallWatch(self.troubles)
--- a/swiftdeck/soak/stalls.py
+++ b/swiftdeck/soak/stalls.py
@@ -3,10 +3,9 @@
 import asyncio
 
 from swiftdeck.bench.outer.checker import PROCESS
+from swiftdeck.soak.troubles import EVERY_MACHINE
 
 STALL_S = 0.7
-EVERY_MACHINE = "core: driver stalled"
-"""The checker counts the trouble of any core against contact with all machines."""
 
 
 class StallWatch:
--- a/swiftdeck/soak/troubles.py
+++ b/swiftdeck/soak/troubles.py
@@ -13,6 +13,8 @@
 from swiftdeck.soak.site import GRACE_S
 
 FOREVER_MS = 1 << 50
+EVERY_MACHINE = "core: driver stalled"
+"""All machines at once; the checker counts trouble of any core against contact with all of them."""
 ASK_MS, ASK_PAUSE_S, UP_WITHIN_S = 1000, 0.1, 30.0
 FORGOTTEN_S, DRAINED_S = 3.0, 4.6
 CUT_REPEAT_S = 0.2
@@ -21,10 +23,11 @@
 class Troubles:
     """The troubles under way, and those of the past in the checker's form."""
 
-    def __init__(self, site, processes, stand_ins, operators, record, now_ms):
+    def __init__(self, site, processes, stand_ins, operators, record, now_ms, slack=1.0):
         self.site, self.processes, self.stand_ins = site, processes, stand_ins
+        self.grace_s = slack * GRACE_S
         self.operators, self.plan, self.now_ms = operators, record("plan"), now_ms
-        self.noted, self.planned, self.cuts, self.stuck, self.done = [], [], {}, [], []
+        self.noted, self.planned, self.cuts, self.late_stops, self.done = [], [], {}, [], []
         self.actions = {
             Kind.TERMINATE: self._terminate,
             Kind.HANG_UP: self._hang_up,
@@ -62,8 +65,20 @@
         """Note that such trouble is over."""
         noted[2] = self.now_ms()
 
-    def _is_troubled(self, machine, since_ms):
-        return any(name == machine and end >= since_ms for name, _, end, _ in self.noted)
+    def stuck(self):
+        """Planned stops that took longer than their grace, with no trouble there to explain it."""
+        return [
+            f"{machine} did not end within its grace"
+            for machine, begin_ms, end_ms in self.late_stops
+            if not self._is_troubled(machine, begin_ms, end_ms)
+        ]
+
+    def _is_troubled(self, machine, begin_ms, end_ms):
+        """Whether a machine had unplanned trouble meanwhile, or all stood still together."""
+        return any(
+            name in (machine, EVERY_MACHINE) and begin <= end_ms and end >= begin_ms
+            for name, begin, end, _ in self.noted
+        )
 
     async def await_up(self, machine):
         """Wait until a machine's process answers at all; whether it does in time."""
@@ -90,9 +105,8 @@
         self.planned.append(stop)
         self.plan("planned", machine=trouble.target, what="term")
         process.send(signal.SIGTERM)
-        if not await process.ended(GRACE_S):
-            if not self._is_troubled(trouble.target, begin_ms):
-                self.stuck.append(f"{trouble.target} did not end within its grace")
+        if not await process.ended(self.grace_s):
+            self.late_stops.append((trouble.target, begin_ms, self.now_ms()))
             process.kill()
         await asyncio.sleep(trouble.rest_s)
         await self._start_again(process)
--- a/swiftdeck/soak/verdict.py
+++ b/swiftdeck/soak/verdict.py
@@ -122,7 +122,7 @@
     """Judge a run that is over, and leave records and verdict in its folder."""
     rules = broken_rules(soak.items, soak.troubles, soak.size.slack)
     sums = _sums(soak)
-    wrong = [*soak.wrong, *soak.troubles.stuck, *_unexpected_ends(soak), *_too_little(soak, sums)]
+    wrong = [*soak.wrong, *soak.troubles.stuck(), *_unexpected_ends(soak), *_too_little(soak, sums)]
     verdict = Verdict(soak.seed, rules, sorted(soak.invariants.found), wrong, sums)
     _leave(soak, verdict)
     return verdict
