--- a/swiftdeck/bench/long_day_shapes.py
+++ b/swiftdeck/bench/long_day_shapes.py
@@ -10,6 +10,7 @@
     ORDER_TROUBLES,
     SHORT_CORE_LOSSES,
     TROUBLES,
+    Trouble,
     strength,
 )
 from swiftdeck.bench.timetable import Timetable
@@ -107,7 +108,7 @@
     """Troubles of all kinds, one at a time."""
     routine(day)
     core_terminations(day)
-    pool: list[Callable] = []
+    pool: list[Trouble] = []
     for at_s in day.times(6.0, day.length_s - 10.0, 6.0, 9.0):
         if not pool:
             pool = day.chance.sample(TROUBLES, len(TROUBLES))
