--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -18,6 +18,8 @@
 TAKEN, HOLDS, OLD_FENCE = 202, 200, 412
 RESTART_S, WAITED = 1.4, "waited"
 STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 100, 4.0, 0.15
+TELL_S = 0.2
+"""How often routers are told again that a worker is being moved."""
 SLOT_S = 3.0
 """How long a worker that is being ordered holds back the next one; after that it is slow, or silent."""
 
@@ -219,8 +221,21 @@
         finally:
             self.busy.pop(worker.name, None)
 
+    def _note_moved(self, worker, model, version):
+        swap, now_s = self.busy[worker.name], self.loop.time()
+        self.pace.note(now_s - swap.begun_s)
+        self.core.board.note(
+            "worker moved",
+            worker=worker.name,
+            model=model,
+            version=version,
+            tookMs=int((now_s - swap.begun_s) * 1000),
+            spareMs=int(min(3600.0, swap.until_s - now_s) * 1000),
+            atOnce=len(self.busy),
+        )
+
     async def _await_version(self, worker, model, version, holds):
-        end_s = self.loop.time() + GIVE_UP_S
+        end_s, tell_s = self.loop.time() + GIVE_UP_S, 0.0
         await asyncio.sleep(0 if holds else 0.42)
         while not holds and self.loop.time() < end_s:
             got = await self.orders.versions(worker.listed.addr)
@@ -229,11 +244,13 @@
                 if not holds and not got[1]:
                     return
             if not holds:
-                self._tell(worker, model, 0, 600)
+                if self.loop.time() >= tell_s:
+                    tell_s = self.loop.time() + TELL_S
+                    self._tell(worker, model, 0, 600)
                 await asyncio.sleep(ASK_MS / 1000)
         if holds:
             self.core.worker_registry.learn(worker, {model: version})
             self.core.board.count["swapsDone"] += 1
-            self.pace.note(self.loop.time() - self.busy[worker.name].begun_s)
+            self._note_moved(worker, model, version)
             self.kick.set()
             self._tell(worker, model, version, 0)
