--- a/swiftdeck/bench/long_day_shapes.py
+++ b/swiftdeck/bench/long_day_shapes.py
@@ -250,6 +250,19 @@
         day.plan(at_s, "roll_term", share=1.0, x=2.0, gap_s=1.0, how="busy")
 
 
+def late_core(day: Timetable) -> None:
+    """A core goes for a moment once old weights are over, while most workers still have them."""
+    changes(day)
+    for at_s in day.times(4.0, day.length_s - 20.0, 18.0, 22.0):
+        day.fault(at_s - 1.5, "srv_slow", share=0.8, x=14.0, for_s=16.0)
+        day.plan(at_s, "version_bump", count=0)
+        day.plan(at_s + 16.0, "version_bump", count=0)
+        lost_s = at_s + day.chance.uniform(8.1, 9.5)
+        day.chance.choice(SHORT_CORE_LOSSES)(day, lost_s, day.chance.uniform(0.5, 1.5))
+    for at_s in day.times(12.0, day.length_s - 10.0, 22.0, 30.0):
+        day.plan(at_s, "roll_term", share=1.0, x=3.0, gap_s=1.0, how="busy")
+
+
 SHAPES: dict[str, Callable[[Timetable], None]] = {
     "terms": terms,
     "mixed": mixed,
@@ -264,4 +277,5 @@
     "drains": drains,
     "lasting": lasting,
     "heads": heads,
+    "late-core": late_core,
 }
