--- a/tests/gateway/town.py
+++ b/tests/gateway/town.py
@@ -34,7 +34,7 @@
     "ficu95.example",
     ("z1", "z2", "z3"),
 )
-INVARIANT = "invariant."
+INVARIANT, FOREVER_S = "invariant.", 1e6
 BOUNDS = {
     "contact_ms": 3000,
     "drain_ms": 3000,
@@ -153,6 +153,7 @@
             for at in range(1, count + 1)
         }
         self.lives, self.troubles, self.running, self.load, self.forgotten = {}, [], [], [], set()
+        self.cores_down = []
 
     def record(self, who):
         return ListRecord(self.records, who, lambda: self.world.now)
@@ -433,14 +434,32 @@
         self.troubles.append([name, self.now_ms(), self.now_ms() + int(for_s * 1000), kind])
         return action()
 
+    def note_down(self, name, for_s):
+        """Note that a process doesn't run for a while.
+
+        A core that goes or is back unsettles the others at that moment; they are settled in between as long as most of them run.
+        """
+        begin_ms, end_ms = self.now_ms(), self.now_ms() + int(for_s * 1000)
+        if not name.startswith("core"):
+            self.troubles.append([name, begin_ms, end_ms, PROCESS])
+            return
+        self.troubles += [[name, at_ms, at_ms, PROCESS] for at_ms in (begin_ms, end_ms)]
+        self.cores_down.append((begin_ms, end_ms))
+
+    def majority_lost(self):
+        """The times in which no more than half of the cores ran, as troubles of the core."""
+        count = sum(name.startswith("core") for name in self.machines)
+        times = sorted({at_ms for span in self.cores_down for at_ms in span})
+        return [
+            ["core", begin_ms, end_ms, PROCESS]
+            for begin_ms, end_ms in zip(times, times[1:], strict=False)
+            if 2 * sum(a <= begin_ms < b for a, b in self.cores_down) >= count
+        ]
+
     def kill(self, name, silent=False, back_s=None):
         """Kill a process, and start it again after a while if told so."""
-        self.trouble(
-            name,
-            lambda: self.world.kill(name, silent),
-            back_s if back_s is not None else 1e6,
-            PROCESS,
-        )
+        self.note_down(name, back_s if back_s is not None else FOREVER_S)
+        self.world.kill(name, silent)
         if back_s is not None:
             start = self.start_core if name.startswith("core") else self.start_router
             self.world.at(back_s, lambda: start(name))
@@ -459,7 +478,8 @@
 
     def freeze(self, name, for_s):
         """Stop a process in its tracks for a while."""
-        self.trouble(name, lambda: self.world.freeze(name), for_s, PROCESS)
+        self.note_down(name, for_s)
+        self.world.freeze(name)
         self.world.at(for_s, lambda: name in self.world.loops and self.world.thaw(name))
 
     def results(self):
@@ -511,6 +531,6 @@
             BOUNDS["retry_window_s"] * 1000,
             BOUNDS["extra_retries"],
             True,
-            self.troubles,
+            [*self.troubles, *self.majority_lost()],
             BOUNDS["grace_s"] * 1000,
         )
