One form of the settings file and of the bounds for soak and simulated sites

The change had written the platform's settings file and the checker's bounds a second time, beside those of the simulated site. Both sites now use site_forms.MachineSettings and SiteBounds.judged. The figures are the same; the settings file of the stand-ins names loss-slack-ms as well, at the value that the checker already had.

--- a/swiftdeck/bench/outer/site_forms.py
+++ b/swiftdeck/bench/outer/site_forms.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from swiftdeck.bench.outer.checker import Bounds
+
 READY_PATH = "/swiftdeck/ready"
 SETTINGS_VARIABLE = "SWIFTDECK_CONFIG"
 """The environment variable that tells a process where its settings file is."""
@@ -22,6 +24,23 @@
     grace_s: int = 8
     thaw_slack_ms: int = 300
     ack_within_ms: int = 4000
+    loss_slack_ms: int = 200
+
+    def judged(self, troubles: list, slack: float = 1.0) -> Bounds:
+        """What the checker goes by; a slack over 1 widens the bounds of time."""
+        return Bounds(
+            contact_ms=int(self.contact_ms * slack),
+            drain_ms=int(self.drain_ms * slack),
+            apply_within_ms=int(self.apply_within_ms * slack),
+            lease_ms=self.lease_ms,
+            version_ms=int(self.version_ms * slack),
+            retry_ratio=self.retry_ratio,
+            retry_window_ms=self.retry_window_s * 1000,
+            extra_retries=self.extra_retries,
+            troubles=troubles,
+            grace_ms=self.grace_s * 1000,
+            loss_slack_ms=int(self.loss_slack_ms * slack),
+        )
 
     def lines(self) -> list[str]:
         """The bounds as lines of a settings file."""
@@ -148,13 +167,14 @@
     name: str
     ip: str
     zone: str
-    inner_port: str
+    inner_ports: list[int]
     seeds: list[str]
     data_folder: str
     is_founding: bool
     list_address: str
     listen: dict[str, str]
     bounds: SiteBounds
+    tolerated_machines: int = 1
 
     def text(self) -> str:
         """The file."""
@@ -163,12 +183,12 @@
             f'node-name = "{self.name}"',
             f'ip = "{self.ip}"',
             f'zone = "{self.zone}"',
-            f"internal-ports = [{self.inner_port}]",
+            f"internal-ports = {self.inner_ports}",
             f"seed-addresses = [{seeds}]",
             f'data-dir = "{self.data_folder}"',
             f"first-start = {str(self.is_founding).lower()}",
             "[tolerate]",
-            "machines = 1",
+            f"machines = {self.tolerated_machines}",
             "[platform-api]",
             f'address = "{self.list_address}"',
             "[listen-addresses]",
--- a/swiftdeck/soak/site.py
+++ b/swiftdeck/soak/site.py
@@ -106,7 +106,7 @@
             machine.name,
             machine.ip,
             machine.zone,
-            inner_port=machine.inner.rpartition(":")[2],
+            inner_ports=[int(machine.inner.rpartition(":")[2])],
             seeds=seeds[seed_order:] + seeds[:seed_order],
             data_folder=str(data_folder),
             is_founding=is_founding,
--- a/swiftdeck/soak/verdict.py
+++ b/swiftdeck/soak/verdict.py
@@ -6,8 +6,8 @@
 import attrs
 import msgspec
 
-from swiftdeck.bench.outer.checker import Bounds, Records, check, lost
-from swiftdeck.soak.site import BOUNDS, GRACE_S
+from swiftdeck.bench.outer.checker import Records, check, lost
+from swiftdeck.soak.site import BOUNDS
 
 SERVED_SHARE, REQUESTS_EACH_S, CHANGES_EACH_S = 0.5, 1.0, 0.3
 LOST, CONFIG, BROKEN_OFF = "LOST", "CONFIG", "broken off"
@@ -56,24 +56,6 @@
         return f"seed {self.seed}: {state}, {json.dumps(attrs.asdict(self.sums))}"
 
 
-def bounds_of(troubles, slack) -> Bounds:
-    """The site's bounds for the checker; those of time are widened."""
-    return Bounds(
-        int(BOUNDS.contact_ms * slack),
-        int(BOUNDS.drain_ms * slack),
-        int(BOUNDS.apply_within_ms * slack),
-        BOUNDS.lease_ms,
-        int(BOUNDS.version_ms * slack),
-        BOUNDS.retry_ratio,
-        BOUNDS.retry_window_s * 1000,
-        BOUNDS.extra_retries,
-        True,
-        troubles,
-        int(GRACE_S * 1000),
-        loss_slack_ms=int(200 * slack),
-    )
-
-
 def with_broken_off(items) -> list:
     """The records, with runs marked that their worker broke off by a crash or at the deadline."""
     ended = {run for item in items if item["kind"] == "crashed" for run in item["runs"]}
@@ -92,9 +74,9 @@
     """
     items = with_broken_off(items)
     every = [*troubles.noted, *troubles.planned]
-    found = check(items, bounds_of(every, slack))
+    found = check(items, BOUNDS.judged(every, slack))
     found.pop(LOST, None)
-    cut_off = list(lost(Records(items), bounds_of(troubles.noted, slack)))
+    cut_off = list(lost(Records(items), BOUNDS.judged(troubles.noted, slack)))
     old = list(old_reads(items, int(BOUNDS.apply_within_ms * slack)))
     found |= {LOST: cut_off} if cut_off else {}
     return found | ({CONFIG: [*found.get(CONFIG, ()), *old]} if old else {})
--- a/tests/gateway/town.py
+++ b/tests/gateway/town.py
@@ -6,11 +6,14 @@
 from collections import Counter
 from pathlib import Path
 
+import attrs
+
 from swiftdeck.bench.outer.balancer import Balancer
-from swiftdeck.bench.outer.checker import LINK, PROCESS, Bounds, check
+from swiftdeck.bench.outer.checker import LINK, PROCESS, check
 from swiftdeck.bench.outer.client import Client
 from swiftdeck.bench.outer.listing import WorkerList
 from swiftdeck.bench.outer.operator import Operator
+from swiftdeck.bench.outer.site_forms import MachineSettings, SiteBounds
 from swiftdeck.bench.outer.store import PartStore
 from swiftdeck.bench.outer.worker import PlatformWorker
 from swiftdeck.bench.record import ListRecord
@@ -35,19 +38,8 @@
     ("z1", "z2", "z3"),
 )
 INVARIANT, FOREVER_S = "invariant.", 1e6
-BOUNDS = {
-    "contact_ms": 3000,
-    "drain_ms": 3000,
-    "apply_within_ms": 2000,
-    "retry_ratio": 0.2,
-    "retry_window_s": 10,
-    "extra_retries": 6,
-    "lease_ms": 3000,
-    "version_ms": 8000,
-    "grace_s": 8,
-    "thaw_slack_ms": 300,
-    "ack_within_ms": 4000,
-}
+SITE_BOUNDS = SiteBounds(extra_retries=6)
+BOUNDS = attrs.asdict(SITE_BOUNDS)
 KEYS = {"nowu640": ["key-n1", "key-n2"], "pair7": ["key-p1"], "apart": ["key-a1"]}
 ROUTES = {
     "r-stream": (
@@ -173,26 +165,22 @@
             else {"front": f"{ip}:8080", "readiness": f"{ip}:8081"}
         )
         cores = [addr for core, addr in self.machines.items() if core.startswith("core")]
-        seeds = ", ".join(f'"{addr}:8080"' for addr in self.seeds or cores)
-        lines = [
-            f'node-name = "{name}"',
-            f'ip = "{ip}"',
-            f'zone = "{ZONES[int(name[-1]) % 3]}"',
-            "internal-ports = [7000, 7010]",
-            f"seed-addresses = [{seeds}]",
-            'data-dir = "/data"',
-            f"first-start = {str(not self.all).lower()}",
-            f"[tolerate]\nmachines = {self.tolerate}",
-            "[platform-api]",
-            f'address = "{LIST}"',
-            "[listen-addresses]",
-            *(f'{key} = "{value}"' for key, value in listen.items()),
-            "[bounds]",
-            *(f"{key.replace('_', '-')} = {value}" for key, value in BOUNDS.items()),
-        ]
+        settings = MachineSettings(
+            name,
+            ip,
+            ZONES[int(name[-1]) % 3],
+            inner_ports=[7000, 7010],
+            seeds=[f"{addr}:8080" for addr in self.seeds or cores],
+            data_folder="/data",
+            is_founding=not self.all,
+            list_address=LIST,
+            listen=listen,
+            bounds=SITE_BOUNDS,
+            tolerated_machines=self.tolerate,
+        )
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "settings.toml"
-            path.write_text("\n".join(lines))
+            path.write_text(settings.text())
             place = read_place(role, str(path))
         assert not is_fault(place), place
         return place
@@ -521,16 +509,4 @@
 
     def bounds(self):
         """The figures of the rules, and the troubles so far."""
-        return Bounds(
-            BOUNDS["contact_ms"],
-            BOUNDS["drain_ms"],
-            BOUNDS["apply_within_ms"],
-            BOUNDS["lease_ms"],
-            BOUNDS["version_ms"],
-            BOUNDS["retry_ratio"],
-            BOUNDS["retry_window_s"] * 1000,
-            BOUNDS["extra_retries"],
-            True,
-            [*self.troubles, *self.majority_lost()],
-            BOUNDS["grace_s"] * 1000,
-        )
+        return SITE_BOUNDS.judged([*self.troubles, *self.majority_lost()])
