--- a/swiftdeck/bench/long_day_shapes.py
+++ b/swiftdeck/bench/long_day_shapes.py
@@ -80,6 +80,14 @@
         day.plan(at_s, "roll_term", count=1, how="remove")
 
 
+def busy_terminations(
+    day: Timetable, first_s: float, least_gap_s: float, most_gap_s: float, at_once: float
+) -> None:
+    """All routers get SIGTERM again and again, several at once, each while it answers."""
+    for at_s in day.times(first_s, day.length_s - 10.0, least_gap_s, most_gap_s):
+        day.plan(at_s, "roll_term", share=1.0, x=at_once, gap_s=1.0, how="busy")
+
+
 def core_terminations(day: Timetable) -> None:
     """Cores get SIGTERM in turn, now and then."""
     for at_s in day.times(17.0, day.length_s - 12.0, 25.0, 40.0):
@@ -168,8 +176,7 @@
         day.chance.choice(AFTER_BUMP)(day, at_s + day.chance.uniform(0.05, 5.0))
         if day.chance.random() < 0.5:
             day.chance.choice(AFTER_BUMP)(day, at_s + day.chance.uniform(0.05, 5.0))
-    for at_s in day.times(9.0, day.length_s - 10.0, 16.0, 26.0):
-        day.plan(at_s, "roll_term", share=1.0, x=3.0, gap_s=1.0, how="busy")
+    busy_terminations(day, first_s=9.0, least_gap_s=16.0, most_gap_s=26.0, at_once=3.0)
 
 
 def laggards(day: Timetable) -> None:
@@ -182,8 +189,7 @@
             day.plan(at_s + day.chance.uniform(3.0, 5.0), "version_bump", count=0)
         killed_s = at_s + day.chance.uniform(3.0, 5.0)
         day.fault(killed_s, "node_kill", share=0.4, for_s=day.chance.uniform(0.2, 0.5))
-    for at_s in day.times(9.0, day.length_s - 10.0, 22.0, 30.0):
-        day.plan(at_s, "roll_term", share=1.0, x=3.0, gap_s=1.0, how="busy")
+    busy_terminations(day, first_s=9.0, least_gap_s=22.0, most_gap_s=30.0, at_once=3.0)
 
 
 def versions(day: Timetable) -> None:
@@ -193,8 +199,7 @@
         for named_s in day.times(at_s, at_s + 18.0, 1.0, 4.0):
             day.plan(named_s, "version_bump", count=0)
         day.chance.choice(ORDER_TROUBLES)(day, at_s + 1.0, 12.0)
-    for at_s in day.times(9.0, day.length_s - 10.0, 18.0, 26.0):
-        day.plan(at_s, "roll_term", share=1.0, x=2.0, gap_s=1.0, how="busy")
+    busy_terminations(day, first_s=9.0, least_gap_s=18.0, most_gap_s=26.0, at_once=2.0)
 
 
 def ends(day: Timetable) -> None:
@@ -234,8 +239,7 @@
         if day.chance.random() < 0.5:
             killed_s = at_s + day.chance.uniform(2.0, 5.0)
             day.fault(killed_s, "node_kill", share=0.4, for_s=0.5)
-    for at_s in day.times(15.0, day.length_s - 10.0, 20.0, 26.0):
-        day.plan(at_s, "roll_term", share=1.0, x=3.0, gap_s=1.0, how="busy")
+    busy_terminations(day, first_s=15.0, least_gap_s=20.0, most_gap_s=26.0, at_once=3.0)
 
 
 def heads(day: Timetable) -> None:
@@ -246,8 +250,7 @@
             day.plan(named_s, "version_bump", count=0)
         for lost_s in day.times(at_s + 0.5, at_s + 11.0, 1.8, 3.2):
             day.chance.choice(SHORT_CORE_LOSSES)(day, lost_s, day.chance.uniform(0.6, 1.5))
-    for at_s in day.times(9.0, day.length_s - 10.0, 18.0, 26.0):
-        day.plan(at_s, "roll_term", share=1.0, x=2.0, gap_s=1.0, how="busy")
+    busy_terminations(day, first_s=9.0, least_gap_s=18.0, most_gap_s=26.0, at_once=2.0)
 
 
 def late_core(day: Timetable) -> None:
@@ -259,8 +262,7 @@
         day.plan(at_s + 16.0, "version_bump", count=0)
         lost_s = at_s + day.chance.uniform(8.1, 9.5)
         day.chance.choice(SHORT_CORE_LOSSES)(day, lost_s, day.chance.uniform(0.5, 1.5))
-    for at_s in day.times(12.0, day.length_s - 10.0, 22.0, 30.0):
-        day.plan(at_s, "roll_term", share=1.0, x=3.0, gap_s=1.0, how="busy")
+    busy_terminations(day, first_s=12.0, least_gap_s=22.0, most_gap_s=30.0, at_once=3.0)
 
 
 SHAPES: dict[str, Callable[[Timetable], None]] = {
