--- a/tests/gateway/core_town.py
+++ b/tests/gateway/core_town.py
@@ -54,23 +54,6 @@
         assert self.world.run(until=self.is_settled, limit_s=limit_s), self.told()
         return self.world.now - begun_s
 
-    def told(self):
-        """What each running core knows of the chain."""
-        return {
-            name: (
-                core.agreement.decided.number,
-                len(core.agreement.decided.members),
-                len(core.agreement.decided.voters),
-                core.agreement.position(),
-                core.agreement.is_voter(),
-                core.chain.is_whole(),
-                core.agreement.mayServe(),
-                core.chain.serial,
-            )
-            for name in self.cores()
-            for core in [self.up[name]]
-        }
-
     def change(self, limit_s=12.0):
         """Put one route; gives the seconds until it was acknowledged, or infinity."""
         begun_s, self.changed = self.world.now, self.changed + 2
--- a/tests/gateway/loss_town.py
+++ b/tests/gateway/loss_town.py
@@ -75,19 +75,3 @@
         if len({chain.state.config.digest() for chain in chains}) > 1:
             found.append(f"cores hold different configurations: {self.told()}")
         return found + [f"process failed: {fault}" for fault in self.world.faults]
-
-    def told(self):
-        """What each running core knows of the chain."""
-        return {
-            name: (
-                core.agreement.decided.number,
-                len(core.agreement.decided.members),
-                core.agreement.position(),
-                core.agreement.is_voter(),
-                core.chain.is_whole(),
-                core.agreement.mayServe(),
-                core.chain.serial,
-            )
-            for name in self.cores()
-            for core in [self.up[name]]
-        }
--- a/tests/gateway/town.py
+++ b/tests/gateway/town.py
@@ -348,6 +348,23 @@
             None,
         )
 
+    def told(self):
+        """What each running core knows of the chain."""
+        return {
+            name: (
+                core.agreement.decided.number,
+                len(core.agreement.decided.members),
+                len(core.agreement.decided.voters),
+                core.agreement.position(),
+                core.agreement.is_voter(),
+                core.chain.is_whole(),
+                core.agreement.mayServe(),
+                core.chain.serial,
+            )
+            for name in self.cores()
+            for core in [self.up[name]]
+        }
+
     def operate(self, make, limit_s=60):
         """One call of the operator, to its end."""
         return self.world.do("operator", make, limit_s=limit_s)
