A member stays while a view without it would hold too few complete copies

Cause: with one of three cores left out and a second one silent, the last member formed a view of itself after 0.9 s. If its disk was lost before the first core had joined, nobody could form a view, although the second core came back with everything. Change: a silent or faulty member is dropped at once only where more complete members stay than may be lost; else after 6 s, or when its place is known to be empty. A view with fewer acknowledges nothing either way.

--- a/swiftdeck/chain/view_manager.py
+++ b/swiftdeck/chain/view_manager.py
@@ -9,6 +9,8 @@
 SWEEP_S = 30.0
 ASK_MS, SILENT_S, FAULTY_S, RANK_S = 500, 0.9, 0.5, 0.5
 FOUNDERS_WAIT_S = 5.0
+LAST_COPIES_S = 6.0
+"""How long a member must be silent before a view is formed that is left with too few copies to acknowledge anything."""
 
 
 class ViewManager:
@@ -166,7 +168,7 @@
             lost.add(view.members[at + 1].coreId)
         kept = [ref for ref in view.members if ref.coreId not in lost]
         if lost and len(kept) < len(view.members):
-            if any(self._is_complete(ref) for ref in kept):
+            if self._may_drop(lost, kept, view, now_s):
                 self.board.note("drops members", lost=sorted(lost))
                 await self.agreement.propose(
                     View(number=view.number + 1, members=kept, voters=view.voters)
@@ -188,6 +190,32 @@
                 View(number=view.number + 1, members=view.members, voters=voters)
             )
 
+    def _may_drop(self, lost, kept, view, now_s):
+        """Whether the view after this one may do without the lost members.
+
+        Some of those that stay must be complete. Where these are too few to acknowledge anything, a
+        lost member's disk may be the only copy left if one of them loses its own, and a view without
+        that member could not go back to it. So it stays a member, unless its place is known to be
+        empty or it has been away for long.
+        """
+        complete = sum(self._is_complete(ref) for ref in kept)
+        if complete > self.losses_borne:
+            return True
+        return complete > 0 and all(
+            self._is_replaced(ref) or self._away_s(ref, now_s) > LAST_COPIES_S
+            for ref in view.members
+            if ref.coreId in lost
+        )
+
+    def _away_s(self, ref, now_s):
+        """For how many seconds a member has been silent or faulty."""
+        away_since_s = [
+            since[ref.coreId]
+            for since in (self.silent_since_s, self.bad_since_s)
+            if ref.coreId in since
+        ]
+        return now_s - min(away_since_s, default=now_s)
+
     def _heard(self):
         return {self.agreement.coreId, *self.said}
 
