--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -68,6 +68,7 @@
     archive: bool = True
     renewMs: Ms = 500
     episodeTokens: Annotated[int, msgspec.Meta(ge=1, le=10000000)] = 2048
+    longCallsLogged: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     connectMs: Ms = 300
     budgetWindowMs: Ms = 10000
     oldWeightsMs: Ms = 5500
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -289,6 +289,11 @@
         rank = entry.urgency if entry and entry.urgency is not None else route.path.urgency
         return max(0, min(4, rank)) + 5 * is_long
 
+    def logs_call(self, is_long: bool) -> bool:
+        """Whether a call gets a line in the log: a drawn share of the long ones."""
+        share = self.settings.longCallsLogged
+        return is_long and self.board.log is not None and self.random.random() < share
+
     def seen(self, request, worker, salt, is_kept):
         """A request was answered whole."""
         if is_kept:
--- a/swiftdeck/gateway/placing.py
+++ b/swiftdeck/gateway/placing.py
@@ -3,6 +3,9 @@
 import asyncio
 import hashlib
 
+import attrs
+
+from swiftdeck.gateway.worker_registry import Worker
 from swiftdeck.traffic.ring import Ring
 
 LANE_SHARE, REMEMBERED = 4, 16
@@ -10,6 +13,23 @@
 AGAIN, MOVED, PLACE_TOKENS = 1.5, 1.0, 1500
 
 
+@attrs.frozen
+class PlacementCost:
+    """What a long call would cost at a worker, in tokens that are read before its first one."""
+
+    worker: Worker
+    unread: float
+    own: float
+    again: float
+    moved: float
+    elsewhere: float
+
+    @property
+    def total(self) -> float:
+        """The sum of the terms."""
+        return self.unread + self.own + self.again + self.moved + self.elsewhere
+
+
 class Placing:
     """Reads the worker_registry, the judge and the table of what is kept, and changes none of them."""
 
@@ -64,22 +84,41 @@
 
     def order(self, request, workers, salts, serving):
         """Workers in the order in which a call would take them; lanes go by all that serve, whoever is fit now."""
+        if self.is_long(request):
+            return [cost.worker for cost in self.costs(request, workers, salts, serving)]
+        lane = self.short_lane(serving)
+        return sorted(
+            self.judge.good(workers),
+            key=lambda each: (
+                self.load(each) + self.random.random() * 0.3 + OTHER_LANE * (each.name not in lane)
+            ),
+        )
+
+    def costs(self, request, workers, salts, serving) -> list[PlacementCost]:
+        """What a long call would cost at each worker that may be asked, the cheapest first."""
+        lane = self.short_lane(serving) if len(serving) > 2 else ()
         good = self.judge.good(workers)
-        if not self.is_long(request):
-            lane = self.short_lane(serving)
-            return sorted(
-                good,
-                key=lambda each: (
-                    self.load(each)
-                    + self.random.random() * 0.3
-                    + OTHER_LANE * (each.name not in lane)
-                ),
+        places = self._ring_places(request, good, lane)
+        now_s = asyncio.get_running_loop().time()
+        costs = []
+        for worker in good:
+            own, again, moved = self.missing(request, worker, salts[worker.name])
+            place = min(places.get(worker.name, 2), 3)
+            costs.append(
+                PlacementCost(
+                    worker=worker,
+                    unread=worker.unread(now_s, self.tokens_per_ms),
+                    own=own,
+                    again=again * AGAIN,
+                    moved=moved * MOVED,
+                    elsewhere=place * PLACE_TOKENS
+                    + (OTHER_LANE_TOKENS if worker.name in lane else 0),
+                )
             )
-        return self._by_prefix(
-            request, good, salts, self.short_lane(serving) if len(serving) > 2 else ()
-        )
+        return sorted(costs, key=lambda cost: cost.total)
 
-    def _by_prefix(self, request, workers, salts, lane):
+    def _ring_places(self, request, workers, lane):
+        """The place of each worker on the ring, from where the first shared part belongs."""
         shared = request.shared() or request.parts
         ring = self._ring(
             sorted(each.name for each in workers if each.name not in lane)
@@ -88,22 +127,7 @@
         key = hashlib.blake2b(
             "/".join(part.name for part in shared[:1]).encode(), digest_size=16
         ).digest()
-        places = {name: at for at, name in enumerate(ring.walk(key))}
-        now_s = asyncio.get_running_loop().time()
-
-        def cost(worker):
-            """Tokens to be read there before this prompt's first token, as far as is known here."""
-            own, again, moved = self.missing(request, worker, salts[worker.name])
-            return (
-                worker.unread(now_s, self.tokens_per_ms)
-                + own
-                + again * AGAIN
-                + moved * MOVED
-                + min(places.get(worker.name, 2), 3) * PLACE_TOKENS
-                + (OTHER_LANE_TOKENS if worker.name in lane else 0)
-            )
-
-        return sorted(workers, key=cost)
+        return {name: at for at, name in enumerate(ring.walk(key))}
 
     def missing(self, request, worker, salt):
         """(Tokens of its own, shared ones that nobody else keeps, shared ones that could be moved) that a worker lacks."""
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -20,6 +20,7 @@
     WORKER_LOST,
     is_fault,
 )
+from swiftdeck.gateway.call_trace import CallTrace
 from swiftdeck.gateway.interfaces import PROMISES, UpstreamRequest, Verdict
 from swiftdeck.gateway.ledger import Attempt, Ledger, Move, next_move
 from swiftdeck.gateway.places import Wish
@@ -73,6 +74,18 @@
         self.aim_s = (path.target_ms or 1000) / 1000
         self.salt, self.version = "", 0
         self.is_passing_on = False
+        self.trace = self._new_trace() if gateway.logs_call(self.is_long) else None
+
+    def _new_trace(self):
+        shared = self.request.shared()
+        return CallTrace(
+            tokens=self.request.prompt_tokens,
+            shared_tokens=sum(part.tokens for part in shared),
+            part=shared[0].name if shared else "",
+        )
+
+    def _elapsed_ms(self):
+        return int((self.loop.time() - self.start_s) * 1000)
 
     def _left_s(self):
         return self.ledger.deadline_s - self.loop.time()
@@ -83,6 +96,11 @@
             await self.gateway.requests.run(self._move_on, self._end_with_work)
         finally:
             self._leave()
+            if self.trace is not None:
+                self.trace.ended_ms = self._elapsed_ms()
+                self.gateway.board.note(
+                    "long call", request=self.request.name, **self.trace.fields()
+                )
 
     async def _move_on(self):
         acts = {Move.PLACE: self._place, Move.SEND: self._send}
@@ -161,8 +179,17 @@
                 self.ledger.deadline_s,
                 sum(gateway.placing.missing(request, worker, salts[worker.name])),
             )
+            if self.trace is not None:
+                self.trace.owners_asked += 1
+                self.trace.see_candidates(
+                    gateway.placing.costs(
+                        request, fresh, salts, gateway.worker_registry.serving(self.service)
+                    )
+                )
             if await gateway.admission.ask(wish, int(wait_s * 1000), request, salts[worker.name]):
                 self.place = wish
+                if self.trace is not None:
+                    self.trace.placed_ms = self._elapsed_ms()
                 return worker
         gateway.board.count["refusedForRoom"] += 1
         attempt.fault = NO_ROOM
@@ -278,6 +305,8 @@
         source = gateway.placing.source(request, worker, self.salt, gateway.worker_registry, store)
         target = gateway.placing.target(request, self.salt, store)
         gateway.board.count["fetches"] += bool(source)
+        if self.trace is not None:
+            self._trace_sending(worker, source, target)
         return UpstreamRequest(
             worker.name,
             self.tenant,
@@ -290,6 +319,23 @@
             self.last_event,
         )
 
+    def _trace_sending(self, worker, source, target):
+        """Note what is believed as the request is sent."""
+        trace, kept, shared = self.trace, self.gateway.kept, self.request.shared()
+        trace.worker, trace.salt, trace.source, trace.target = (
+            worker.name,
+            self.salt,
+            source,
+            target,
+        )
+        trace.kept_here = kept.tokens(worker.name, self.salt, shared)
+        trace.kept_elsewhere = max(
+            (kept.tokens(name, self.salt, shared) for name in kept.holders(self.salt, shared)),
+            default=0,
+        )
+        trace.sent_ms = self._elapsed_ms()
+        trace.attempts += 1
+
     async def _head(self):
         """The head of the answer that is due; what belongs to an earlier request is passed over."""
         while True:
@@ -376,6 +422,8 @@
             self.gateway.judge.failed(worker, not self.link.is_reused)
             return fault if fault.code != BAD_RETURN.code else WORKER_BAD.because(fault.reason)
         attempt.is_whole = True
+        if self.trace is not None:
+            self.trace.whole_ms = self._elapsed_ms()
         self.gateway.seen(self.request, worker, self.salt, self.is_long and is_good)
         self._give_back()
         return None
@@ -397,6 +445,8 @@
                 self.gateway.judge.answered(
                     worker, None if self.is_long else (self.loop.time() - sent_s) * 1000
                 )
+            if is_first and self.trace is not None:
+                self.trace.first_event_ms = self._elapsed_ms()
             is_first = False
             fault = await self._piece(bytes(event.data), is_stream, worker)
             if fault is not None:
--- a/swiftdeck/programs/bench.py
+++ b/swiftdeck/programs/bench.py
@@ -11,8 +11,10 @@
 from typing import Annotated
 
 import attrs
+import msgspec
 import typer
 
+from swiftdeck.bench.account import read_calls, read_report, tell
 from swiftdeck.bench.caller import Caller
 from swiftdeck.bench.fleet import Fleet
 from swiftdeck.bench.growth import growth
@@ -294,6 +296,25 @@
     return rows
 
 
+@app.command()
+def account(
+    reports: Annotated[list[Path], typer.Argument(help="Reports of the users' bench.")],
+    log: Annotated[
+        Path | None, typer.Option(help="What the bench printed with --log, for the last report.")
+    ] = None,
+    aim: Annotated[float, typer.Option(help="Aim of long calls in milliseconds.")] = 600.0,
+):
+    """Where a day's worth was lost, and why long calls were late or read again."""
+    for path in reports:
+        try:
+            report = read_report(path)
+            calls = read_calls(log.read_text().splitlines()) if log and path == reports[-1] else []
+        except (OSError, UnicodeDecodeError, msgspec.DecodeError) as error:
+            typer.echo(f"{path}: {error}", err=True)
+            raise typer.Exit(2) from error
+        typer.echo("\n".join([str(path), *tell(report, calls, aim)]))
+
+
 @app.command("long-day")
 def long_day(
     site: Annotated[Path, typer.Argument(help="Site file of the users' bench.")],
--- a/tests/config/test_outward_names.py
+++ b/tests/config/test_outward_names.py
@@ -56,6 +56,7 @@
         "archive",
         "renewMs",
         "episodeTokens",
+        "longCallsLogged",
         "connectMs",
         "budgetWindowMs",
         "oldWeightsMs",
