A worker has the time to read a prompt before it counts as silent

Cause: one long check in three was sent to a second worker 0.42 s after the first (0.7 of the aim), while the first one still read it; with 73 routers a router seldom hears another answer of that worker meanwhile. The prompt was then read twice, and late. Hypothesis: with the time that the reading takes as a bound, nearly all reading again goes.

--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -23,6 +23,7 @@
 from swiftdeck.gateway.call_trace import CallTrace
 from swiftdeck.gateway.interfaces import PROMISES, UpstreamRequest, Verdict
 from swiftdeck.gateway.ledger import Attempt, Ledger, Move, next_move
+from swiftdeck.gateway.patience import silence_limit_s
 from swiftdeck.gateway.places import Wish
 from swiftdeck.http.cuts import CutReason
 
@@ -263,7 +264,7 @@
         """
         reading = asyncio.ensure_future(self._head())
         try:
-            until_s = sent_s + max(0.15, 0.7 * self.aim_s)
+            until_s = sent_s + self._patience_s(worker)
             while True:
                 begin_s = self.gateway.must_begin_by_s(self.request.model, self.version)
                 wake_s = min(until_s, self.ledger.deadline_s, begin_s)
@@ -282,6 +283,14 @@
         finally:
             reading.cancel()
 
+    def _patience_s(self, worker):
+        """How long a worker may say nothing before it can count as silent."""
+        placing, tokens = self.gateway.placing, 0
+        if self.is_long:
+            tokens = sum(placing.missing(self.request, worker, self.salt))
+            tokens += worker.unread(self.loop.time(), placing.tokens_per_ms)
+        return silence_limit_s(self.aim_s, tokens, placing.tokens_per_ms)
+
     def _may_move(self, worker):
         """Whether a further attempt could be made at another worker."""
         ledger, gateway = self.ledger, self.gateway
--- /dev/null
+++ b/tests/gateway/test_patience.py
@@ -0,0 +1,51 @@
+"""Tests of how long a silent worker is waited for."""
+
+import unittest
+from unittest import mock
+
+from swiftdeck.gateway import patience
+from swiftdeck.gateway.patience import AIM_SHARE, LEAST_S, silence_limit_s
+from tests.gateway.case import SiteCase
+from tests.gateway.town import PlatformTown
+
+
+class PatienceTest(unittest.TestCase):
+    def test_a_short_prompt_is_waited_for_by_its_aim(self):
+        self.assertEqual(silence_limit_s(0.6, 0, 40.0), AIM_SHARE * 0.6)
+        self.assertEqual(silence_limit_s(0.01, 300, 40.0), LEAST_S)
+
+    def test_a_long_prompt_has_the_time_that_its_reading_takes(self):
+        for tokens in (17_000, 40_000):
+            self.assertGreater(silence_limit_s(0.6, tokens, 40.0), 1.5 * tokens / 40_000)
+
+    def test_the_limit_follows_the_pace(self):
+        self.assertGreater(silence_limit_s(0.6, 30_000, 20.0), silence_limit_s(0.6, 30_000, 60.0))
+
+
+class ColdPromptTest(SiteCase):
+    """A site where routers send a long prompt now and then, so that they hear little of a worker."""
+
+    def cold(self):
+        """A prompt that takes 0.65 s to read, while another worker answers short calls."""
+        town = PlatformTown(3, routers=1).start()
+        parts = [("rules", 37_000), ("own", 3_000)]
+        town.beside(lambda: town._asking("r-resume", "1", parts=parts), "clients")
+        for at in range(8):
+            town.ask("r-resume", f"s{at}", parts=[("hello", 90), (f"s{at}", 300)], out=2)
+            town.world.run(0.05)
+        town.world.run(3)
+        return town
+
+    def readings(self, town):
+        """How often a worker read the long prompt, whole or in part."""
+        return len([item for item in town.records if item["kind"] == "read" and item["new"] > 5000])
+
+    def test_a_cold_prompt_is_read_by_one_worker(self):
+        town = self.cold()
+        self.assert_kept(town)
+        self.assertEqual(self.readings(town), 1)
+
+    def test_without_time_for_its_reading_it_is_read_twice(self):
+        with mock.patch.object(patience, "READING_SLACK", 0.0):
+            town = self.cold()
+        self.assertEqual(self.readings(town), 2)
