Costs of a placement are times: each worker's pace, moves over their links, all stores

Change: the owner of a book observes a worker's pace by prompts that it read alone and tells it with the load (gateway/pace.py; it fades, so that a slow worker is tried again); a move costs its bytes over the slower link (gateway/moves.py); a part belongs in one of the stores that are up. [policy] switches each mechanism by which a gateway decides (config/policy.py).

--- a/swiftdeck/gateway/admission.py
+++ b/swiftdeck/gateway/admission.py
@@ -3,10 +3,12 @@
 import asyncio
 
 from swiftdeck.board.beat import next_beat
+from swiftdeck.config.policy import Policy
 from swiftdeck.gateway.places import FILL, Owners, PlaceBooks, Wish
 from swiftdeck.wire.messages import LoadNews, PlaceAsk, PlaceEnd, PlaceReturn
 
 PATIENCE_MS = 120
+DEFAULT_POLICY = Policy()
 
 
 class Admission:
@@ -21,6 +23,7 @@
         board,
         memory_of,
         broadcast,
+        policy=DEFAULT_POLICY,
         on_read=lambda worker, salt, parts, sizes, is_cold: None,
     ):
         self.me, self.mesh, self.membership, self.worker_registry, self.board = (
@@ -31,7 +34,7 @@
             board,
         )
         self.memory_of, self.broadcast, self.on_read = memory_of, broadcast, on_read
-        self.owners, self.asked = Owners(), {}
+        self.owners, self.asked, self.policy = Owners(), {}, policy
         mesh.on(PlaceAsk, self.on_place_ask, True)
         mesh.on(PlaceEnd, self.on_place_end)
         broadcast.on(LoadNews, self.on_load_news)
@@ -39,8 +42,11 @@
     def start(self):
         """Keep books."""
         self.loop = asyncio.get_running_loop()
-        self.books = PlaceBooks(self.board, None, self.memory_of)
+        self.books = PlaceBooks(
+            self.board, None, self.memory_of, pace_of=self.pace_of, policy=self.policy
+        )
         self.books.on_load = self.tell_load
+        self.books.on_reading = self.on_reading
         self.task = asyncio.ensure_future(self._ticking())
 
     def routers(self):
@@ -101,13 +107,30 @@
         )
         return worker is not None and worker.running_long < share
 
-    def ended(self, wish: Wish):
-        """A call is over."""
+    def pace_of(self, worker: str) -> float:
+        """Tokens that a worker reads in a millisecond, as far as is known."""
+        known = self.worker_registry.workers.get(worker)
+        if known is None:
+            return self.worker_registry.usual_pace
+        return self.worker_registry.pace(known, self.loop.time())
+
+    def on_reading(self, worker: str, tokens: float, elapsed_ms: int):
+        """A worker read so many tokens, and nothing else, before a call's first event."""
+        known = self.worker_registry.workers.get(worker)
+        if known is not None:
+            usual = self.worker_registry.usual_pace
+            if not self.policy.pace:
+                return
+            known.pace.observe(tokens, elapsed_ms, self.loop.time(), usual)
+            self.worker_registry.hear_usual(known.pace.tokens_per_ms)
+
+    def ended(self, wish: Wish, first_event_ms: int = 0):
+        """A call is over; its first event came so long after it was sent, 0 for never."""
         owner = self.asked.pop(wish.call, None)
         if owner == self.me.addr:
-            self.books.ended(wish.call)
+            self.books.ended(wish.call, first_event_ms=first_event_ms)
         elif owner:
-            self.mesh.tell(owner, PlaceEnd(call=wish.call))
+            self.mesh.tell(owner, PlaceEnd(call=wish.call, first_event_ms=first_event_ms))
 
     async def on_place_ask(self, ask, sender):
         wish = Wish(
@@ -131,7 +154,13 @@
 
     def tell_load(self, worker, backlog, running):
         """All routers should know how much is to be read at a worker."""
-        news = LoadNews(worker=worker, backlog=min(int(backlog), 1 << 31), running=running)
+        known = self.worker_registry.workers.get(worker)
+        news = LoadNews(
+            worker=worker,
+            backlog=min(int(backlog), 1 << 31),
+            running=running,
+            tokens_per_s=int(known.pace.tokens_per_ms * 1000) if known else 0,
+        )
         self.on_load_news(news, "")
         self.broadcast.tell(news)
 
@@ -139,9 +168,12 @@
         worker = self.worker_registry.workers.get(news.worker)
         if worker:
             worker.backlog, worker.backlog_s = news.backlog, self.loop.time()
+            if news.tokens_per_s and sender:
+                pace = news.tokens_per_s / 1000
+                self.worker_registry.hear_pace(worker, pace, self.loop.time())
 
     def on_place_end(self, end, sender):
-        self.books.ended(end.call)
+        self.books.ended(end.call, first_event_ms=end.first_event_ms)
 
     async def _ticking(self):
         while True:
--- a/swiftdeck/gateway/call_trace.py
+++ b/swiftdeck/gateway/call_trace.py
@@ -28,7 +28,7 @@
     ended_ms: int = -1
 
     def see_candidates(self, costs):
-        """Note the cheapest workers as WORKER:TOTAL=UNREAD+OWN+AGAIN+MOVED+ELSEWHERE, in tokens."""
+        """Note the cheapest workers as WORKER:TOTAL=UNREAD+OWN+AGAIN+MOVED+ELSEWHERE, in milliseconds."""
         self.candidates = [_as_text(cost) for cost in costs[:CANDIDATES_MOST]]
 
     def fields(self) -> dict:
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -63,8 +63,13 @@
         )
         self.worker_registry, self.kept = WorkerRegistry(), KeptTable()
         self.judge = Judge(self.worker_registry, self.board)
-        self.judge.on_trouble = self.tell_trouble
-        self.placing = Placing(settings.zone, self.judge, self.kept, random, settings.episodeTokens)
+        self.policy = settings.policy
+        self.judge.is_on = self.policy.judge
+        if self.policy.sharing:
+            self.judge.on_trouble = self.tell_trouble
+        self.placing = Placing(
+            settings.zone, self.judge, self.kept, random, settings.episodeTokens, self.policy
+        )
         self.broadcast = Broadcast(self.me, self.mesh, self.membership, self.board)
         self.admission = Admission(
             self.me,
@@ -74,6 +79,7 @@
             self.board,
             self.memory_of,
             self.broadcast,
+            self.policy,
         )
         self.following = Following(self.admission, self.broadcast, self.kept, caches, self.board)
         self.admission.on_read = self.following.will_keep
@@ -165,9 +171,8 @@
         if limits:
             self.http.head_limit, self.http.body_limit = limits.head_bytes, limits.body_bytes
             self.http.slow_ms, self.http.idleMs = limits.head_wait_ms, limits.idle_ms
-        self.following.stores = [
-            each.store_addr for each in document.services.values() if each.store_addr
-        ]
+        self.placing.follow(document.services)
+        self.following.stores = list(self.placing.stores)
         self.board.put(
             "edition", document.edition[OPERATOR].number if OPERATOR in document.edition else 0
         )
@@ -276,10 +281,6 @@
         shared = f".{edition.walls}" if edition and edition.walls else ""
         return f"{self.version(model, worker)}{'/' + tenant if entry and entry.apart else shared}"
 
-    def store(self, service: str) -> str:
-        """The address of a store of prefixes, if there is one."""
-        return self.following.stores[0] if self.following.stores else ""
-
     def urgency(self, route, tenant: str, is_long: bool) -> int:
         """The rank of a request, its tenant's where that says one, else its route's; short prompts go before all long ones.
 
@@ -287,7 +288,7 @@
         """
         entry = self.document.tenants.get(tenant)
         rank = entry.urgency if entry and entry.urgency is not None else route.path.urgency
-        return max(0, min(4, rank)) + 5 * is_long
+        return max(0, min(4, rank)) + 5 * (is_long and self.policy.short_first)
 
     def logs_call(self, is_long: bool) -> bool:
         """Whether a call gets a line in the log: a drawn share of the long ones."""
--- a/swiftdeck/gateway/health.py
+++ b/swiftdeck/gateway/health.py
@@ -12,6 +12,7 @@
     """
 
     def __init__(self, worker_registry, board):
+        self.is_on = True
         self.worker_registry, self.board, self.on_trouble = (
             worker_registry,
             board,
@@ -40,6 +41,8 @@
 
     def shun(self, worker, for_s):
         """Leave a worker alone for a while."""
+        if not self.is_on:
+            return
         self.board.count["workersShunned"] += 1
         worker.shunned_until_s = max(worker.shunned_until_s, self._now() + for_s)
 
--- a/swiftdeck/gateway/patience.py
+++ b/swiftdeck/gateway/patience.py
@@ -7,12 +7,11 @@
 """How much longer than at the usual pace the reading of a prompt may take."""
 
 
-def silence_limit_s(aim_s: float, tokens_to_read: float, tokens_per_ms: float) -> float:
+def silence_limit_s(aim_s: float, reading_ms: float) -> float:
     """Return for how many seconds a worker may say nothing after it was sent a request.
 
-    A worker says nothing while it reads, so it has the time that it needs for the tokens before the
-    first one of the answer, those of other prompts that wait there included. Breaking off sooner has
-    the prompt read once more elsewhere, and late.
+    A worker says nothing while it reads, so it has the time that it needs at its pace for all tokens
+    before the first one of the answer, those of other prompts that wait there included. Breaking off
+    sooner has the prompt read once more elsewhere, and late.
     """
-    reading_s = tokens_to_read / tokens_per_ms / 1000
-    return max(LEAST_S, AIM_SHARE * aim_s, READING_SLACK * reading_s)
+    return max(LEAST_S, AIM_SHARE * aim_s, READING_SLACK * reading_ms / 1000)
--- a/swiftdeck/gateway/places.py
+++ b/swiftdeck/gateway/places.py
@@ -4,11 +4,16 @@
 
 import attrs
 
+from swiftdeck.config.policy import Policy
+from swiftdeck.gateway.pace import PRIOR_TOKENS_PER_MS
 from swiftdeck.traffic.book import Book, Conversation
 from swiftdeck.traffic.line import Waiting
 from swiftdeck.traffic.ring import Ring
 
-FILL, TOKENS_PER_MS = 0.85, 40.0
+FILL = 0.85
+ALONE_TOKENS = 512
+"""With no more than this unread before it a prompt is read alone."""
+DEFAULT_POLICY = Policy()
 GRACE_S, LEFT_S = 0.5, 2.0
 
 
@@ -33,12 +38,23 @@
     back at its call's deadline, for nobody can run it longer.
     """
 
-    def __init__(self, board, decisions, memory_of, pause_ms=400, line_most=64):
+    def __init__(
+        self,
+        board,
+        decisions,
+        memory_of,
+        pause_ms=400,
+        line_most=64,
+        pace_of=lambda worker: PRIOR_TOKENS_PER_MS,
+        policy=DEFAULT_POLICY,
+    ):
+        self.policy = policy
         self.board, self.decisions, self.memory_of = board, decisions, memory_of
         self.pause_ms, self.line_most = pause_ms, line_most
         self.books, self.tokens, self.calls, self.waiting, self.left = {}, {}, {}, {}, {}
-        self.sizes, self.unread = {}, {}
+        self.sizes, self.unread, self.alone, self.pace_of = {}, {}, {}, pace_of
         self.on_load = lambda worker, backlog, running: None
+        self.on_reading = lambda worker, tokens, elapsed_ms: None
 
     def _now(self):
         return asyncio.get_running_loop().time()
@@ -56,6 +72,8 @@
 
     def _has_room(self, book, tokens):
         """Whether the worker's memory holds the prompt beside those of the open episodes; one alone always may."""
+        if not self.policy.admission:
+            return True
         held = sum(self.sizes.get((book.worker, name), 0) for name in book.open)
         return not book.open or held + tokens <= self.memory_of(book.worker) * FILL
 
@@ -75,14 +93,17 @@
         if self._has_room(book, wish.tokens) and not len(book.line):
             self._begin(book, wish)
             return True
-        if len(book.line) >= self.line_most or wait_ms <= 0:
+        if len(book.line) >= self.line_most or wait_ms <= 0 or not self.policy.lines:
             self.board.count["linesFull"] += 1
             return False
         return await self._wait(book, wish, wait_ms)
 
     async def _wait(self, book, wish, wait_ms):
         waiting = Waiting(
-            wish.tenant, wish, asyncio.get_running_loop().create_future(), self._now()
+            wish.tenant if self.policy.turns else "",
+            wish,
+            asyncio.get_running_loop().create_future(),
+            self._now(),
         )
         book.line.add(waiting)
         self.waiting[wish.call] = waiting
@@ -110,13 +131,24 @@
         )
         episode.turns += 1
         self.calls[wish.call] = (book.worker, episode.name)
-        self.unread[book.worker] = (self._unread(book) + wish.missing, self._now())
+        self._expect_reading(book, wish)
         self._tell_load(book)
 
+    def _expect_reading(self, book, wish):
+        """Count what a call has to read; the time that it takes tells the pace where it is read alone."""
+        unread = self._unread(book)
+        if unread < ALONE_TOKENS:
+            self.alone[wish.call] = wish.missing
+        else:
+            for call, (worker, _) in self.calls.items():
+                if worker == book.worker:
+                    self.alone.pop(call, None)
+        self.unread[book.worker] = (unread + wish.missing, self._now())
+
     def _unread(self, book):
         """Tokens that calls let in here still have to be read, as far as a worker's usual pace tells."""
         tokens, since_s = self.unread.get(book.worker, (0, 0.0))
-        return max(0.0, tokens - (self._now() - since_s) * 1000 * TOKENS_PER_MS)
+        return max(0.0, tokens - (self._now() - since_s) * 1000 * self.pace_of(book.worker))
 
     def _tell_load(self, book):
         self.on_load(
@@ -125,10 +157,11 @@
             sum(worker == book.worker for worker, _ in self.calls.values()),
         )
 
-    def ended(self, call: str, is_kept: bool = True):
+    def ended(self, call: str, is_kept: bool = True, first_event_ms: int = 0):
         """A call is over; its episode stays open for a short pause, as its next call may come.
 
         One that is not here yet has been left before its question came, or waits in a line that it now leaves.
+        `first_event_ms` is the time from its sending to its first event, 0 where none came.
         """
         if call not in self.calls:
             waiting = self.waiting.get(call)
@@ -138,6 +171,9 @@
                 self.left[call] = self._now() + LEFT_S
             return
         worker, name = self.calls.pop(call, ("", ""))
+        read_alone = self.alone.pop(call, 0)
+        if first_event_ms and read_alone:
+            self.on_reading(worker, read_alone, first_event_ms)
         book = self.books.get(worker)
         episode = book.open.get(name) if book else None
         if episode is None:
@@ -158,6 +194,7 @@
             ]:
                 del episode.running[call]
                 self.calls.pop(call, None)
+                self.alone.pop(call, None)
                 self.board.count["placesReclaimed"] += 1
                 episode.idle_since_s = now_s
         self._end_idle(book, 0 if len(book.line) else self.pause_ms)
--- a/swiftdeck/gateway/placing.py
+++ b/swiftdeck/gateway/placing.py
@@ -5,17 +5,25 @@
 
 import attrs
 
+from swiftdeck.config.document import Service
+from swiftdeck.config.policy import Policy
+from swiftdeck.gateway.moves import Move, move_ms
 from swiftdeck.gateway.worker_registry import Worker
 from swiftdeck.traffic.ring import Ring
 
 LANE_SHARE, REMEMBERED = 4, 16
-OTHER_LANE, OTHER_LANE_TOKENS = 1.5, 6000
-AGAIN, MOVED, PLACE_TOKENS = 1.5, 1.0, 1500
+OTHER_LANE, OTHER_LANE_MS = 1.5, 150.0
+DEFAULT_POLICY = Policy()
+AGAIN, PLACE_MS = 1.5, 37.5
+UNKNOWN_MOVE_SHARE = 0.5
+"""What a move is taken to cost of a reading where the configuration tells no sizes or links."""
+KEPT_SHARE = 0.9
+"""Parts count as kept from this share of their tokens on, as caches keep whole blocks."""
 
 
 @attrs.frozen
 class PlacementCost:
-    """What a long call would cost at a worker, in tokens that are read before its first one."""
+    """What a long call would cost at a worker, in milliseconds before its first event."""
 
     worker: Worker
     unread: float
@@ -30,13 +38,56 @@
         return self.unread + self.own + self.again + self.moved + self.elsewhere
 
 
+@attrs.frozen
+class Missing:
+    """Tokens of a prompt that a worker lacks: its own, shared ones to read, shared ones to move."""
+
+    own: int
+    again: int
+    moved: int
+    move_ms: float
+
+    @property
+    def to_read(self) -> int:
+        """What it will have to read."""
+        return self.own + self.again
+
+
+@attrs.frozen
+class Link:
+    """Where a holder of parts is reached, and how fast."""
+
+    address: str
+    mbps: float
+    zone: str
+
+
 class Placing:
     """Reads the worker_registry, the judge and the table of what is kept, and changes none of them."""
 
-    def __init__(self, zone, judge, kept, random, long_tokens=2048, virtual_places=64):
+    def __init__(
+        self,
+        zone,
+        judge,
+        kept,
+        random,
+        long_tokens=2048,
+        policy=DEFAULT_POLICY,
+        virtual_places=64,
+    ):
+        self.policy = policy
         self.zone, self.judge, self.kept, self.random = zone, judge, kept, random
+        self.registry = judge.worker_registry
         self.long_tokens, self.virtual_places = long_tokens, virtual_places
-        self.rings, self.lanes, self.tokens_per_ms = {}, {}, 40.0
+        self.rings, self.lanes = {}, {}
+        self.services: dict[str, Service] = {}
+        self.stores: dict[str, Service] = {}
+
+    def follow(self, services: dict[str, Service]):
+        """Take over what the configuration says of the services, stores among them."""
+        self.services = services
+        if self.policy.store:
+            self.stores = {each.store_addr: each for each in services.values() if each.store_addr}
 
     def short_lane(self, workers):
         """Names of the workers that short calls go to first, so that none waits behind the reading of a long prompt.
@@ -45,13 +96,12 @@
         """
         names = tuple(sorted(each.name for each in workers))
         if names not in self.lanes:
-            ranked = sorted(
-                names, key=lambda name: hashlib.blake2b(name.encode(), digest_size=8).digest()
-            )
+            ranked = sorted(names, key=_digest)
+            has_lane = len(names) > 2 and self.policy.lane
             self._remember(
                 self.lanes,
                 names,
-                frozenset(ranked[: -(-len(names) // LANE_SHARE)] if len(names) > 2 else names),
+                frozenset(ranked[: -(-len(names) // LANE_SHARE)] if has_lane else names),
             )
         return self.lanes[names]
 
@@ -73,15 +123,20 @@
 
     def load(self, worker):
         """How busy a worker looks from here, in calls."""
-        unread = worker.unread(asyncio.get_running_loop().time(), self.tokens_per_ms)
+        now_s = asyncio.get_running_loop().time()
         return (
             worker.running
-            + unread / 3000
+            + self.backlog_ms(worker, now_s) / 75
             + min(10.0, worker.first_event_ms / 100)
             + (0 if worker.listed.zone == self.zone else 0.6)
             + (2 if worker.listed.warmup_ms else 0)
         )
 
+    def backlog_ms(self, worker, now_s: float) -> float:
+        """How long a worker will read what it was sent already."""
+        pace = self.registry.pace(worker, now_s)
+        return worker.unread(now_s, pace) / pace
+
     def order(self, request, workers, salts, serving):
         """Workers in the order in which a call would take them; lanes go by all that serve, whoever is fit now."""
         if self.is_long(request):
@@ -96,23 +151,23 @@
 
     def costs(self, request, workers, salts, serving) -> list[PlacementCost]:
         """What a long call would cost at each worker that may be asked, the cheapest first."""
-        lane = self.short_lane(serving) if len(serving) > 2 else ()
+        lane = self.short_lane(serving) if len(serving) > 2 and self.policy.lane else ()
         good = self.judge.good(workers)
         places = self._ring_places(request, good, lane)
         now_s = asyncio.get_running_loop().time()
         costs = []
         for worker in good:
-            own, again, moved = self.missing(request, worker, salts[worker.name])
-            place = min(places.get(worker.name, 2), 3)
+            missing = self.missing(request, worker, salts[worker.name])
+            pace = self.registry.pace(worker, now_s)
+            place = min(places.get(worker.name, 2), 3) if self.policy.ring else 0
             costs.append(
                 PlacementCost(
                     worker=worker,
-                    unread=worker.unread(now_s, self.tokens_per_ms),
-                    own=own,
-                    again=again * AGAIN,
-                    moved=moved * MOVED,
-                    elsewhere=place * PLACE_TOKENS
-                    + (OTHER_LANE_TOKENS if worker.name in lane else 0),
+                    unread=self.backlog_ms(worker, now_s),
+                    own=missing.own / pace,
+                    again=missing.again * AGAIN / pace,
+                    moved=missing.move_ms,
+                    elsewhere=place * PLACE_MS + (OTHER_LANE_MS if worker.name in lane else 0),
                 )
             )
         return sorted(costs, key=lambda cost: cost.total)
@@ -129,55 +184,86 @@
         ).digest()
         return {name: at for at, name in enumerate(ring.walk(key))}
 
-    def missing(self, request, worker, salt):
-        """(Tokens of its own, shared ones that nobody else keeps, shared ones that could be moved) that a worker lacks."""
+    def missing(self, request, worker, salt) -> Missing:
+        """What a worker lacks of a long prompt, what it is expected to keep soon left out."""
         shared = request.shared()
         size = sum(part.tokens for part in shared)
-        lacks = size - self.kept.tokens(worker.name, salt, shared, True)
-        elsewhere = max(
-            (self.kept.tokens(name, salt, shared) for name in self.kept.holders(salt, shared)),
-            default=0,
-        )
-        moved = min(lacks, max(0, elsewhere - (size - lacks)))
-        return max(0, request.prompt_tokens - size), lacks - moved, moved
+        here = self.kept.tokens(worker.name, salt, shared, self.policy.expectations)
+        if not self.policy.warmth:
+            here = 0
+        move = self.best_move(worker, salt, shared, here)
+        moved = min(size - here, move.tokens) if move else 0
+        own = max(0, request.prompt_tokens - size)
+        return Missing(own, size - here - moved, moved, move.ms if move else 0.0)
+
+    def best_move(self, worker, salt, shared, here: int) -> Move | None:
+        """The move that saves a worker most time over reading, None where reading is as fast."""
+        pace = self.registry.pace(worker, asyncio.get_running_loop().time())
+        best, most_ms = None, 0.0
+        for name in self.kept.holders(salt, shared):
+            tokens = self.kept.tokens(name, salt, shared) - here
+            link = self._link(name) if name != worker.name else None
+            if tokens <= 0 or link is None:
+                continue
+            move = Move(link.address, tokens, self._move_ms(link, worker, tokens, pace))
+            saved_ms = tokens / pace - move.ms
+            if saved_ms > most_ms:
+                best, most_ms = move, saved_ms
+        return best
 
-    def source(self, request, worker, salt, worker_registry, store):
-        """The address to fetch a long prompt's shared parts from, empty where the worker keeps them or nobody does."""
+    def _link(self, holder: str) -> Link | None:
+        """How a holder can be reached, None where it is gone or in trouble."""
+        store = self.stores.get(holder)
+        if store is not None:
+            return Link(holder, store.network_mbps, store.zone)
+        peer = self.registry.workers.get(holder)
+        if (
+            peer is None
+            or not self.policy.peers
+            or peer.shunned_until_s > asyncio.get_running_loop().time()
+        ):
+            return None
+        service = self.services.get(peer.listed.service)
+        return Link(peer.listed.addr, service.network_mbps if service else 0, peer.listed.zone)
+
+    def _move_ms(self, link, worker, tokens, pace):
+        service = self.services.get(worker.listed.service)
+        token_bytes = service.token_bytes if service else 0
+        mbps = min(link.mbps, service.network_mbps) if service else 0
+        is_same_zone = link.zone == worker.listed.zone
+        found_ms = move_ms(tokens, token_bytes, mbps, is_same_zone)
+        if found_ms is None:
+            return UNKNOWN_MOVE_SHARE * tokens / pace * (1 if is_same_zone else 1.2)
+        return found_ms
+
+    def source(self, request, worker, salt) -> str:
+        """The address to fetch a long prompt's shared parts from, empty where reading them is as good."""
         shared = request.shared()
         if not shared or not self.is_long(request):
             return ""
         here = self.kept.tokens(worker.name, salt, shared)
-        size = sum(part.tokens for part in shared)
-        if here >= 0.9 * size:
+        if here >= KEPT_SHARE * sum(part.tokens for part in shared):
             return ""
-        best, most = "", here
-        for name in self.kept.holders(salt, shared):
-            held = self.kept.tokens(name, salt, shared)
-            peer = worker_registry.workers.get(name)
-            is_up = peer is not None and peer.shunned_until_s <= asyncio.get_running_loop().time()
-            addr = (
-                peer.listed.addr
-                if is_up and name != worker.name
-                else store
-                if name == store
-                else ""
-            )
-            is_near = peer is not None and peer.listed.zone == worker.listed.zone
-            if addr and (held > most or held == most and is_near):
-                best, most = addr, held
-        return best
+        move = self.best_move(worker, salt, shared, here)
+        return move.source if move else ""
 
-    def target(self, request, salt, store):
-        """The store, where it isn't known to keep the shared parts yet."""
+    def target(self, request, salt):
+        """The store for a long prompt's shared parts, empty where one is known to keep them already."""
         shared = request.shared()
-        if (
-            not store
-            or self.kept.is_down(store, asyncio.get_running_loop().time())
-            or not shared
-            or not self.is_long(request)
-        ):
+        if not shared or not self.is_long(request):
             return ""
-        is_there = self.kept.tokens(store, salt, shared) >= 0.9 * sum(
-            part.tokens for part in shared
-        )
-        return "" if is_there else store
+        size = sum(part.tokens for part in shared)
+        if any(self.kept.tokens(each, salt, shared) >= KEPT_SHARE * size for each in self.stores):
+            return ""
+        return self.store_of(salt, shared)
+
+    def store_of(self, salt, shared):
+        """The store that parts belong in, the same at each router: one of those that are up."""
+        now_s = asyncio.get_running_loop().time()
+        up = [each for each in self.stores if not self.kept.is_down(each, now_s)]
+        name = f"{salt}/{shared[0].name}"
+        return max(up, key=lambda each: _digest(f"{each}/{name}"), default="")
+
+
+def _digest(text):
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -74,7 +74,7 @@
         )
         self.aim_s = (path.target_ms or 1000) / 1000
         self.salt, self.version = "", 0
-        self.is_passing_on = False
+        self.is_passing_on, self.first_event_ms = False, 0
         self.trace = self._new_trace() if gateway.logs_call(self.is_long) else None
 
     def _new_trace(self):
@@ -130,8 +130,8 @@
             self.worker.running_long -= self.is_long
             self.worker = None
         if self.place is not None:
-            self.gateway.admission.ended(self.place)
-            self.place = None
+            self.gateway.admission.ended(self.place, self.first_event_ms)
+            self.place, self.first_event_ms = None, 0
 
     async def _place(self):
         """Choose a worker, and have it admitted where the prompt is long."""
@@ -178,7 +178,7 @@
                 worker.name,
                 request.prompt_tokens,
                 self.ledger.deadline_s,
-                sum(gateway.placing.missing(request, worker, salts[worker.name])),
+                gateway.placing.missing(request, worker, salts[worker.name]).to_read,
             )
             if self.trace is not None:
                 self.trace.owners_asked += 1
@@ -285,11 +285,13 @@
 
     def _patience_s(self, worker):
         """How long a worker may say nothing before it can count as silent."""
-        placing, tokens = self.gateway.placing, 0
-        if self.is_long:
-            tokens = sum(placing.missing(self.request, worker, self.salt))
-            tokens += worker.unread(self.loop.time(), placing.tokens_per_ms)
-        return silence_limit_s(self.aim_s, tokens, placing.tokens_per_ms)
+        placing, now_s, reading_ms = self.gateway.placing, self.loop.time(), 0.0
+        if self.is_long and self.gateway.policy.patience:
+            missing = placing.missing(self.request, worker, self.salt)
+            pace = self.gateway.worker_registry.pace(worker, now_s)
+            reading_ms = missing.to_read / pace + missing.move_ms
+            reading_ms += placing.backlog_ms(worker, now_s)
+        return silence_limit_s(self.aim_s, reading_ms)
 
     def _may_move(self, worker):
         """Whether a further attempt could be made at another worker."""
@@ -310,9 +312,8 @@
         gateway, request = self.gateway, self.request
         version = gateway.version(request.model, worker)
         self.version, self.salt = version, gateway.salt(request.model, worker, self.tenant)
-        store = gateway.store(self.service)
-        source = gateway.placing.source(request, worker, self.salt, gateway.worker_registry, store)
-        target = gateway.placing.target(request, self.salt, store)
+        source = gateway.placing.source(request, worker, self.salt)
+        target = gateway.placing.target(request, self.salt)
         gateway.board.count["fetches"] += bool(source)
         if self.trace is not None:
             self._trace_sending(worker, source, target)
@@ -454,6 +455,8 @@
                 self.gateway.judge.answered(
                     worker, None if self.is_long else (self.loop.time() - sent_s) * 1000
                 )
+            if is_first and is_good:
+                self.first_event_ms = max(1, int((self.loop.time() - sent_s) * 1000))
             if is_first and self.trace is not None:
                 self.trace.first_event_ms = self._elapsed_ms()
             is_first = False
--- a/swiftdeck/gateway/worker_registry.py
+++ b/swiftdeck/gateway/worker_registry.py
@@ -3,6 +3,9 @@
 import attrs
 
 from swiftdeck.gateway.interfaces import Listed
+from swiftdeck.gateway.pace import PRIOR_TOKENS_PER_MS, Pace
+
+USUAL_GAIN = 0.05
 
 
 @attrs.define(eq=False)
@@ -15,6 +18,7 @@
     running_long: int = 0
     backlog: float = 0.0
     backlog_s: float = 0.0
+    pace: Pace = attrs.Factory(Pace)
     failures: int = 0
     shunned_until_s: float = -1.0
     swapping_until_s: float = -1.0
@@ -40,6 +44,22 @@
 
     def __init__(self):
         self.workers, self.by_service, self.watchers = {}, {}, []
+        self.usual_pace = PRIOR_TOKENS_PER_MS
+
+    def pace(self, worker: Worker, now_s: float) -> float:
+        """Tokens that a worker reads in a millisecond, as far as is known."""
+        return worker.pace.at(now_s, self.usual_pace)
+
+    def hear_pace(self, worker: Worker, tokens_per_ms: float, now_s: float):
+        """Take over what the owner of a worker's book observed."""
+        worker.pace.hear(tokens_per_ms, now_s)
+        self.hear_usual(tokens_per_ms)
+
+    def hear_usual(self, tokens_per_ms: float):
+        """Let one worker's pace, 0 for unknown, count for what is usual."""
+        if not tokens_per_ms:
+            return
+        self.usual_pace += USUAL_GAIN * (tokens_per_ms - self.usual_pace)
 
     def take(self, listing):
         """Follow a whole reading of the list."""
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -479,6 +479,7 @@
 @message
 class PlaceEnd(Wire):
     call: str = bp.string_field(1)
+    first_event_ms: int = bp.uint32_field(2)
 
 
 @message
@@ -540,6 +541,7 @@
     worker: str = bp.string_field(1)
     backlog: int = bp.uint32_field(2)
     running: int = bp.uint32_field(3)
+    tokens_per_s: int = bp.uint32_field(4)
 
 
 @message
--- a/tests/config/test_outward_names.py
+++ b/tests/config/test_outward_names.py
@@ -63,6 +63,7 @@
         "weightsBoundMs",
         "orderLeaseMs",
         "leaveMs",
+        "policy",
         "partsMost",
     ],
     Document: ["models", "tenants", "routes", "services", "paths", "limits", "edition"],
