The owner of a book sends a call on where its worker has more to read than was known

Hypothesis: the owner knows, and asking it costs 2 ms anyway. The time for the reading is what the owner told, not what the news said.

--- a/swiftdeck/config/policy.py
+++ b/swiftdeck/config/policy.py
@@ -12,8 +12,9 @@
     own, `warmth` prefers workers that keep parts, `expectations` counts on parts that are being
     read. `peers` and `store` are where parts are moved from, `pace` is learned of each worker,
     `judge` leaves workers alone after failures, `sharing` tells other routers of them.
-    `short_first` gives short calls the higher urgency, `patience` gives a worker the time to read
-    a prompt before it counts as silent.
+    `declines` lets the owner of a book send a call to the next candidate while its worker has more
+    to read than the router knew. `short_first` gives short calls the higher urgency, `patience`
+    gives a worker the time to read a prompt before it counts as silent.
     """
 
     admission: bool = True
@@ -30,3 +31,4 @@
     sharing: bool = True
     short_first: bool = True
     patience: bool = True
+    declines: bool = True
--- a/swiftdeck/gateway/admission.py
+++ b/swiftdeck/gateway/admission.py
@@ -1,6 +1,9 @@
 """Asks the owner of a worker's book for a place; where the owner can't be heard, a share of K is used without it."""
 
 import asyncio
+import math
+
+import attrs
 
 from swiftdeck.board.beat import next_beat
 from swiftdeck.config.policy import Policy
@@ -8,9 +11,24 @@
 from swiftdeck.wire.messages import LoadNews, PlaceAsk, PlaceEnd, PlaceReturn
 
 PATIENCE_MS = 120
+UNREAD_MOST = 1 << 31
+"""More tokens than any worker will have to read."""
 DEFAULT_POLICY = Policy()
 
 
+@attrs.frozen
+class Answer:
+    """What came of the question for a place.
+
+    `is_busy` says that the worker has more to read than the question allowed, `unread` how many
+    tokens it had to read before this call.
+    """
+
+    granted: bool
+    is_busy: bool = False
+    unread: int = 0
+
+
 class Admission:
     """The routers' side of the books, and the books of the workers that this router owns."""
 
@@ -57,15 +75,17 @@
         """The address of the router that owns a worker's book."""
         return self.owners.of(worker, self.routers())
 
-    async def ask(self, wish: Wish, wait_ms: int, request, salt: str) -> bool:
-        """Whether a call may go to a worker."""
+    async def ask(
+        self, wish: Wish, wait_ms: int, request, salt: str, unread_most: float = math.inf
+    ) -> Answer:
+        """Whether a call may go to a worker that has no more than so many tokens to read before it."""
         owner = self.owner(wish.worker)
         shared, sizes = (
             [part.name for part in request.shared()],
             [part.tokens for part in request.shared()],
         )
         if owner == self.me.addr:
-            granted = await self._take(wish, wait_ms, salt, shared, sizes)
+            answer = await self._take(wish, wait_ms, salt, shared, sizes, unread_most)
         else:
             ask = PlaceAsk(
                 router=self.me.name,
@@ -80,11 +100,14 @@
                 shared=shared,
                 sizes=sizes,
                 missing=wish.missing,
+                unread_most=int(min(max(0.0, unread_most), UNREAD_MOST)),
             )
-            granted = await self._ask_owner(owner, ask, wish, wait_ms)
-        if granted:
+            answer = await self._ask_owner(owner, ask, wish, wait_ms)
+        if answer.granted:
             self.asked[wish.call] = owner
-        return granted
+        elif answer.is_busy:
+            self._hear_backlog(wish.worker, answer.unread)
+        return answer
 
     async def _ask_owner(self, owner, ask, wish, wait_ms):
         """What the owner says; a grant that nobody waits for any more is given back."""
@@ -94,7 +117,9 @@
         finally:
             if not isinstance(got, PlaceReturn):
                 self.mesh.tell(owner, PlaceEnd(call=wish.call))
-        return got.granted if isinstance(got, PlaceReturn) else self._unasked(wish)
+        if not isinstance(got, PlaceReturn):
+            return Answer(granted=self._unasked(wish))
+        return Answer(got.granted, got.is_busy, got.unread)
 
     def _unasked(self, wish):
         """The owner is silent: this router's share of K stands until another one owns the book."""
@@ -142,22 +167,33 @@
             self.loop.time() + ask.left_ms / 1000,
             ask.missing,
         )
-        return PlaceReturn(
-            granted=await self._take(wish, ask.wait_ms, ask.salt, ask.shared, ask.sizes)
+        answer = await self._take(
+            wish, ask.wait_ms, ask.salt, ask.shared, ask.sizes, ask.unread_most
         )
-
-    async def _take(self, wish, wait_ms, salt, shared, sizes):
+        return PlaceReturn(granted=answer.granted, is_busy=answer.is_busy, unread=answer.unread)
+
+    async def _take(self, wish, wait_ms, salt, shared, sizes, unread_most):
+        """Let a call in at a book that is owned here, unless too much is to be read there."""
+        unread = min(int(self.books.unread_at(wish.worker)), UNREAD_MOST)
+        if self.policy.declines and unread > unread_most:
+            self.board.count["placesDeclined"] += 1
+            return Answer(granted=False, is_busy=True, unread=unread)
         granted = await self.books.ask(wish, wait_ms)
         if granted and salt:
             self.on_read(wish.worker, salt, shared, sizes, wish.missing > 0)
-        return granted
+        return Answer(granted, unread=unread)
+
+    def _hear_backlog(self, name, unread):
+        worker = self.worker_registry.workers.get(name)
+        if worker:
+            worker.backlog, worker.backlog_s = unread, self.loop.time()
 
     def tell_load(self, worker, backlog, running):
         """All routers should know how much is to be read at a worker."""
         known = self.worker_registry.workers.get(worker)
         news = LoadNews(
             worker=worker,
-            backlog=min(int(backlog), 1 << 31),
+            backlog=min(int(backlog), UNREAD_MOST),
             running=running,
             tokens_per_s=int(known.pace.tokens_per_ms * 1000) if known else 0,
         )
@@ -167,7 +203,7 @@
     def on_load_news(self, news, sender):
         worker = self.worker_registry.workers.get(news.worker)
         if worker:
-            worker.backlog, worker.backlog_s = news.backlog, self.loop.time()
+            self._hear_backlog(news.worker, news.backlog)
             if news.tokens_per_s and sender:
                 pace = news.tokens_per_s / 1000
                 self.worker_registry.hear_pace(worker, pace, self.loop.time())
--- a/swiftdeck/gateway/places.py
+++ b/swiftdeck/gateway/places.py
@@ -145,6 +145,11 @@
                     self.alone.pop(call, None)
         self.unread[book.worker] = (unread + wish.missing, self._now())
 
+    def unread_at(self, worker: str) -> float:
+        """Tokens that calls let in at a worker still have to read there."""
+        book = self.books.get(worker)
+        return self._unread(book) if book is not None else 0.0
+
     def _unread(self, book):
         """Tokens that calls let in here still have to be read, as far as a worker's usual pace tells."""
         tokens, since_s = self.unread.get(book.worker, (0, 0.0))
--- a/swiftdeck/gateway/placing.py
+++ b/swiftdeck/gateway/placing.py
@@ -137,10 +137,8 @@
         pace = self.registry.pace(worker, now_s)
         return worker.unread(now_s, pace) / pace
 
-    def order(self, request, workers, salts, serving):
-        """Workers in the order in which a call would take them; lanes go by all that serve, whoever is fit now."""
-        if self.is_long(request):
-            return [cost.worker for cost in self.costs(request, workers, salts, serving)]
+    def order_short(self, workers, serving):
+        """Workers in the order in which a short call takes them; the lane goes by all that serve."""
         lane = self.short_lane(serving)
         return sorted(
             self.judge.good(workers),
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -24,6 +24,7 @@
 from swiftdeck.gateway.interfaces import PROMISES, UpstreamRequest, Verdict
 from swiftdeck.gateway.ledger import Attempt, Ledger, Move, next_move
 from swiftdeck.gateway.patience import silence_limit_s
+from swiftdeck.gateway.place_search import PlaceSearch
 from swiftdeck.gateway.places import Wish
 from swiftdeck.http.cuts import CutReason
 
@@ -32,7 +33,7 @@
 EVENT_DATA = re.compile(rb"(?:^|\n)data:")
 FRAMING = (b"content-length", b"transfer-encoding")
 BODILESS = (204, 304)
-MARGIN_S, WAIT_SHARE, ASKED_MOST = 0.015, 0.2, 6
+MARGIN_S = 0.015
 BEGUN_MARGIN_S = 2 * MARGIN_S
 """A final answer is to be there before the deadline, by the first margin; one that has begun, or that a worker works on, has all of
 its time."""
@@ -74,7 +75,7 @@
         )
         self.aim_s = (path.target_ms or 1000) / 1000
         self.salt, self.version = "", 0
-        self.is_passing_on, self.first_event_ms = False, 0
+        self.is_passing_on, self.first_event_ms, self.reading_ms = False, 0, 0.0
         self.trace = self._new_trace() if gateway.logs_call(self.is_long) else None
 
     def _new_trace(self):
@@ -153,48 +154,43 @@
             workers if self.ledger.repeatable else []
         )
         salts = {each.name: gateway.salt(request.model, each, self.tenant) for each in fresh}
-        order = gateway.placing.order(
-            request, fresh, salts, gateway.worker_registry.serving(self.service)
-        )
+        if self.is_long:
+            return await self._search_place(attempt, fresh, salts)
+        order = gateway.placing.order_short(fresh, gateway.worker_registry.serving(self.service))
         if not order:
             attempt.fault = NO_WORKER
             return None
-        if not self.is_long:
-            roomy = [each for each in order if each.running < each.listed.slots] or order[:1]
-            return roomy[0]
-        for worker, wait_share in [
-            (order[0], 0.3),
-            *((each, 0.0) for each in order[1:ASKED_MOST]),
-            (order[0], 1.0),
-        ]:
-            wait_s = max(
-                0.0, (self.start_s + WAIT_SHARE * self.aim_s - self.loop.time()) * wait_share
-            )
-            wait_s = min(wait_s, max(0.0, self._left_s()))
-            wish = Wish(
-                request.name,
-                f"{self.tenant}/{request.parts[-1].name if request.parts else request.name}",
-                self.tenant,
-                worker.name,
-                request.prompt_tokens,
-                self.ledger.deadline_s,
-                gateway.placing.missing(request, worker, salts[worker.name]).to_read,
-            )
-            if self.trace is not None:
-                self.trace.owners_asked += 1
-                self.trace.see_candidates(
-                    gateway.placing.costs(
-                        request, fresh, salts, gateway.worker_registry.serving(self.service)
-                    )
-                )
-            if await gateway.admission.ask(wish, int(wait_s * 1000), request, salts[worker.name]):
-                self.place = wish
-                if self.trace is not None:
-                    self.trace.placed_ms = self._elapsed_ms()
-                return worker
-        gateway.board.count["refusedForRoom"] += 1
-        attempt.fault = NO_ROOM
-        return None
+        roomy = [each for each in order if each.running < each.listed.slots] or order[:1]
+        return roomy[0]
+
+    async def _search_place(self, attempt, workers, salts):
+        """A worker whose book has a place for this long call."""
+        search = PlaceSearch(self.gateway, self, workers, salts)
+        if not search.costs():
+            attempt.fault = NO_WORKER
+            return None
+        found = await search.find()
+        if found is None:
+            self.gateway.board.count["refusedForRoom"] += 1
+            attempt.fault = NO_ROOM
+            return None
+        self.place, self.reading_ms = found.wish, found.reading_ms
+        if self.trace is not None:
+            self.trace.placed_ms = self._elapsed_ms()
+        return found.worker
+
+    def wish(self, worker, tokens_to_read: int) -> Wish:
+        """What is asked of a worker's book."""
+        request = self.request
+        return Wish(
+            request.name,
+            f"{self.tenant}/{request.parts[-1].name if request.parts else request.name}",
+            self.tenant,
+            worker.name,
+            request.prompt_tokens,
+            self.ledger.deadline_s,
+            tokens_to_read,
+        )
 
     async def _send(self):
         attempt = self.ledger.attempts[-1]
@@ -264,7 +260,7 @@
         """
         reading = asyncio.ensure_future(self._head())
         try:
-            until_s = sent_s + self._patience_s(worker)
+            until_s = sent_s + self._patience_s()
             while True:
                 begin_s = self.gateway.must_begin_by_s(self.request.model, self.version)
                 wake_s = min(until_s, self.ledger.deadline_s, begin_s)
@@ -283,14 +279,9 @@
         finally:
             reading.cancel()
 
-    def _patience_s(self, worker):
+    def _patience_s(self):
         """How long a worker may say nothing before it can count as silent."""
-        placing, now_s, reading_ms = self.gateway.placing, self.loop.time(), 0.0
-        if self.is_long and self.gateway.policy.patience:
-            missing = placing.missing(self.request, worker, self.salt)
-            pace = self.gateway.worker_registry.pace(worker, now_s)
-            reading_ms = missing.to_read / pace + missing.move_ms
-            reading_ms += placing.backlog_ms(worker, now_s)
+        reading_ms = self.reading_ms if self.gateway.policy.patience else 0.0
         return silence_limit_s(self.aim_s, reading_ms)
 
     def _may_move(self, worker):
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -469,11 +469,14 @@
     shared: list[str] = bp.string_field(10)
     sizes: list[int] = bp.uint32_field(11)
     missing: int = bp.uint32_field(12)
+    unread_most: int = bp.uint32_field(13)
 
 
 @message
 class PlaceReturn(Wire):
     granted: bool = bp.bool_field(1)
+    is_busy: bool = bp.bool_field(2)
+    unread: int = bp.uint32_field(3)
 
 
 @message
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -1,10 +1,11 @@
 """Tests of how routers ask each other's books for places."""
 
+import math
 import random
 from types import SimpleNamespace
 
 from swiftdeck.board.board import Board
-from swiftdeck.gateway.admission import PATIENCE_MS, Admission
+from swiftdeck.gateway.admission import PATIENCE_MS, Admission, Answer
 from swiftdeck.gateway.broadcast import Broadcast
 from swiftdeck.gateway.places import Wish
 from swiftdeck.member.membership import Membership
@@ -41,13 +42,16 @@
     def wish(self, call, addr, worker="i-0", left_s=6.0):
         return Wish(call, f"e/{call}", "t", worker, 40000, self.world.loops[addr].time() + left_s)
 
-    def ask(self, call, addr=None, wait_ms=50, **more):
+    def ask(self, call, addr=None, wait_ms=50, unread_most=math.inf, **more):
         addr = addr or self.asker
         wish = self.wish(call, addr, **more)
-        return self.do(
-            lambda: self.parts[addr].ask(wish, wait_ms, SimpleNamespace(shared=lambda: []), ""),
+        answer = self.do(
+            lambda: self.parts[addr].ask(
+                wish, wait_ms, SimpleNamespace(shared=lambda: []), "", unread_most
+            ),
             addr,
-        ), wish
+        )
+        return answer.granted, wish
 
     def open(self):
         return {
@@ -100,7 +104,7 @@
         self.assertFalse(task.done())
         self.within(lambda: self.parts[self.asker].ended(first), self.asker)
         self.world.run(0.5)
-        self.assertTrue(task.result())
+        self.assertTrue(task.result().granted)
 
     def test_where_the_owner_is_silent_a_share_is_used_without_it(self):
         self.world.freeze(self.far)
@@ -127,3 +131,22 @@
         self.world.kill(self.asker)
         self.world.run(4)
         self.assertEqual(sum(count for addr, count in self.open().items() if addr != self.asker), 0)
+
+    def reading(self, call, unread_most):
+        addr, call = self.asker, f"reading {call}"
+        wish = Wish(call, call, "t", "i-0", 20000, self.world.loops[addr].time() + 6, 20000)
+        request = SimpleNamespace(shared=lambda: [])
+        return self.do(lambda: self.parts[addr].ask(wish, 0, request, "", unread_most), addr)
+
+    def test_an_owner_declines_where_more_is_to_be_read_than_the_asker_allows(self):
+        self.assertEqual(self.reading(1, 0), Answer(granted=True))
+        declined = self.reading(2, 5000)
+        self.assertTrue(declined.is_busy and not declined.granted)
+        self.assertAlmostEqual(declined.unread, 20000, delta=2000)
+        known = self.parts[self.asker].worker_registry.workers["i-0"]
+        self.assertEqual(known.backlog, declined.unread)
+        self.assertEqual(self.open()[self.far], 1)
+        let_in = self.reading(3, 30000)
+        self.assertTrue(let_in.granted)
+        self.assertAlmostEqual(let_in.unread, 20000, delta=2000)
+        self.assertTrue(self.reading(4, math.inf).granted)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -27,13 +27,16 @@
         workers = self.workers if workers is None else workers
         return self.within(
             lambda: [
-                each.name
-                for each in (placing or self.placing).order(
-                    wanted, workers, {each.name: salt for each in self.workers}, self.workers
-                )
+                each.name for each in self.ordered(placing or self.placing, wanted, workers, salt)
             ]
         )
 
+    def ordered(self, placing, wanted, workers, salt):
+        if not placing.is_long(wanted):
+            return placing.order_short(workers, self.workers)
+        salts = {each.name: salt for each in self.workers}
+        return [cost.worker for cost in placing.costs(wanted, workers, salts, self.workers)]
+
     def short(self, name="s", **more):
         return request(name, parts=[("small", 90), (name, 300)], **more)
 
