--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -81,7 +81,9 @@
             self.broadcast,
             self.policy,
         )
-        self.following = Following(self.admission, self.broadcast, self.kept, caches, self.board)
+        self.following = Following(
+            self.admission, self.broadcast, self.kept, caches, self.board, self.policy
+        )
         self.admission.on_read = self.following.will_keep
         self.pool = Pool(self.board, settings.connectMs)
         self.pool.most = self.connections_most
--- a/swiftdeck/platform/caches.py
+++ b/swiftdeck/platform/caches.py
@@ -1,12 +1,16 @@
 """Reports of the platform's caches."""
 
+from typing import Annotated
+
 import msgspec
 
 from swiftdeck.fault import BAD_RETURN, is_fault
 from swiftdeck.gateway.interfaces import Kept, Reports
 from swiftdeck.http.kept import KeptJson
 
-PATH, WAIT, NEXT = "/swiftdeck/kv-events", "Wait-Ms", "next-token"
+PATH, LIST, WAIT, NEXT = "/swiftdeck/kv-events", "/swiftdeck/kv-list", "Wait-Ms", "next-token"
+LIST_MS = 1000
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=1 << 31)]
 
 
 class Told(msgspec.Struct):
@@ -14,10 +18,16 @@
 
     epoch: int
     next: int = msgspec.field(name=NEXT)
-    events: list[tuple[int, str, str, str, int, str]]
+    events: list[tuple[int, str, str, str, Tokens, str]]
     lost: bool = False
 
 
+class Held(msgspec.Struct):
+    """The list of what a cache keeps."""
+
+    held: list[tuple[str, str, Tokens, str]]
+
+
 class PlatformCaches:
     """Asks a cache for its reports; the call is held there until there are some."""
 
@@ -56,3 +66,14 @@
                 for number, sign, salt, part, tokens, _ in told.events
             ],
         )
+
+    async def held(self):
+        """All that the cache keeps now as reports without numbers, or a fault."""
+        got = await self.kept.fetch("GET", LIST, timeout_ms=LIST_MS)
+        if is_fault(got) or got[0] != 200:
+            return got if is_fault(got) else BAD_RETURN.because(f"list says {got[0]}")
+        try:
+            told = msgspec.convert(got[1], Held)
+        except msgspec.ValidationError as error:
+            return BAD_RETURN.because(f"list: {error}")
+        return [Kept(0, salt, part, tokens, True) for salt, part, tokens, _ in told.held]
