--- a/swiftdeck/config/policy.py
+++ b/swiftdeck/config/policy.py
@@ -14,8 +14,7 @@
     `judge` leaves workers alone after failures, `sharing` tells other routers of them.
     `declines` lets the owner of a book send a call to the next candidate while its worker has more
     to read than the router knew. `short_first` gives short calls the higher urgency, `patience`
-    gives a worker the time to read a prompt before it counts as silent, `snapshots` takes all that
-    a cache keeps from its first reports, or from its list after a gap.
+    gives a worker the time to read a prompt before it counts as silent.
     """
 
     admission: bool = True
@@ -33,4 +32,3 @@
     short_first: bool = True
     patience: bool = True
     declines: bool = True
-    snapshots: bool = True
--- a/swiftdeck/gateway/following.py
+++ b/swiftdeck/gateway/following.py
@@ -3,26 +3,20 @@
 import asyncio
 
 from swiftdeck.board.beat import next_beat
-from swiftdeck.config.policy import Policy
-from swiftdeck.fault import BUSY, is_fault
+from swiftdeck.fault import is_fault
 from swiftdeck.wire.messages import KeptNews
 
 WAIT_MS, EXPECTED_S, DOWN_S, REST_S, LEAST_TOKENS, KNOWN_MOST = 1000, 2.0, 4.0, 0.2, 1024, 20000
-SNAPSHOT_MOST = 1000
-"""The most parts of one cache that are told at once; the largest count."""
-LIST_PAUSE_S = 5.0
-DEFAULT_POLICY = Policy()
+OWNED_S = 0.9
+"""How long a cache must be owned here before it is followed: a router that starts knows few others
+and would follow all of them, as would every other one after a loss of all power."""
 
 
 class Following:
-    """One follower for each cache in the whole fleet.
+    """One follower for each cache in the whole fleet; after a gap what was known is forgotten."""
 
-    A follower that begins, or finds a gap in the reports, tells all that the cache keeps: from its
-    first reports, or from a list that it asks for. Without one, what was known is forgotten.
-    """
-
-    def __init__(self, admission, broadcast, kept, source, board, policy=DEFAULT_POLICY):
-        self.policy, self.listed_s = policy, {}
+    def __init__(self, admission, broadcast, kept, source, board):
+        self.owned_s = {}
         self.admission, self.broadcast = admission, broadcast
         self.kept, self.source, self.board = kept, source, board
         self.tasks, self.shared, self.stores = {}, {}, []
@@ -63,8 +57,10 @@
             wanted |= {addr: addr for addr in self.stores if self.admission.owner(addr) == me}
             for name in [name for name in self.tasks if name not in wanted]:
                 self.tasks.pop(name).cancel()
+            now_s = asyncio.get_running_loop().time()
+            self.owned_s = {name: self.owned_s.get(name, now_s) for name in wanted}
             for name, addr in wanted.items():
-                if name not in self.tasks:
+                if name not in self.tasks and now_s - self.owned_s[name] >= OWNED_S:
                     self.tasks[name] = asyncio.ensure_future(self._follow(name, addr))
             for holder in [
                 each
@@ -102,52 +98,16 @@
                 since, epoch = 0, got.epoch
                 self._tell(name, [], True)
                 continue
-            is_first, epoch, since = since == 0, got.epoch, got.next_number
-            await self._take(name, follower, got, is_first)
+            epoch, since = got.epoch, got.next_number
+            told = [
+                each
+                for each in got.reports
+                if each.part in self.shared or name in self.stores and each.tokens >= LEAST_TOKENS
+            ]
+            if told or got.lost:
+                self._tell(name, told, got.lost)
             await asyncio.sleep(REST_S)
 
-    async def _take(self, name, follower, got, is_first):
-        """Pass on what a cache reported, or all that it keeps where that can be known."""
-        if self.policy.snapshots and (is_first or got.lost):
-            held = await self._held(name, follower) if got.lost else got.reports
-            if not is_fault(held):
-                return self._tell_snapshot(name, held)
-        told = [
-            each
-            for each in got.reports
-            if each.part in self.shared or name in self.stores and each.tokens >= LEAST_TOKENS
-        ]
-        if told or got.lost:
-            self._tell(name, told, got.lost)
-
-    async def _held(self, name, follower):
-        """The list of what a cache keeps, which costs it some work, so that it is asked now and then only."""
-        now_s = asyncio.get_running_loop().time()
-        if now_s < self.listed_s.get(name, -LIST_PAUSE_S) + LIST_PAUSE_S:
-            return BUSY
-        self.listed_s[name] = now_s
-        self.board.count["heldListsAsked"] += 1
-        return await follower.held()
-
-    def _tell_snapshot(self, name, reports):
-        """Tell all that a cache keeps, the large parts and those that are known to be shared."""
-        held = {}
-        for each in reports:
-            if each.is_kept:
-                held[(each.salt, each.part)] = each
-            else:
-                held.pop((each.salt, each.part), None)
-        told = [
-            each
-            for each in held.values()
-            if each.part in self.shared or each.tokens >= LEAST_TOKENS
-        ]
-        told = sorted(told, key=lambda each: -each.tokens)[:SNAPSHOT_MOST]
-        for each in told:
-            self.shared[each.part] = None
-        if told or name in self.kept.by_holder:
-            self._tell(name, told, True)
-
     def _tell(self, name, reports, is_whole, is_down=False):
         news = KeptNews(
             holder=name,
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -81,9 +81,7 @@
             self.broadcast,
             self.policy,
         )
-        self.following = Following(
-            self.admission, self.broadcast, self.kept, caches, self.board, self.policy
-        )
+        self.following = Following(self.admission, self.broadcast, self.kept, caches, self.board)
         self.admission.on_read = self.following.will_keep
         self.pool = Pool(self.board, settings.connectMs)
         self.pool.most = self.connections_most
@@ -391,6 +389,7 @@
                     "weights": each.weights,
                     "running": each.running,
                     "shunned": each.shunned_until_s > self.loop.time(),
+                    "pace": round(self.worker_registry.pace(each, self.loop.time()), 1),
                 }
                 for each in self.worker_registry.workers.values()
             },
--- a/swiftdeck/platform/caches.py
+++ b/swiftdeck/platform/caches.py
@@ -8,8 +8,7 @@
 from swiftdeck.gateway.interfaces import Kept, Reports
 from swiftdeck.http.kept import KeptJson
 
-PATH, LIST, WAIT, NEXT = "/swiftdeck/kv-events", "/swiftdeck/kv-list", "Wait-Ms", "next-token"
-LIST_MS = 1000
+PATH, WAIT, NEXT = "/swiftdeck/kv-events", "Wait-Ms", "next-token"
 Tokens = Annotated[int, msgspec.Meta(ge=0, le=1 << 31)]
 
 
@@ -22,12 +21,6 @@
     lost: bool = False
 
 
-class Held(msgspec.Struct):
-    """The list of what a cache keeps."""
-
-    held: list[tuple[str, str, Tokens, str]]
-
-
 class PlatformCaches:
     """Asks a cache for its reports; the call is held there until there are some."""
 
@@ -66,14 +59,3 @@
                 for number, sign, salt, part, tokens, _ in told.events
             ],
         )
-
-    async def held(self):
-        """All that the cache keeps now as reports without numbers, or a fault."""
-        got = await self.kept.fetch("GET", LIST, timeout_ms=LIST_MS)
-        if is_fault(got) or got[0] != 200:
-            return got if is_fault(got) else BAD_RETURN.because(f"list says {got[0]}")
-        try:
-            told = msgspec.convert(got[1], Held)
-        except msgspec.ValidationError as error:
-            return BAD_RETURN.because(f"list: {error}")
-        return [Kept(0, salt, part, tokens, True) for salt, part, tokens, _ in told.held]
