Processes find the fleet, and routers a configuration, at once after a loss of all power

Routers were up 0.6 to 1.1 s after it, and served 2 s later: a connection to a seed that is still down hangs for 1 s, then a pause of 0.5 s; and a router looked for a configuration only after its renewals, of up to 0.9 s each through neighbours that are down. Change: seeds are probed by datagrams until one answers, with pauses that grow; a configuration is looked for beside the renewals, and the first tail's answer waits 50 ms for others.

--- a/swiftdeck/config/policy.py
+++ b/swiftdeck/config/policy.py
@@ -14,7 +14,8 @@
     `judge` leaves workers alone after failures, `sharing` tells other routers of them.
     `declines` lets the owner of a book send a call to the next candidate while its worker has more
     to read than the router knew. `short_first` gives short calls the higher urgency, `patience`
-    gives a worker the time to read a prompt before it counts as silent.
+    gives a worker the time to read a prompt before it counts as silent, `connections` prefers
+    workers with a kept connection for short calls.
     """
 
     admission: bool = True
@@ -32,3 +33,4 @@
     short_first: bool = True
     patience: bool = True
     declines: bool = True
+    connections: bool = True
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -85,6 +85,8 @@
         self.admission.on_read = self.following.will_keep
         self.pool = Pool(self.board, settings.connectMs)
         self.pool.most = self.connections_most
+        if self.policy.connections:
+            self.placing.has_connection = self.pool.has_idle
         self.listing = Listing(
             self.me,
             self.mesh,
--- a/swiftdeck/gateway/placing.py
+++ b/swiftdeck/gateway/placing.py
@@ -17,6 +17,8 @@
 AGAIN, PLACE_MS = 1.5, 37.5
 UNKNOWN_MOVE_SHARE = 0.5
 """What a move is taken to cost of a reading where the configuration tells no sizes or links."""
+NEW_CONNECTION = 0.5
+"""What a new connection counts for a short call, in calls that run at the worker."""
 KEPT_SHARE = 0.9
 """Parts count as kept from this share of their tokens on, as caches keep whole blocks."""
 
@@ -80,6 +82,7 @@
         self.registry = judge.worker_registry
         self.long_tokens, self.virtual_places = long_tokens, virtual_places
         self.rings, self.lanes = {}, {}
+        self.has_connection = lambda worker: True
         self.services: dict[str, Service] = {}
         self.stores: dict[str, Service] = {}
 
@@ -130,6 +133,7 @@
             + min(10.0, worker.first_event_ms / 100)
             + (0 if worker.listed.zone == self.zone else 0.6)
             + (2 if worker.listed.warmup_ms else 0)
+            + (0 if self.has_connection(worker) else NEW_CONNECTION)
         )
 
     def backlog_ms(self, worker, now_s: float) -> float:
--- a/swiftdeck/gateway/pool.py
+++ b/swiftdeck/gateway/pool.py
@@ -107,18 +107,27 @@
         self.board, self.connect_ms = board, connect_ms
         self.idle, self.count, self.most = {}, {}, lambda worker: 64
 
+    def has_idle(self, worker) -> bool:
+        """Whether a kept connection to a worker can be used again."""
+        now_s = asyncio.get_running_loop().time()
+        kept = self.idle.get((worker.name, worker.listed.addr), ())
+        return any(self._is_fresh(link, now_s) for link in kept)
+
+    @staticmethod
+    def _is_fresh(link, now_s):
+        return (
+            not link.gone
+            and not link.transport.is_closing()
+            and now_s - link.idle_since_s < link.keep_s - SPARE_S
+        )
+
     async def take(self, worker, within_s=FOREVER_S, reuse=True):
         """A connection to a worker, kept or new, or a fault with which no byte was sent."""
         now_s, addr = asyncio.get_running_loop().time(), worker.listed.addr
         kept = self.idle.get((worker.name, addr), [])
         while kept:
             link = kept.pop()
-            if (
-                reuse
-                and not link.gone
-                and not link.transport.is_closing()
-                and now_s - link.idle_since_s < link.keep_s - SPARE_S
-            ):
+            if reuse and self._is_fresh(link, now_s):
                 link.is_busy = link.is_reused = True
                 return link
             link.close()
--- a/swiftdeck/member/membership.py
+++ b/swiftdeck/member/membership.py
@@ -9,6 +9,12 @@
 from swiftdeck.wire.messages import Done, Member, MemberList, Probe, ProbeReturn
 
 ALIVE, SUSPECT, GONE = 0, 1, 2
+KNOCK_LEAST_S, KNOCK_MOST_S, KNOCK_GROWTH = 0.1, 0.5, 1.3
+"""Pauses between probes of the seeds while no neighbour is known."""
+FIRST_COMPARISONS, FIRST_PAUSE_S = 6, 0.3
+"""How often, and after what pauses, a process that joined compares what it knows with others."""
+KNOCKED_JOINS = 8
+"""How many of those that answered are asked for the whole list, which is long in a large fleet."""
 STATES = ("alive", "suspect", "gone")
 
 
@@ -40,6 +46,7 @@
         self.tasks = [
             asyncio.ensure_future(self._probing()),
             asyncio.ensure_future(self._seeking()),
+            asyncio.ensure_future(self._knocking()),
         ]
 
     def _once(self, name, find):
@@ -275,6 +282,25 @@
             await asyncio.gather(*(self._join(addr) for addr in sorted(targets)))
             await asyncio.sleep(0.5 if not self.alive() else 3.0)
 
+    async def _knocking(self):
+        """Probe the seeds by datagrams until one answers, and learn from it whom it knows.
+
+        A connection to a machine that is down hangs for a second; after a loss of all power every
+        process would begin with that.
+        """
+        pause_s = KNOCK_LEAST_S
+        while not self.alive():
+            for addr in self.seeds:
+                if addr != self.me.addr:
+                    self.mesh.cast(addr, Probe(sender=self.me, target=addr))
+            await asyncio.sleep(pause_s * self.random.uniform(0.8, 1.2))
+            pause_s = min(KNOCK_MOST_S, pause_s * KNOCK_GROWTH)
+        known = self.some(KNOCKED_JOINS)
+        await asyncio.gather(*(self._join(each.addr) for each in known))
+        for _ in range(FIRST_COMPARISONS):
+            await asyncio.sleep(FIRST_PAUSE_S * self.random.uniform(0.8, 1.2))
+            self.compare()
+
     async def _join(self, addr):
         """Tell a process that isn't known all, and learn all that it knows."""
         got = await self.mesh.ask(addr, MemberList(members=[self.me, *self.alive()]))
--- a/swiftdeck/traffic/lease.py
+++ b/swiftdeck/traffic/lease.py
@@ -14,6 +14,7 @@
 
 ASK_MS, LONG_ASK_MS = 700, 3000
 """How long the tail may take to begin its answer, and to end one that is still coming in."""
+PEEK_AGAIN_S, PEEK_ASK_MS, PEEK_MORE_S = 0.15, 500, 0.05
 
 
 @attrs.frozen
@@ -44,6 +45,7 @@
         self.renewMs = renewMs
         self.router = f"{me.name}/{me.incarnation:x}"
         self.held, self.until_s, self.watchers = None, -1.0, []
+        self.peek_task = None
         self.waiting, self.stopping, self.must_have_whole = [], False, False
         self.failures, self.peeks, self.routers = 0, False, 0
         self.weight_ages, self.core_changed_s, self.core_seen_s = WeightAges(), -1e9, -1e9
@@ -54,6 +56,8 @@
         """Go on renewing."""
         self.loop, self.kick = asyncio.get_running_loop(), asyncio.Event()
         self.task = asyncio.ensure_future(self._renewing())
+        if self.peeks:
+            self.peek_task = asyncio.ensure_future(self._peeking())
 
     def is_held(self) -> bool:
         """Whether the configuration held may be served by now."""
@@ -94,8 +98,6 @@
             got = await self._through_others(ask)
         if is_fault(got) or not isinstance(got, LeaseReturn):
             self.failures += 1
-            if self.peeks and self.held is None:
-                await self._peek()
             return False
         self.failures, self.routers = 0, got.routers
         self._take_ages(got, sentS)
@@ -113,20 +115,46 @@
             self.core_changed_s = max(self.core_changed_s, sentS - got.core_calm_ms / 1000)
             self.core_seen_s = sentS
 
+    async def _peeking(self):
+        """Look for a configuration until there is one.
+
+        Beside the renewals: these may hang on neighbours that are down, as after a loss of all power.
+        """
+        while self.held is None:
+            await asyncio.sleep(PEEK_AGAIN_S)
+            if self.held is None:
+                await self._peek()
+
     async def _peek(self):
         """Take what a tail has on its disk, to serve by without a lease: it was committed once, if perhaps not last."""
-        addrs = {each.addr for each in self.membership.alive("core")} | {
-            ref.addr for ref in self.cluster_map.view.members
-        }
-        got = await asyncio.gather(*(self.mesh.ask(addr, PeekAsk(), 500) for addr in sorted(addrs)))
-        told = [each for each in got if isinstance(each, PeekReturn) and each.version]
-        best = max(told, key=lambda each: each.view, default=None)
+        best = max(await self._peeked(), key=lambda each: each.view, default=None)
         if best is not None and self.held is None:
             self.board.count["configsPeeked"] += 1
             self._install(
                 LeaseReturn(version=best.version, document=best.document, digest=best.digest)
             )
 
+    async def _peeked(self):
+        """What tails answer; the others are given a moment more once one has answered."""
+        addrs = {each.addr for each in self.membership.alive("core")} | {
+            ref.addr for ref in self.cluster_map.view.members
+        }
+        open_tasks = {
+            asyncio.ensure_future(self.mesh.ask(addr, PeekAsk(), PEEK_ASK_MS))
+            for addr in sorted(addrs)
+        }
+        told, timeout_s = [], None
+        while open_tasks:
+            done, open_tasks = await asyncio.wait(
+                open_tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not done:
+                break
+            got = [each.result() for each in done]
+            told += [each for each in got if isinstance(each, PeekReturn) and each.version]
+            timeout_s = PEEK_MORE_S if told else None
+        return told
+
     async def _through_others(self, ask):
         some = self.membership.some(2, "router")
         asked = [
@@ -207,5 +235,7 @@
         """Give the lease up, so that no acknowledgement waits for this router."""
         self.stopping, self.until_s = True, -1.0
         self.task.cancel()
+        if self.peek_task is not None:
+            self.peek_task.cancel()
         if self.cluster_map.tail():
             await self.mesh.ask(self.cluster_map.tail(), self._ask(True), within_ms)
--- a/tests/member/test_membership.py
+++ b/tests/member/test_membership.py
@@ -55,6 +55,18 @@
         world.run(8)
         self.assertEqual([len(each.alive()) for each in found.values()], [4] * 5)
 
+    def test_seeds_that_come_back_after_a_process_started_are_found_at_once(self):
+        world, found, process = self.build(5)
+        world.run(4)
+        for number in range(5):
+            world.kill(f"n{number}", True)
+        world.start("n4", "10.0.0.5", process(4))
+        world.run(0.5)
+        for number in range(4):
+            world.start(f"n{number}", f"10.0.0.{number + 1}", process(number))
+        world.run(0.6)
+        self.assertEqual([len(each.alive()) for each in found.values()], [4] * 5)
+
     def exchanged(self, world, found, seconds):
         """Bytes of neighbours exchanged by all within some seconds."""
         before = sum(each.mesh.sent_bytes["MemberList"] for each in found.values())
