Owners decline starts only: a later call of an open episode is let in

Cause, by reading: an owner whose worker had more to read than the asker allowed sent any call on, also one of an episode that it had admitted, against the design (admission at boundaries only, docs/design.md after the paper). Change: only a call that begins an episode is declined.

--- a/swiftdeck/gateway/admission.py
+++ b/swiftdeck/gateway/admission.py
@@ -173,9 +173,10 @@
         return PlaceReturn(granted=answer.granted, is_busy=answer.is_busy, unread=answer.unread)
 
     async def _take(self, wish, wait_ms, salt, shared, sizes, unread_most):
-        """Let a call in at a book that is owned here, unless too much is to be read there."""
+        """Let a call in at a book that is owned here, unless it begins where too much is to be read."""
         unread = min(int(self.books.unread_at(wish.worker)), UNREAD_MOST)
-        if self.policy.declines and unread > unread_most:
+        is_start = not self.books.is_open(wish)
+        if self.policy.declines and is_start and unread > unread_most:
             self.board.count["placesDeclined"] += 1
             return Answer(granted=False, is_busy=True, unread=unread)
         granted = await self.books.ask(wish, wait_ms)
--- a/swiftdeck/gateway/places.py
+++ b/swiftdeck/gateway/places.py
@@ -145,6 +145,11 @@
                     self.alone.pop(call, None)
         self.unread[book.worker] = (unread + wish.missing, self._now())
 
+    def is_open(self, wish: Wish) -> bool:
+        """Whether a call belongs to an episode that was admitted and is not over."""
+        book = self.books.get(wish.worker)
+        return book is not None and wish.episode in book.open
+
     def unread_at(self, worker: str) -> float:
         """Tokens that calls let in at a worker still have to read there."""
         book = self.books.get(worker)
