--- a/swiftdeck/control/archive.py
+++ b/swiftdeck/control/archive.py
@@ -1,4 +1,4 @@
-"""Acknowledged configurations in a Git-like object store, for people to read; nothing depends on it."""
+"""Acknowledged configurations in a Git-like object store, for people to read."""
 
 import asyncio
 import re
@@ -19,7 +19,10 @@
 
 
 class Archive:
-    """Each version that the tail answers with becomes a commit; a failure is counted and the version left out."""
+    """Each version that the tail answers with becomes a commit.
+
+    A failure is counted and the version left out; nothing depends on the archive.
+    """
 
     def __init__(self, path, chain, change_writer, board, wall=time.time):
         self.path, self.chain, self.change_writer, self.board, self.wall = (
--- a/swiftdeck/disk/folder.py
+++ b/swiftdeck/disk/folder.py
@@ -10,16 +10,30 @@
 class Folder(typing.Protocol):
     """What a process asks of its disk."""
 
-    def read(self, name: str) -> bytes: ...
-    def append(self, name: str, data: bytes): ...
-    async def sync(self, name: str): ...
-    async def replace(self, name: str, data: bytes): ...
-    def truncate(self, name: str, length: int): ...
-    def free_bytes(self) -> int: ...
+    def read(self, name: str) -> bytes:
+        """Return all bytes of a file, none where there is no such file."""
+
+    def append(self, name: str, data: bytes):
+        """Write behind the end of a file."""
+
+    async def sync(self, name: str):
+        """Make what was written last through a loss of power."""
+
+    async def replace(self, name: str, data: bytes):
+        """Put new contents in place of a file, whole or not at all."""
+
+    def truncate(self, name: str, length: int):
+        """Cut a file to a length in bytes."""
+
+    def free_bytes(self) -> int:
+        """Return how many bytes the disk still takes."""
 
 
 class DataFolder:
-    """Files under one folder; syncing waits on one helper thread, so that a stalled disk does not silence the node."""
+    """Files under one folder.
+
+    Syncing waits on one helper thread, so that a stalled disk does not silence the node.
+    """
 
     def __init__(self, path):
         self.path = Path(path)
@@ -57,7 +71,7 @@
             self.named.add(name)
 
     def _sync_names(self):
-        """Make the names of files last: a file that was made may else be gone after a loss of power."""
+        """Make the names of files last; a new file may else be gone after a loss of power."""
         folder = os.open(self.path, os.O_RDONLY)
         try:
             os.fsync(folder)
--- a/swiftdeck/disk/journal.py
+++ b/swiftdeck/disk/journal.py
@@ -24,8 +24,9 @@
 class Journal:
     """Records in one file; a torn last one is cut off, damage anywhere is refused.
 
-    A write that the power cut short leaves the beginning of a record, and where the file had grown already, zeros from some
-    sector on; a record that is all there but does not add up was whole once, and may have been acknowledged.
+    A write that the power cut short leaves the beginning of a record, and where the file had grown
+    already, zeros from some sector on; a record that is all there but does not add up was whole
+    once, and may have been acknowledged.
     """
 
     def __init__(self, folder, name):
--- a/swiftdeck/gateway/admission.py
+++ b/swiftdeck/gateway/admission.py
@@ -158,6 +158,7 @@
             self.mesh.tell(owner, PlaceEnd(call=wish.call, first_event_ms=first_event_ms))
 
     async def on_place_ask(self, ask, sender):
+        """Answer another router's question for a place in a book that is owned here."""
         wish = Wish(
             ask.call,
             ask.episode,
@@ -202,6 +203,7 @@
         self.broadcast.tell(news)
 
     def on_load_news(self, news, sender):
+        """Take in what the owner of a book says of its worker's load and pace."""
         worker = self.worker_registry.workers.get(news.worker)
         if worker:
             self._hear_backlog(news.worker, news.backlog)
@@ -210,6 +212,7 @@
                 self.worker_registry.hear_pace(worker, pace, self.loop.time())
 
     def on_place_end(self, end, sender):
+        """Give a place back that another router held."""
         self.books.ended(end.call, first_event_ms=end.first_event_ms)
 
     async def _ticking(self):
--- a/swiftdeck/gateway/broadcast.py
+++ b/swiftdeck/gateway/broadcast.py
@@ -146,6 +146,7 @@
         return lambda: self.membership.relays("router").get(zone)
 
     def on_bulletin(self, bulletin, sender):
+        """Hand news to their handlers, and pass them on as far as the bulletin says."""
         sections = [each for each in bulletin.sections if each.origin != self.me.addr]
         for section in sections:
             for news in (*section.loads, *section.kept, *section.troubles):
--- a/swiftdeck/gateway/following.py
+++ b/swiftdeck/gateway/following.py
@@ -124,6 +124,7 @@
         self.broadcast.tell(news)
 
     def on_news(self, news, sender):
+        """Take in what a follower tells of its cache."""
         if news.is_expected:
             until_s = asyncio.get_running_loop().time() + EXPECTED_S
             for salt, part in zip(news.salts, news.parts, strict=False):
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -308,11 +308,13 @@
         self.broadcast.tell(WorkerNews(worker=worker.name, for_ms=for_ms))
 
     def on_worker_news(self, news, sender):
+        """Leave a worker alone that failed at another router, unless it just answered here."""
         worker = self.worker_registry.workers.get(news.worker)
         if worker and self.loop.time() - worker.answered_s > 0.1:
             self.judge.shun(worker, min(news.for_ms, 2000) / 1000)
 
     def on_swap_news(self, news, sender):
+        """Steer away from workers that are about to take new weights."""
         now_s = self.loop.time()
         for name in news.workers:
             worker = self.worker_registry.workers.get(name)
--- a/swiftdeck/gateway/interfaces.py
+++ b/swiftdeck/gateway/interfaces.py
@@ -104,42 +104,64 @@
 class CallerDialect(typing.Protocol):
     """How callers speak."""
 
-    def read(self, exchange): ...
-    def refusal(self, fault, request): ...
+    def read(self, exchange):
+        """Return the Request that an exchange brings, or a fault."""
+
+    def refusal(self, fault, request):
+        """Return status, headers and body of a final answer of our own."""
 
 
 class WorkerDialect(typing.Protocol):
     """How workers are spoken to and how their answers read."""
 
-    def head(self, request: Request, upstream_request: UpstreamRequest) -> list: ...
-    def verdict(self, request: Request, status: int, headers: list) -> Verdict: ...
-    def passed_on(self, headers: list) -> list: ...
-    def version(self, headers: list) -> int | None: ...
-    def worker(self, headers: list) -> str: ...
-    def versions_in(self, data: bytes) -> int | None: ...
+    def head(self, request: Request, upstream_request: UpstreamRequest) -> list:
+        """Return the headers of an attempt."""
+
+    def verdict(self, request: Request, status: int, headers: list) -> Verdict:
+        """Judge the head of an answer."""
+
+    def passed_on(self, headers: list) -> list:
+        """Return the headers of an answer that go to the caller."""
+
+    def version(self, headers: list) -> int | None:
+        """Return the version of the weights that an answer names, or None."""
+
+    def worker(self, headers: list) -> str:
+        """Return the id of the worker that answered, empty where it names none."""
+
+    def versions_in(self, data: bytes) -> int | None:
+        """Return the newest version that events name, or None."""
 
 
 class ListSource(typing.Protocol):
     """Where the list of workers is read; a whole reading, or a fault."""
 
-    async def read(self): ...
+    async def read(self):
+        """Return all listed workers, or a fault."""
 
 
 class CacheFollower(typing.Protocol):
     """Reads one cache's reports."""
 
-    async def reports(self, since: int, wait_ms: int): ...
-    def close(self): ...
+    async def reports(self, since: int, wait_ms: int):
+        """Return the Reports since a number, waiting for some, or a fault."""
+
+    def close(self):
+        """Follow no more."""
 
 
 class CacheSource(typing.Protocol):
     """Where caches' reports are read."""
 
-    def follower(self, addr: str) -> CacheFollower: ...
+    def follower(self, addr: str) -> CacheFollower:
+        """Return a follower of the cache at an address."""
 
 
 class OrderTaker(typing.Protocol):
     """How a worker is told to take new weights, and asked how far it is."""
 
-    async def order(self, addr: str, model: str, version: int, owner: str, fence: int): ...
-    async def versions(self, addr: str): ...
+    async def order(self, addr: str, model: str, version: int, owner: str, fence: int):
+        """Tell a worker to take new weights; returns what it answered, or a fault."""
+
+    async def versions(self, addr: str):
+        """Return the versions of a worker's models, or a fault."""
--- a/swiftdeck/gateway/listing.py
+++ b/swiftdeck/gateway/listing.py
@@ -101,6 +101,7 @@
             self.worker_registry.take(entries.values())
 
     def on_news(self, news, sender):
+        """Take a reading of the list from the router that reads it."""
         asked_s = self.loop.time() - news.age_ms / 1000
         if news.digest == self.digest:
             self.read_s = max(self.read_s, asked_s)
@@ -122,6 +123,7 @@
         self.mesh.tell(sender, ListWish(digest=self.digest))
 
     def on_wish(self, wish, sender):
+        """Send the whole list to a router that has another one."""
         if self.entries and wish.digest != self.digest:
             body = msgspec.json.encode(list(self.entries.values()))
             self.mesh.tell(sender, ListNews(age_ms=self.age_ms(), digest=self.digest, body=body))
--- a/swiftdeck/gateway/pool.py
+++ b/swiftdeck/gateway/pool.py
@@ -28,12 +28,14 @@
         self.asked = None
 
     def data_received(self, data):
+        """Take bytes of the answer that is due; others spoil the connection."""
         if not self.is_busy:
             self.pool.board.count["surplusBytes"] += 1
             return self.close()
         super().data_received(data)
 
     def connection_lost(self, error):
+        """Count the connection out."""
         super().connection_lost(error)
         self.pool.lost(self)
 
--- a/swiftdeck/member/membership.py
+++ b/swiftdeck/member/membership.py
@@ -173,6 +173,7 @@
             watch(member)
 
     def on_probe(self, probe, sender):
+        """Answer a probe, or find out about another process for the sender."""
         self.learn(probe.sender, True)
         for each in probe.about:
             self.learn(each)
@@ -194,6 +195,7 @@
             )
 
     def on_probe_return(self, told, sender):
+        """Take in the answer to a probe."""
         self.learn(told.sender, True)
         for each in told.about:
             self.learn(each)
@@ -202,6 +204,7 @@
             done.set_result(True)
 
     def on_member_list(self, member_list, sender):
+        """Learn members, and tell all that is known where the sender knows other things."""
         for each in member_list.members:
             self.learn(each)
         if not member_list.is_told:
--- a/swiftdeck/member/news.py
+++ b/swiftdeck/member/news.py
@@ -32,9 +32,11 @@
         self._take([NewsItem(key=key, stamp=stamp, body=body)])
 
     def on_news(self, news, sender):
+        """Take in news and pass on what is fresh."""
         self._take(news.items, sender)
 
     def on_digest(self, digest, sender):
+        """Send what the sender does not have yet."""
         theirs = dict(zip(digest.keys, digest.stamps, strict=False))
         fresh = [item for key, item in self.items.items() if item.stamp > theirs.get(key, -1)]
         if fresh:
--- a/swiftdeck/platform/program.py
+++ b/swiftdeck/platform/program.py
@@ -15,7 +15,7 @@
 
 
 def ready_door(node):
-    """Answers the platform's question whether new connections should come here, and leaves the rest to the node's own door."""
+    """Answers whether new connections should come here; the rest goes to the node's own door."""
 
     async def handle(exchange):
         if exchange.path != READY:
--- a/swiftdeck/platform/settings.py
+++ b/swiftdeck/platform/settings.py
@@ -13,7 +13,10 @@
 PATH_VARIABLE = "SWIFTDECK_CONFIG"
 SEED_PORT_OF = "control"
 OLD_WEIGHTS_SPARE_MS = 2000
-"""How long before the bound routers stop sending to older weights: requests may wait at a worker before they begin."""
+"""How long before the bound routers stop sending to older weights.
+
+Requests may wait at a worker before they begin.
+"""
 
 
 class Listen(msgspec.Struct, rename="kebab", frozen=True):
@@ -78,7 +81,7 @@
 
 
 class SettingsWatch:
-    """Knows whether the settings file has other contents than at the last look, without reading what they mean."""
+    """Knows whether the settings file has other contents than at the last look."""
 
     def __init__(self, path: str = ""):
         self.path = path or os.environ.get(PATH_VARIABLE, "")
--- a/swiftdeck/platform/speech.py
+++ b/swiftdeck/platform/speech.py
@@ -1,4 +1,4 @@
-"""Requests of the platform's clients and answers of its workers, in the product's words and back."""
+"""Requests of the platform's clients and answers of its workers, read and written."""
 
 import msgspec
 
@@ -132,7 +132,7 @@
     """How the platform's workers are spoken to, and how their answers read."""
 
     def head(self, request: Request, upstream_request: UpstreamRequest) -> list:
-        """Headers of an attempt: the client's own, less what concerns its connection, and the upstream_request."""
+        """Headers of an attempt: the client's own, less its connection's, and those set here."""
         kept_back = KEPT_BACK | _named(request.headers)
         headers = [
             (name, value) for name, value in request.headers if name.lower() not in kept_back
@@ -156,7 +156,7 @@
         return headers
 
     def verdict(self, request: Request, status: int, headers: list) -> Verdict:
-        """What the head of an answer says; one without the request's own id says nothing about the request."""
+        """What the head of an answer says; without the request's own id, nothing about it."""
         found = {name.lower(): value for name, value in headers}
         if len(found) < len(headers) and _is_ambiguous(headers):
             return Verdict.BAD
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -151,6 +151,5 @@
         self.assertTrue(self.reading(1, 0).granted, "a later call of an open episode")
         let_in = self.reading(3, math.inf)
         self.assertTrue(let_in.granted)
-        self.assertTrue(let_in.granted)
         self.assertAlmostEqual(let_in.unread, 40000, delta=4000)
         self.assertTrue(self.reading(4, math.inf).granted)
