Placement's costs are computed once a turn; one answer, one default, one share of kept

From reading the change once more; behaviour is the same. The costs of all workers were computed twice for each long call, and once more after the last turn, and what a worker lacks again for the question: find() takes the costs, which carry it. Who holds the shared parts was looked up for each worker, now once for each salt. PlaceReturn answers where a record repeated its fields. The default policy stood in three modules, the share from which a part counts as kept in three places, the condition for a lane in two. Tests keep their assertions; one names PlaceReturn, another says assertIn.

--- a/swiftdeck/bench/account.py
+++ b/swiftdeck/bench/account.py
@@ -13,8 +13,8 @@
 import attrs
 import msgspec
 
-KEPT_SHARE = 0.9
-"""A shared part counts as kept from this share of its tokens on."""
+from swiftdeck.gateway.kept import KEPT_SHARE
+
 EVENT = "long call"
 
 
@@ -59,6 +59,10 @@
     ended_ms: int
     event: str = ""
 
+    def is_kept_here(self) -> bool:
+        """Whether the worker was believed to keep the shared part."""
+        return self.kept_here >= KEPT_SHARE * self.shared_tokens
+
     def at_s(self, elapsed_ms: int) -> float:
         """The time of day of a moment that is told from the start of the call."""
         return (
@@ -123,7 +127,7 @@
 
 def reading_of(call: LongCall, earlier: LongCall | None, is_open: bool) -> Reading:
     """How a call came by its shared part, given the last call before it on the same one."""
-    if call.kept_here >= KEPT_SHARE * call.shared_tokens:
+    if call.is_kept_here():
         return Reading.KEPT
     if call.source:
         return Reading.MOVED
@@ -144,7 +148,7 @@
         return Lateness.SECOND_WORKER
     if call.first_event_ms - call.placed_ms <= aim_ms:
         return Lateness.PLACED_LATE
-    is_there = call.source or call.kept_here >= KEPT_SHARE * call.shared_tokens
+    is_there = call.source or call.is_kept_here()
     return Lateness.OTHER if is_there else Lateness.READ_COLD
 
 
--- a/swiftdeck/config/policy.py
+++ b/swiftdeck/config/policy.py
@@ -34,3 +34,7 @@
     patience: bool = True
     declines: bool = True
     connections: bool = True
+
+
+ALL_ON = Policy()
+"""Every mechanism, as a fleet runs."""
--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from swiftdeck.config.policy import Policy
+from swiftdeck.config.policy import ALL_ON, Policy
 from swiftdeck.fault import BAD_SETTING
 
 Ms = Annotated[int, msgspec.Meta(ge=10, le=600000)]
@@ -76,7 +76,7 @@
     weightsBoundMs: Ms = 8000
     orderLeaseMs: Ms = 3300
     leaveMs: Ms = 2600
-    policy: Policy = Policy()
+    policy: Policy = ALL_ON
     partsMost: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 2000
 
     def shared(self):
--- a/swiftdeck/gateway/admission.py
+++ b/swiftdeck/gateway/admission.py
@@ -3,30 +3,14 @@
 import asyncio
 import math
 
-import attrs
-
 from swiftdeck.board.beat import next_beat
-from swiftdeck.config.policy import Policy
+from swiftdeck.config.policy import ALL_ON
 from swiftdeck.gateway.places import FILL, Owners, PlaceBooks, Wish
 from swiftdeck.wire.messages import LoadNews, PlaceAsk, PlaceEnd, PlaceReturn
 
 PATIENCE_MS = 120
 UNREAD_MOST = 1 << 31
 """More tokens than any worker will have to read."""
-DEFAULT_POLICY = Policy()
-
-
-@attrs.frozen
-class Answer:
-    """What came of the question for a place.
-
-    `is_busy` says that the worker has more to read than the question allowed, `unread` how many
-    tokens it had to read before this call.
-    """
-
-    granted: bool
-    is_busy: bool = False
-    unread: int = 0
 
 
 class Admission:
@@ -41,7 +25,7 @@
         board,
         memory_of,
         broadcast,
-        policy=DEFAULT_POLICY,
+        policy=ALL_ON,
         on_read=lambda worker, salt, parts, sizes, is_cold: None,
     ):
         self.me, self.mesh, self.membership, self.worker_registry, self.board = (
@@ -77,7 +61,7 @@
 
     async def ask(
         self, wish: Wish, wait_ms: int, request, salt: str, unread_most: float = math.inf
-    ) -> Answer:
+    ) -> PlaceReturn:
         """Whether a call may go to a worker that has no more than so many tokens to read before it."""
         owner = self.owner(wish.worker)
         shared, sizes = (
@@ -117,9 +101,7 @@
         finally:
             if not isinstance(got, PlaceReturn):
                 self.mesh.tell(owner, PlaceEnd(call=wish.call))
-        if not isinstance(got, PlaceReturn):
-            return Answer(granted=self._unasked(wish))
-        return Answer(got.granted, got.is_busy, got.unread)
+        return got if isinstance(got, PlaceReturn) else PlaceReturn(granted=self._unasked(wish))
 
     def _unasked(self, wish):
         """The owner is silent: this router's share of K stands until another one owns the book."""
@@ -142,12 +124,10 @@
     def on_reading(self, worker: str, tokens: float, elapsed_ms: int):
         """A worker read so many tokens, and nothing else, before a call's first event."""
         known = self.worker_registry.workers.get(worker)
-        if known is not None:
-            usual = self.worker_registry.usual_pace
-            if not self.policy.pace:
-                return
-            known.pace.observe(tokens, elapsed_ms, self.loop.time(), usual)
-            self.worker_registry.hear_usual(known.pace.tokens_per_ms)
+        if known is None or not self.policy.pace:
+            return
+        known.pace.observe(tokens, elapsed_ms, self.loop.time(), self.worker_registry.usual_pace)
+        self.worker_registry.hear_usual(known.pace.tokens_per_ms)
 
     def ended(self, wish: Wish, first_event_ms: int = 0):
         """A call is over; its first event came so long after it was sent, 0 for never."""
@@ -168,10 +148,7 @@
             self.loop.time() + ask.left_ms / 1000,
             ask.missing,
         )
-        answer = await self._take(
-            wish, ask.wait_ms, ask.salt, ask.shared, ask.sizes, ask.unread_most
-        )
-        return PlaceReturn(granted=answer.granted, is_busy=answer.is_busy, unread=answer.unread)
+        return await self._take(wish, ask.wait_ms, ask.salt, ask.shared, ask.sizes, ask.unread_most)
 
     async def _take(self, wish, wait_ms, salt, shared, sizes, unread_most):
         """Let a call in at a book that is owned here, unless it begins where too much is to be read."""
@@ -179,11 +156,11 @@
         is_start = not self.books.is_open(wish)
         if self.policy.declines and is_start and unread > unread_most:
             self.board.count["placesDeclined"] += 1
-            return Answer(granted=False, is_busy=True, unread=unread)
+            return PlaceReturn(is_busy=True, unread=unread)
         granted = await self.books.ask(wish, wait_ms)
         if granted and salt:
             self.on_read(wish.worker, salt, shared, sizes, wish.missing > 0)
-        return Answer(granted, unread=unread)
+        return PlaceReturn(granted=granted, unread=unread)
 
     def _hear_backlog(self, name, unread):
         worker = self.worker_registry.workers.get(name)
@@ -204,12 +181,11 @@
 
     def on_load_news(self, news, sender):
         """Take in what the owner of a book says of its worker's load and pace."""
+        self._hear_backlog(news.worker, news.backlog)
         worker = self.worker_registry.workers.get(news.worker)
-        if worker:
-            self._hear_backlog(news.worker, news.backlog)
-            if news.tokens_per_s and sender:
-                pace = news.tokens_per_s / 1000
-                self.worker_registry.hear_pace(worker, pace, self.loop.time())
+        if worker and news.tokens_per_s and sender:
+            pace = news.tokens_per_s / 1000
+            self.worker_registry.hear_pace(worker, pace, self.loop.time())
 
     def on_place_end(self, end, sender):
         """Give a place back that another router held."""
--- a/swiftdeck/gateway/kept.py
+++ b/swiftdeck/gateway/kept.py
@@ -1,5 +1,8 @@
 """Which worker, and whether the store, keeps which shared part under which salt."""
 
+KEPT_SHARE = 0.9
+"""Parts count as kept from this share of their tokens on, as caches keep whole blocks."""
+
 
 class KeptTable:
     """Fed by reports and by what this router saw of its own calls; advice only, as caches drop what they like.
@@ -56,7 +59,7 @@
             held = self.parts.get((salt, part.name), {}).get(holder, 0)
             if is_expected and holder in self.expected.get((salt, part.name), ()):
                 held = part.tokens
-            if held < part.tokens * 0.9:
+            if held < part.tokens * KEPT_SHARE:
                 return total + held
             total += part.tokens
         return total
--- a/swiftdeck/gateway/place_search.py
+++ b/swiftdeck/gateway/place_search.py
@@ -43,18 +43,21 @@
         workers = [each for each in self.workers if each.name not in self.refused]
         return self.gateway.placing.costs(self.request, workers, self.salts, self.serving)
 
-    async def find(self) -> Found | None:
-        """A place, or None where no book has room in the time that there is for it."""
-        costs = self.costs()
-        first = costs[0].worker if costs else None
+    async def find(self, costs) -> Found | None:
+        """A place, or None where no book has room in the time that there is for it.
+
+        `costs` are those of all candidates, of which there is at least one.
+        """
+        first = costs[0].worker
         for turn in range(ASKED_MOST):
+            if turn:
+                costs = self.costs()
             if not costs:
                 break
             found = await self._ask(costs, FIRST_WAIT_SHARE if turn == 0 else 0.0)
             if found is not None:
                 return found
-            costs = self.costs()
-        return await self._wait_at(first) if first is not None else None
+        return await self._wait_at(first)
 
     async def _ask(self, costs, wait_share):
         """Ask for a place at the cheapest worker, unless it has more to read than is known here."""
@@ -63,18 +66,20 @@
         if len(costs) > 1:
             pace = self.gateway.worker_registry.pace(best.worker, now_s)
             unread_most = (costs[1].total - best.total + best.unread) * pace
-        return await self._ask_owner(best.worker, wait_share, unread_most, costs)
+        self._trace(costs)
+        return await self._ask_owner(best.worker, best.missing, wait_share, unread_most)
 
     async def _wait_at(self, worker):
         """Wait at the worker that was the first choice, whatever it has to read."""
-        return await self._ask_owner(worker, 1.0, math.inf, ())
+        salt = self.salts[worker.name]
+        missing = self.gateway.placing.missing(self.request, worker, salt)
+        self._trace(())
+        return await self._ask_owner(worker, missing, 1.0, math.inf)
 
-    async def _ask_owner(self, worker, wait_share, unread_most, costs):
+    async def _ask_owner(self, worker, missing, wait_share, unread_most):
         gateway, salt = self.gateway, self.salts[worker.name]
-        missing = gateway.placing.missing(self.request, worker, salt)
         wish = self.proxied_request.wish(worker, missing.to_read)
         wait_ms = int(self._wait_s(wait_share) * 1000)
-        self._trace(costs)
         answer = await gateway.admission.ask(wish, wait_ms, self.request, salt, unread_most)
         if not answer.granted:
             if not answer.is_busy:
--- a/swiftdeck/gateway/places.py
+++ b/swiftdeck/gateway/places.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from swiftdeck.config.policy import Policy
+from swiftdeck.config.policy import ALL_ON
 from swiftdeck.gateway.pace import PRIOR_TOKENS_PER_MS
 from swiftdeck.traffic.book import Book, Conversation
 from swiftdeck.traffic.line import Waiting
@@ -13,7 +13,6 @@
 FILL = 0.85
 ALONE_TOKENS = 512
 """With no more than this unread before it a prompt is read alone."""
-DEFAULT_POLICY = Policy()
 GRACE_S, LEFT_S = 0.5, 2.0
 
 
@@ -46,7 +45,7 @@
         pause_ms=400,
         line_most=64,
         pace_of=lambda worker: PRIOR_TOKENS_PER_MS,
-        policy=DEFAULT_POLICY,
+        policy=ALL_ON,
     ):
         self.policy = policy
         self.board, self.decisions, self.memory_of = board, decisions, memory_of
--- a/swiftdeck/gateway/placing.py
+++ b/swiftdeck/gateway/placing.py
@@ -6,21 +6,34 @@
 import attrs
 
 from swiftdeck.config.document import Service
-from swiftdeck.config.policy import Policy
+from swiftdeck.config.policy import ALL_ON
+from swiftdeck.gateway.kept import KEPT_SHARE
 from swiftdeck.gateway.moves import Move, move_ms
 from swiftdeck.gateway.worker_registry import Worker
 from swiftdeck.traffic.ring import Ring
 
 LANE_SHARE, REMEMBERED = 4, 16
 OTHER_LANE, OTHER_LANE_MS = 1.5, 150.0
-DEFAULT_POLICY = Policy()
 AGAIN, PLACE_MS = 1.5, 37.5
 UNKNOWN_MOVE_SHARE = 0.5
 """What a move is taken to cost of a reading where the configuration tells no sizes or links."""
 NEW_CONNECTION = 0.5
 """What a new connection counts for a short call, in calls that run at the worker."""
-KEPT_SHARE = 0.9
-"""Parts count as kept from this share of their tokens on, as caches keep whole blocks."""
+
+
+@attrs.frozen
+class Missing:
+    """Tokens of a prompt that a worker lacks: its own, shared ones to read, shared ones to move."""
+
+    own: int
+    again: int
+    moved: int
+    move_ms: float
+
+    @property
+    def to_read(self) -> int:
+        """What it will have to read."""
+        return self.own + self.again
 
 
 @attrs.frozen
@@ -28,6 +41,7 @@
     """What a long call would cost at a worker, in milliseconds before its first event."""
 
     worker: Worker
+    missing: Missing
     unread: float
     own: float
     again: float
@@ -40,21 +54,6 @@
         return self.unread + self.own + self.again + self.moved + self.elsewhere
 
 
-@attrs.frozen
-class Missing:
-    """Tokens of a prompt that a worker lacks: its own, shared ones to read, shared ones to move."""
-
-    own: int
-    again: int
-    moved: int
-    move_ms: float
-
-    @property
-    def to_read(self) -> int:
-        """What it will have to read."""
-        return self.own + self.again
-
-
 @attrs.frozen
 class Link:
     """Where a holder of parts is reached, and how fast."""
@@ -74,7 +73,7 @@
         kept,
         random,
         long_tokens=2048,
-        policy=DEFAULT_POLICY,
+        policy=ALL_ON,
         virtual_places=64,
     ):
         self.policy = policy
@@ -100,14 +99,14 @@
         names = tuple(sorted(each.name for each in workers))
         if names not in self.lanes:
             ranked = sorted(names, key=_digest)
-            has_lane = len(names) > 2 and self.policy.lane
-            self._remember(
-                self.lanes,
-                names,
-                frozenset(ranked[: -(-len(names) // LANE_SHARE)] if has_lane else names),
-            )
+            lane = ranked[: -(-len(names) // LANE_SHARE)] if self._has_lane(names) else names
+            self._remember(self.lanes, names, frozenset(lane))
         return self.lanes[names]
 
+    def _has_lane(self, workers) -> bool:
+        """Whether some of these workers are kept for short calls."""
+        return len(workers) > 2 and self.policy.lane
+
     @staticmethod
     def _remember(table, key, value):
         while len(table) >= REMEMBERED:
@@ -153,18 +152,21 @@
 
     def costs(self, request, workers, salts, serving) -> list[PlacementCost]:
         """What a long call would cost at each worker that may be asked, the cheapest first."""
-        lane = self.short_lane(serving) if len(serving) > 2 and self.policy.lane else ()
+        lane = self.short_lane(serving) if self._has_lane(serving) else ()
         good = self.judge.good(workers)
         places = self._ring_places(request, good, lane)
         now_s = asyncio.get_running_loop().time()
-        costs = []
+        shared, costs = request.shared(), []
+        held = {salt: self._held(salt, shared) for salt in {salts[each.name] for each in good}}
         for worker in good:
-            missing = self.missing(request, worker, salts[worker.name])
+            salt = salts[worker.name]
+            missing = self._missing(request, worker, salt, held[salt])
             pace = self.registry.pace(worker, now_s)
             place = min(places.get(worker.name, 2), 3) if self.policy.ring else 0
             costs.append(
                 PlacementCost(
                     worker=worker,
+                    missing=missing,
                     unread=self.backlog_ms(worker, now_s),
                     own=missing.own / pace,
                     again=missing.again * AGAIN / pace,
@@ -188,22 +190,30 @@
 
     def missing(self, request, worker, salt) -> Missing:
         """What a worker lacks of a long prompt, what it is expected to keep soon left out."""
+        return self._missing(request, worker, salt, self._held(salt, request.shared()))
+
+    def _held(self, salt, shared) -> list[tuple[str, int]]:
+        """Who keeps how many tokens of the shared parts, most first."""
+        holders = self.kept.holders(salt, shared)
+        return [(name, self.kept.tokens(name, salt, shared)) for name in holders]
+
+    def _missing(self, request, worker, salt, held) -> Missing:
         shared = request.shared()
         size = sum(part.tokens for part in shared)
         here = self.kept.tokens(worker.name, salt, shared, self.policy.expectations)
         if not self.policy.warmth:
             here = 0
-        move = self.best_move(worker, salt, shared, here)
+        move = self._best_move(worker, held, here)
         moved = min(size - here, move.tokens) if move else 0
         own = max(0, request.prompt_tokens - size)
         return Missing(own, size - here - moved, moved, move.ms if move else 0.0)
 
-    def best_move(self, worker, salt, shared, here: int) -> Move | None:
+    def _best_move(self, worker, held, here: int) -> Move | None:
         """The move that saves a worker most time over reading, None where reading is as fast."""
         pace = self.registry.pace(worker, asyncio.get_running_loop().time())
         best, most_ms = None, 0.0
-        for name in self.kept.holders(salt, shared):
-            tokens = self.kept.tokens(name, salt, shared) - here
+        for name, kept in held:
+            tokens = kept - here
             link = self._link(name) if name != worker.name else None
             if tokens <= 0 or link is None:
                 continue
@@ -246,7 +256,7 @@
         here = self.kept.tokens(worker.name, salt, shared)
         if here >= KEPT_SHARE * sum(part.tokens for part in shared):
             return ""
-        move = self.best_move(worker, salt, shared, here)
+        move = self._best_move(worker, self._held(salt, shared), here)
         return move.source if move else ""
 
     def target(self, request, salt):
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -166,10 +166,11 @@
     async def _search_place(self, attempt, workers, salts):
         """A worker whose book has a place for this long call."""
         search = PlaceSearch(self.gateway, self, workers, salts)
-        if not search.costs():
+        costs = search.costs()
+        if not costs:
             attempt.fault = NO_WORKER
             return None
-        found = await search.find()
+        found = await search.find(costs)
         if found is None:
             self.gateway.board.count["refusedForRoom"] += 1
             attempt.fault = NO_ROOM
@@ -330,10 +331,8 @@
             target,
         )
         trace.kept_here = kept.tokens(worker.name, self.salt, shared)
-        trace.kept_elsewhere = max(
-            (kept.tokens(name, self.salt, shared) for name in kept.holders(self.salt, shared)),
-            default=0,
-        )
+        holders = kept.holders(self.salt, shared)
+        trace.kept_elsewhere = kept.tokens(holders[0], self.salt, shared) if holders else 0
         trace.sent_ms = self._elapsed_ms()
         trace.attempts += 1
 
@@ -443,11 +442,9 @@
                     await self._give(self.rest)
                 return None
             if is_first and is_good:
-                self.gateway.judge.answered(
-                    worker, None if self.is_long else (self.loop.time() - sent_s) * 1000
-                )
-            if is_first and is_good:
-                self.first_event_ms = max(1, int((self.loop.time() - sent_s) * 1000))
+                elapsed_ms = (self.loop.time() - sent_s) * 1000
+                self.gateway.judge.answered(worker, None if self.is_long else elapsed_ms)
+                self.first_event_ms = max(1, int(elapsed_ms))
             if is_first and self.trace is not None:
                 self.trace.first_event_ms = self._elapsed_ms()
             is_first = False
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -474,6 +474,12 @@
 
 @message
 class PlaceReturn(Wire):
+    """What came of the question for a place.
+
+    `is_busy` says that the worker has more to read than the question allowed, `unread` how many
+    tokens it had to read before this call.
+    """
+
     granted: bool = bp.bool_field(1)
     is_busy: bool = bp.bool_field(2)
     unread: int = bp.uint32_field(3)
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -5,12 +5,12 @@
 from types import SimpleNamespace
 
 from swiftdeck.board.board import Board
-from swiftdeck.gateway.admission import PATIENCE_MS, Admission, Answer
+from swiftdeck.gateway.admission import PATIENCE_MS, Admission
 from swiftdeck.gateway.broadcast import Broadcast
 from swiftdeck.gateway.places import Wish
 from swiftdeck.member.membership import Membership
 from swiftdeck.wire.mesh import Mesh
-from swiftdeck.wire.messages import Member
+from swiftdeck.wire.messages import Member, PlaceReturn
 from tests.gateway.parts import SimCase, worker_registry
 
 ADDRS = [f"10.2.0.{at}:7000" for at in (1, 2, 3)]
@@ -141,7 +141,7 @@
         return self.do(lambda: self.parts[addr].ask(wish, 0, request, "", unread_most), addr)
 
     def test_an_owner_declines_where_more_is_to_be_read_than_the_asker_allows(self):
-        self.assertEqual(self.reading(1, 0), Answer(granted=True))
+        self.assertEqual(self.reading(1, 0), PlaceReturn(granted=True))
         declined = self.reading(2, 5000)
         self.assertTrue(declined.is_busy and not declined.granted)
         self.assertAlmostEqual(declined.unread, 20000, delta=2000)
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -69,7 +69,7 @@
         self.assertEqual({addr for addr, _ in self.source.asked}, {self.addr, STORE})
         self.mine = {"w2"}
         self.world.run(OWNED_S / 2)
-        self.assertEqual(self.source.asked[-1][0] in (self.addr, STORE), True)
+        self.assertIn(self.source.asked[-1][0], (self.addr, STORE))
         self.world.run(1.5)
         self.assertEqual(
             (sorted(self.source.closed), self.source.asked[-1][0]),
