Sight: how clients end their connections, what a 421 says, orders without an answer

Counters clientEnded.endOfStream and .lost, workedOnForClientsGone and workedOnMostMs at each server; lines 'turned away' and 'order unanswered'. No change of what is decided.

--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -368,6 +368,8 @@
         if self.verdict in (Verdict.NOT_RUN, Verdict.ELSEWHERE):
             attempt.has_not_run = True
             gateway.board.count[f"turnedAway.{status}"] += 1
+            if self.verdict is Verdict.ELSEWHERE and worker.knows(self.request.model):
+                self._note_turned_away(worker, headers)
             if self.verdict is Verdict.ELSEWHERE and not is_its_own:
                 gateway.worker_registry.drop(worker.name)
             elif self.verdict is Verdict.ELSEWHERE and not version:
@@ -391,6 +393,17 @@
             return WORKER_LOST.because(f"status {status} where a stream was to be taken up")
         return await self._relay(attempt, worker, status, headers, sent_s)
 
+    def _note_turned_away(self, worker, headers):
+        """Note what a worker says of itself where it is not what was believed."""
+        speak = self.gateway.workers_speak
+        self.gateway.board.note(
+            "turned away",
+            worker=worker.name,
+            believed=self.version,
+            version=speak.version(headers),
+            answered=speak.worker(headers),
+        )
+
     async def _drain(self):
         """Read a refusal to its end, so that its connection can be kept."""
         try:
--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -210,6 +210,13 @@
             count["ordersSent"] += 1
             if is_fault(got):
                 count["ordersUnanswered"] += 1
+                self.core.board.note(
+                    "order unanswered",
+                    worker=worker.name,
+                    version=version,
+                    code=got.code,
+                    reason=got.reason,
+                )
                 return
             if got == OLD_FENCE:
                 count["ordersFenced"] += 1
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -29,6 +29,8 @@
 HEAD = "HEAD"
 """The method whose answers have no body."""
 FOREVER = DrainTimes(math.inf, math.inf)
+LATE_END_S = 0.5
+"""Work that goes on for longer than this after its client has ended the connection counts as late."""
 HEAD_END, CHUNKS_END = re.compile(rb"\n\r?\n"), b"\r\n\r\n"
 
 
@@ -149,6 +151,7 @@
         self.task = self.wakeup = self.transport = None
         self.paused = self.feed = self.exchange = self.cut_reason = None
         self.gone = self.dropping = self.is_chunked = False
+        self.client_ended_s = None
         self.before = self.latest = b""
 
     def connection_made(self, transport):
@@ -298,8 +301,25 @@
                 await self.fail(exchange, error)
         finally:
             self.task = self.feed = None
+            self._note_late_end()
         self.next()
 
+    def _note_client_end(self, how: str):
+        """Account for a client that ends its side, or the connection, while a request of it is open."""
+        if self.task is not None and self.client_ended_s is None:
+            self.client_ended_s = self.loop.time()
+            self.server.count[f"clientEnded.{how}"] += 1
+
+    def _note_late_end(self):
+        """Account for work that went on for long after its client had ended the connection."""
+        if self.client_ended_s is None:
+            return
+        late_s = self.loop.time() - self.client_ended_s
+        if late_s > LATE_END_S:
+            count = self.server.count
+            count["workedOnForClientsGone"] += 1
+            count["workedOnMostMs"] = max(count["workedOnMostMs"], int(late_s * 1000))
+
     def is_ending(self) -> bool:
         """Whether nothing more can be written, as the client left or the connection was cut."""
         return self.gone or self.transport.is_closing()
@@ -413,6 +433,7 @@
         """The other side has said all it will; what it asked for whole still gets its return."""
         if not self.dropping:
             self.take(b"")
+        self._note_client_end("endOfStream")
         return self.task is not None and not self.dropping
 
     def abort(self, reason=CutReason.HANDLER_FAILED):
@@ -426,6 +447,8 @@
 
     def connection_lost(self, error):
         self.gone = True
+        if self.cut_reason is None:
+            self._note_client_end("lost")
         if self.exchange is not None and not self.exchange.finished:
             self.server.note_cut(self.exchange, self.cut_reason or CutReason.CLIENT_LEFT)
         self.server.open.pop(self, None)
