--- a/swiftdeck/bench/outer/checker.py
+++ b/swiftdeck/bench/outer/checker.py
@@ -7,11 +7,13 @@
 
 PROMISES, TURNED_AWAY = (408, 421, 429, 503), (401, 403, 404)
 DENIED_MOST, DENIED_EACH, OVER_TRIES_MOST = 5, 500, 3
-OWN_ENDS = ("silence or deadline", "not reached")
+OWN_ENDS = ("silence or deadline", "left", "not reached")
 FOREVER = 1 << 60
 LINK, PROCESS = "link", "process"
 """What a trouble concerns: a machine's links, or its processes alone."""
 LEFT_BEHIND_SHARE, LEFT_BEHIND_STRETCH = 0.1, 1.5
+GONE_MS, GONE_FEW, GONE_SHARE = 500, 3, 0.25
+"""How long after a client has left a worker may still get its request or work on it, how many may, and which share of those at work."""
 ADMISSION_MS, LAST_SHARE, UNANSWERED_MOST = 3000, 1 / 6, 3
 """Until when after SIGTERM a request may be taken that is still run in the last share of the grace, and how many requests from kept
 connections may be passed on and left without an answer."""
@@ -549,6 +551,52 @@
             yield f"{shares[0]:.2f} served before {back['downMs']}, {shares[1]:.2f} after {late_ms}"
 
 
+def gone(records, bounds):
+    """Requests that reach a worker, or are worked on, long after their clients have closed the connection."""
+    left = [
+        item
+        for item in records.of("left")
+        if bounds.in_touch(item["router"], item["atMs"] + GONE_MS, item["atMs"])
+    ]
+    arrivals = defaultdict(list)
+    for item in records.of("arrive"):
+        arrivals[item["id"]].append(item["atMs"])
+    late = [
+        f"{item['id']} reached a worker {at_ms - item['atMs']} ms after its client had left"
+        for item in left
+        for at_ms in arrivals[item["id"]]
+        if at_ms > item["atMs"] + GONE_MS
+    ]
+    if len(late) > GONE_FEW:
+        yield from late
+    open_runs = [found for item in left for found in _open_runs(records, item)]
+    worked_on = [
+        f"{run['id']} was worked on {end_ms - left_ms} ms after its client had left"
+        for run, left_ms, end_ms in open_runs
+        if end_ms > left_ms + GONE_MS
+    ]
+    if len(worked_on) > max(GONE_FEW, GONE_SHARE * len(open_runs)):
+        yield from worked_on
+
+
+def _open_runs(records, left):
+    """The runs of a request that are under way when its client leaves, with that time and their end.
+
+    Left out are those that may not be repeated and are no streams, and those that come to their end soon by themselves.
+    """
+    asked = records.tries[left["id"]]
+    if asked["mode"] != "streaming" and not records.may_repeat(asked):
+        return
+    ends = {item["run"]: item for item in records.of("ran")}
+    left_ms = left["atMs"]
+    for run in records.runs[left["id"]]:
+        end = ends.get(run["run"])
+        end_ms = end["atMs"] if end else FOREVER
+        ends_soon = end is not None and end["whole"] and end_ms <= left_ms + GONE_MS
+        if run["atMs"] <= left_ms < end_ms and not ends_soon:
+            yield run, left_ms, end_ms
+
+
 RULES = {
     "MIXED": mixed,
     "UNASKED": unasked,
@@ -565,6 +613,7 @@
     "CONFIG": config,
     "DENIED": denied,
     "LOST": lost,
+    "GONE": gone,
     "RECOVER": recover,
 }
 
--- a/swiftdeck/bench/outer/client.py
+++ b/swiftdeck/bench/outer/client.py
@@ -9,6 +9,8 @@
 from swiftdeck.http.client import connect
 
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+) (\S+)\n\n")
+LEFT, SILENT = "left", "silence or deadline"
+"""How a try ends that its client gives up."""
 PROMISES, FINAL = (408, 421, 429, 503), (400, 401, 404, 413, 431)
 
 
@@ -38,8 +40,12 @@
         keeps=True,
         door=None,
         headers=(),
+        leaves_s=None,
     ):
-        """One request with its further tries; gives the last result."""
+        """One request with its further tries; gives the last result.
+
+        A client that leaves closes its connection so long after it sent its request, and doesn't come back.
+        """
         loop = asyncio.get_running_loop()
         end_s, root, events = loop.time() + within_ms / 1000, f"{self.name}-{next(self.serial)}", []
         silence_s = (
@@ -105,13 +111,25 @@
             }
             try:
                 await self._try(
-                    chosen[1], host, path, method, body, lines, got, end_s, silence_s, keeps
+                    chosen[1],
+                    host,
+                    path,
+                    method,
+                    body,
+                    lines,
+                    got,
+                    end_s,
+                    silence_s,
+                    keeps,
+                    leaves_s,
                 )
             finally:
                 self.record("result", **got)
             events += got["events"]
             if not self._again(got, kind, resumable) or loop.time() >= end_s:
                 break
+            if got["end"] == LEFT:
+                break
             await asyncio.sleep(max(0, min(got["retryAfter"] or 0.05, (end_s - loop.time()) / 3)))
         return got | {"allEvents": events}
 
@@ -127,7 +145,9 @@
             return True
         return kind == "streaming" and resumable
 
-    async def _try(self, addr, host, path, method, body, headers, got, end_s, silence_s, keeps):
+    async def _try(
+        self, addr, host, path, method, body, headers, got, end_s, silence_s, keeps, leaves_s
+    ):
         link = self.kept.pop(addr, None) if keeps else None
         if link is None or link.gone or link.conn.trailing_data[0]:
             if link is not None and link.conn.trailing_data[0]:
@@ -140,18 +160,25 @@
         else:
             got["kept"] = True
         got["sent"] = True
+        leaving = asyncio.timeout(leaves_s)
         try:
-            async with asyncio.timeout_at(end_s):
+            async with leaving, asyncio.timeout_at(end_s):
                 async with asyncio.timeout(silence_s) as silence:
                     await self._read(
                         link, host, path, method, body, headers, got, silence, silence_s
                     )
         except TimeoutError:
-            got["end"] = "silence or deadline"
+            got["end"] = LEFT if leaving.expired() else SILENT
         if got["end"] == "whole" and keeps and got["keep"]:
             self.kept[addr] = link
         else:
-            link.close()
+            self._leave(link, got)
+
+    def _leave(self, link, got):
+        """Close a connection as clients do: by the end of the stream, not by a reset."""
+        if got["end"] in (LEFT, SILENT) and not link.gone:
+            self.record("left", id=got["id"], router=got["router"])
+        link.transport.close()
 
     async def _read(self, link, host, path, method, body, headers, got, silence, silence_s):
         answer = await link.exchange(method, path, headers, body, host)
--- a/swiftdeck/bench/outer/worker.py
+++ b/swiftdeck/bench/outer/worker.py
@@ -43,6 +43,8 @@
             0,
             None,
         )
+        self.order_delays_s = []
+        """Delays of the next orders, each of which is taken so long after it was sent, whoever has given it up."""
         self.http = HttpServer(self.handle, idleMs=plan.get("idle_ms", 20000))
 
     @property
@@ -108,8 +110,18 @@
         return await self._request(exchange)
 
     async def _order(self, exchange):
+        if self.order_delays_s:
+            delay_s = self.order_delays_s.pop(0)
+            asyncio.get_running_loop().call_later(delay_s, self._take_order, exchange)
+            return await asyncio.Event().wait()
+        return await exchange.give(self._take_order(exchange), {})
+
+    def _take_order(self, exchange):
+        """The status of an order, which is begun where that is 202."""
         asked = exchange.json()
         status = self._order_status(asked) if isinstance(asked, dict) else 400
+        if exchange.headers.get("swiftdeck-expected-worker", self.name) != self.name:
+            status = 421
         self.record(
             "order",
             worker=self.name,
@@ -125,7 +137,7 @@
             self.order_task = asyncio.ensure_future(
                 self._load(asked["model"], asked["version"], asked.get("method", "wait"))
             )
-        return await exchange.give(status, {})
+        return status
 
     def _order_status(self, asked):
         if (
--- a/tests/bench/outer/test_checker.py
+++ b/tests/bench/outer/test_checker.py
@@ -499,6 +499,42 @@
         soon = self.turned_away(8, 503, at_ms=13000)
         self.assertEqual(check([*good(), back, *soon]), {})
 
+    def leavers(self, count, target="/lm/1", end_ms=1900, whole=False, sent_ms=1010):
+        """Clients that leave at 1,200, and what became of their requests."""
+        for at in range(count):
+            name, run = f"left{at}", f"w#{40 + at}"
+            yield asked(1000, name, target)
+            yield line(1200, "left", id=name, router="router1")
+            yield line(1200, "result", id=name, status=0, end="left", **self.nothing)
+            arrived, begun, ended = ran(sent_ms, name, run, target, "lm", model="m")
+            yield from (arrived, begun, ended | {"atMs": end_ms, "whole": whole})
+
+    nothing = {
+        "sent": True,
+        "complete": False,
+        "seal": "",
+        "events": [],
+        "body": "",
+        "ownId": "",
+        "mode": "streaming",
+    }
+
+    def test_gone(self):
+        self.caught("GONE", *self.leavers(4))
+        self.caught("GONE", *self.leavers(4, end_ms=2000, whole=True, sent_ms=1800))
+        unended = [each for each in self.leavers(4) if each["kind"] != "ran"]
+        self.caught("GONE", *unended)
+        for few in (
+            self.leavers(3),
+            self.leavers(9, end_ms=1600),
+            self.leavers(4, target="/once/1"),
+            self.leavers(3, end_ms=2000, sent_ms=1800),
+        ):
+            found = check([*good(), *few])
+            self.assertNotIn("GONE", found)
+        troubled = Bounds(troubles=[["router1", 0, 900]])
+        self.assertNotIn("GONE", check([*good(), *self.leavers(4)], troubled))
+
     def test_each_rule_has_a_planted_breach(self):
         self.assertEqual(
             {name.lower() for name in RULES} - {name.removeprefix("test_") for name in dir(self)},
--- /dev/null
+++ b/tests/gateway/cases/late_orders.py
@@ -0,0 +1,44 @@
+"""Cases of orders that reach their workers long after they were given up: newer weights are not undone."""
+
+from tests.gateway.case import SiteCase
+from tests.gateway.town import MODEL
+
+LATE = ("lm1", "lm2", "lm3")
+DELAY_S, PAUSE_S, AFTER_S = 9.0, 3.0, 16.0
+
+
+class LateOrdersCase(SiteCase):
+    def name(self, town, version):
+        """Name new weights; they are acknowledged when this returns."""
+        self.assertEqual(town.operate(lambda: town.operator.name(MODEL, version)), 200)
+
+    def name_twice(self, seed, delays_s):
+        """Weights are named twice; orders for the first ones have no answer, and arrive late."""
+        town = self.town(seed, models=6)
+        for name, delay_s in zip(LATE, delays_s, strict=True):
+            town.up[name].order_delays_s = [delay_s]
+        self.name(town, 2)
+        town.world.run(PAUSE_S)
+        self.name(town, 3)
+        town.world.run(AFTER_S)
+        return town
+
+    def versions(self, town):
+        """What the workers of models have."""
+        return {town.up[name].versions[MODEL] for name in town.workers if name.startswith("lm")}
+
+    def assert_none_goes_back(self, town):
+        """No worker loads older weights than it had."""
+        newest = {}
+        for item in town.records:
+            if item["kind"] == "loaded":
+                self.assertGreater(item["version"], newest.get(item["worker"], 1), item)
+                newest[item["worker"]] = item["version"]
+
+    def test_orders_that_were_given_up_do_not_take_workers_back(self):
+        for seed in (71, 72):
+            with self.subTest(seed):
+                town = self.name_twice(seed, [DELAY_S] * len(LATE))
+                self.assertEqual(self.versions(town), {3})
+                self.assert_none_goes_back(town)
+                self.assert_kept(town, 0.9)
