Work ends with its client: the end of a client's stream is taken for leaving

Cause: a client that closes sends the same end of stream as one that will only listen, and the server kept the connection for the answer. Work for it went on until two writes had failed; where a worker held the answer back, to the deadline. Ruled out: cancellations that are swallowed (none found; resets always ended the work). Change: a handler may watch its client; a gateway interrupts the work on streams and repeatable requests at once and gives the final answer (125). A request that may run only once is not taken back from its worker, and has 0.25 s to reach one, so that a client that only listens still gets it. One turn of the loop passes before work begins, so that an end right behind the request is seen.

--- a/swiftdeck/fault.py
+++ b/swiftdeck/fault.py
@@ -69,6 +69,7 @@
 NO_CONNECTION = _fault(
     124, "as many connections to the worker are open as may be", 503, notRun=True, retry_ms=100
 )
+CLIENT_ENDED = _fault(125, "client ended its side of the connection", 503, notRun=True, retry_ms=50)
 CLAIMED = _fault(130, "call was already claimed", 409)
 WORKER_LOST = _fault(140, "worker failed after dispatch, outcome unknown", 502)
 WORKER_HANGS = _fault(141, "worker sent nothing in time, outcome unknown", 504)
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -8,6 +8,7 @@
 from swiftdeck.fault import (
     BAD_RETURN,
     BUDGET_SPENT,
+    CLIENT_ENDED,
     DEADLINE_PASSED,
     NO_ROOM,
     NO_WORKER,
@@ -33,6 +34,8 @@
 EVENT_DATA = re.compile(rb"(?:^|\n)data:")
 FRAMING = (b"content-length", b"transfer-encoding")
 BODILESS = (204, 304)
+HALF_CLOSED_S = 0.25
+"""How long a request that may run only once may take to reach a worker after its client has ended its side."""
 MARGIN_S = 0.015
 BEGUN_MARGIN_S = 2 * MARGIN_S
 """A final answer is to be there before the deadline, by the first margin; one that has begun, or that a worker works on, has all of
@@ -93,9 +96,12 @@
         return self.ledger.deadline_s - self.loop.time()
 
     async def serve(self):
-        """Make moves until the request has its final answer, which comes at the end of the work at the latest."""
+        """Make moves until the request has its final answer.
+
+        It comes at once where the client has left, and at the end of the work at the latest.
+        """
         try:
-            await self.gateway.requests.run(self._move_on, self._end_with_work)
+            await self.gateway.requests.run(self._move_on, self._end_early, self)
         finally:
             self._leave()
             if self.trace is not None:
@@ -106,19 +112,47 @@
 
     async def _move_on(self):
         acts = {Move.PLACE: self._place, Move.SEND: self._send}
+        self.exchange.watch_client(self._client_ended)
         while True:
+            if self._is_abandoned():
+                return await self._end_early()
             move, fault = next_move(self.ledger, self.loop.time())
             if move not in acts:
                 return await self._end(move, fault)
             await acts[move]()
 
-    async def _end_with_work(self):
+    def _client_ended(self):
+        """End the work for a client that has left: now, or once a request that may run only once has waited for too long."""
+        self._end_if_abandoned()
+        self.loop.call_later(HALF_CLOSED_S, self._end_if_abandoned)
+
+    def _end_if_abandoned(self):
+        if self._is_abandoned():
+            self.gateway.requests.interrupt(self)
+
+    def _is_abandoned(self) -> bool:
+        """Whether the client has ended its side, and the request may be given up.
+
+        A request that may run only once and has reached a worker can't be taken back. A client that has closed no more
+        than its half gets that answer, and has a short while for it to reach a worker.
+        """
+        path, exchange = self.route.path, self.exchange
+        if path.repeatable or path.streaming:
+            return exchange.has_client_ended()
+        may_have_run = any(each.may_have_run() for each in self.ledger.attempts)
+        return not may_have_run and exchange.has_client_ended(HALF_CLOSED_S)
+
+    async def _end_early(self):
         """Give the final answer that what was done allows; an answer that has begun can only be cut."""
         self._leave()
-        self.gateway.board.count["endedWithWork"] += 1
+        if self._is_abandoned():
+            counter, fault, reason = "endedWithClient", CLIENT_ENDED, CutReason.CLIENT_LEFT
+        else:
+            counter, fault, reason = "endedWithWork", STOPPING, CutReason.END_OF_WORK
+        self.gateway.board.count[counter] += 1
         if self.exchange.begun:
-            return self.exchange.abort(CutReason.END_OF_WORK)
-        fault = self.ledger.verdict(STOPPING)
+            return self.exchange.abort(reason)
+        fault = self.ledger.verdict(fault)
         self.gateway.board.count[f"faults.{fault.code}"] += 1
         return await self.gateway.refuse(self.exchange, fault, self.request)
 
--- a/swiftdeck/http/drain.py
+++ b/swiftdeck/http/drain.py
@@ -73,10 +73,14 @@
 
 
 class OpenRequests:
-    """The requests that a server works on, each of which is interrupted at the end of the work to get its final answer."""
+    """The requests that a server works on, each of which may be interrupted to get its final answer.
+
+    All are at the end of the work. `limits` has the timeout of each by its owner, any object that stands for the request.
+    """
 
     def __init__(self, drain: Drain):
-        self.drain, self.limits = drain, set()
+        self.drain = drain
+        self.limits: dict[object, asyncio.Timeout] = {}
 
     def __len__(self):
         return len(self.limits)
@@ -84,14 +88,24 @@
     def begin_drain(self, now_s: float):
         """Take the order to stop, for what is open and for what still comes."""
         self.drain.begin(now_s)
-        for limit in self.limits:
-            if not limit.expired():
-                limit.reschedule(self.drain.work_end_s)
-
-    async def run(self, work, give_final_answer):
-        """Await `work()`; where the work ends before it, `give_final_answer()` instead."""
+        for owner in self.limits:
+            self._end_at(owner, self.drain.work_end_s)
+
+    def interrupt(self, owner):
+        """End the work on one request now, so that it gets its final answer."""
+        if owner in self.limits:
+            self._end_at(owner, asyncio.get_running_loop().time())
+
+    def _end_at(self, owner, end_s: float):
+        limit = self.limits[owner]
+        if not limit.expired():
+            limit.reschedule(end_s)
+
+    async def run(self, work, give_final_answer, owner=None):
+        """Await `work()`; where the work ends before it, or is interrupted, `give_final_answer()` instead."""
+        owner = object() if owner is None else owner
         limit = asyncio.timeout_at(self.drain.work_end_s if self.drain.has_begun() else None)
-        self.limits.add(limit)
+        self.limits[owner] = limit
         try:
             async with limit:
                 return await work()
@@ -100,4 +114,4 @@
                 raise
             return await give_final_answer()
         finally:
-            self.limits.discard(limit)
+            del self.limits[owner]
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -72,6 +72,22 @@
         self.body = body
         self.begun = self.finished = False
         self.feed, self.name = None, ""
+        self.on_client_end = None
+
+    def watch_client(self, on_client_end):
+        """Have a function called once the client ends its side of the connection before it has its whole answer.
+
+        A client that has closed the connection can't be told from one that only sends no more, until something is written
+        to it. A connection that is lost needs no call: it cancels the handler.
+        """
+        self.on_client_end = on_client_end
+        if self.has_client_ended():
+            self.conversation.loop.call_soon(on_client_end)
+
+    def has_client_ended(self, for_s: float = 0.0) -> bool:
+        """Whether the client has ended its side of the connection, so long ago or longer."""
+        ended_s = self.conversation.client_ended_s
+        return ended_s is not None and self.conversation.loop.time() - ended_s >= for_s
 
     async def lines(self):
         """The lines of a body that is read as it comes; one that is too long ends them."""
@@ -287,6 +303,7 @@
             except ValueError as error:
                 return self.drop(BAD_REQUEST.because(f"target or headers can't be read: {error}"))
             exchange.feed = feed
+            await asyncio.sleep(0)  # so that an end of the stream right behind the request is seen
             fault = await self.server.handler(exchange)
             if is_fault(fault):
                 await exchange.give_fault(fault)
@@ -309,6 +326,9 @@
         if self.task is not None and self.client_ended_s is None:
             self.client_ended_s = self.loop.time()
             self.server.count[f"clientEnded.{how}"] += 1
+            exchange = self.exchange
+            if exchange is not None and exchange.on_client_end and not exchange.finished:
+                exchange.on_client_end()
 
     def _note_late_end(self):
         """Account for work that went on for long after its client had ended the connection."""
@@ -430,7 +450,7 @@
         self.paused = None
 
     def eof_received(self):
-        """The other side has said all it will; what it asked for whole still gets its return."""
+        """The other side has said all it will; whether what it asked for whole still gets its return is up to the handler."""
         if not self.dropping:
             self.take(b"")
         self._note_client_end("endOfStream")
--- a/tests/gateway/cases/leaving_clients.py
+++ b/tests/gateway/cases/leaving_clients.py
@@ -1,12 +1,25 @@
 """Cases of clients that close their connection before they have their answer: their work ends with them."""
 
+import asyncio
+from unittest import mock
+
+from swiftdeck.fault import CLIENT_ENDED
+from swiftdeck.gateway.admission import Admission
+from swiftdeck.gateway.pool import Pool
+from swiftdeck.http.server import HttpExchange
 from tests.gateway.case import SiteCase
+from tests.gateway.raw import RawClient
 from tests.gateway.town import PlatformTown
 
 LEAVES_S, SOON_S = 0.3, 0.5
 MODELS, APPS = ("lm1", "lm2", "lm3", "lm4"), ("app1", "app2")
 
 
+async def waits_forever(*_, **__):
+    """Never come to an end."""
+    await asyncio.Event().wait()
+
+
 class LeavingClientsCase(SiteCase):
     def leave(self, route, workers, count=12, quirk="silence", town=None):
         """Clients ask for something that its workers hold back, and leave."""
@@ -32,3 +45,66 @@
         for route, workers in (("r-stream", MODELS), ("r-resume", MODELS), ("r-safe", APPS)):
             with self.subTest(route):
                 self.assert_nothing_is_left(self.leave(route, workers))
+
+    def test_without_the_watch_the_checker_finds_work_for_clients_that_have_left(self):
+        blind = mock.patch.multiple(
+            HttpExchange,
+            watch_client=lambda *_: None,
+            has_client_ended=lambda *_: False,
+        )
+        self.assert_falls_without(blind, lambda: self.leave("r-stream", MODELS), "GONE")
+
+    def test_requests_that_wait_for_a_place_or_a_connection_end_with_their_clients(self):
+        for waiting, route in (
+            (mock.patch.object(Admission, "ask", waits_forever), "r-stream"),
+            (mock.patch.object(Pool, "take", waits_forever), "r-resume"),
+            (mock.patch.object(Pool, "take", waits_forever), "r-safe"),
+            (mock.patch.object(Pool, "take", waits_forever), "r-once"),
+        ):
+            with self.subTest(route), waiting:
+                town = self.leave(route, ())
+                self.assertEqual([item for item in town.records if item["kind"] == "arrive"], [])
+                self.assert_nothing_is_left(town)
+
+    def test_what_may_run_only_once_is_not_taken_back_from_its_worker(self):
+        town = self.leave("r-once", APPS, count=4, quirk="slow")
+        self.assertEqual(sum(len(town.up[name].active) for name in APPS), 4)
+        town.world.run(1.0)
+        self.assertEqual(
+            [item["whole"] for item in town.records if item["kind"] == "ran"], [True] * 4
+        )
+        self.assert_nothing_is_left(town)
+
+    def half_closed(self, route):
+        """What a client gets that asks for something slow, sends no more and listens."""
+        town = PlatformTown(62).start()
+        for name in APPS:
+            town.up[name].quirk = "slow"
+        client = town.operate(lambda: RawClient(town, "router1").open())
+        town._do("operator", lambda: client.ask("h1", route))
+        town.world.run(0.2)
+        town._do("operator", client.transport.write_eof)
+        town.world.run(2.0)
+        return client
+
+    def test_a_client_that_only_listens_gets_what_may_run_only_once_and_else_an_answer_at_once(
+        self,
+    ):
+        self.assertEqual([each["status"] for each in self.half_closed("r-once").account()], [200])
+        client = self.half_closed("r-safe")
+        self.assertEqual([each["status"] for each in client.account()], [502])
+        self.assertIn(CLIENT_ENDED.name.encode(), bytes(client.got))
+
+    def test_a_frozen_router_sends_nothing_on_for_clients_that_left_meanwhile(self):
+        town = PlatformTown(63).start()
+        town.freeze("router1", 2.0)
+        for at, route in enumerate(("r-safe", "r-resume", "r-stream") * 4):
+            town.beside(
+                lambda at=at, route=route: town._asking(
+                    route, f"late{at}", door="router1", leaves_s=LEAVES_S, keeps=False
+                ),
+                "clients",
+            )
+        town.world.run(4.0)
+        self.assertEqual([item for item in town.records if item["kind"] == "arrive"], [])
+        self.assert_nothing_is_left(town)
