An order names its worker and the count of orders that it expects

Cause: an order without an answer may reach its worker many seconds later, after newer weights; all orders of a view have one fence, so the worker took it and went back, and the head, which had seen it with the newest weights, never ordered it again. Ruled out: a head that believes what no report said (each move was confirmed by a report), new lives under an old name (no list showed one). Change: the head asks a worker for its count of orders before the first order of a view and remembers it from the report that ends each move; of all orders with one count only one is taken. A worker that already has the weights, or is busy, is not ordered. Tests: the red case of late orders (9 s), delays from 0.9 to 13 s, a plant without the count, a worker that goes back by itself. test_two_holders_lie_apart lets its worker refuse by 409 without being busy, as a busy one is no longer ordered; what it asserts is the same. Reports are a typed record, so their tests compare its fields.

--- a/swiftdeck/gateway/interfaces.py
+++ b/swiftdeck/gateway/interfaces.py
@@ -157,11 +157,39 @@
         """Return a follower of the cache at an address."""
 
 
+@attrs.frozen
+class WorkerReport:
+    """What a worker says of itself, as of a moment ago.
+
+    `order_count` is how many orders it has taken since it started, None where it doesn't say.
+    """
+
+    versions: dict[str, int]
+    is_busy: bool
+    order_count: int | None = None
+
+    def holds(self, model: str, version: int) -> bool:
+        """Whether the worker has such weights or newer ones, and no order is under way."""
+        return not self.is_busy and self.versions.get(model, 0) >= version
+
+
 class OrderTaker(typing.Protocol):
     """How a worker is told to take new weights, and asked how far it is."""
 
-    async def order(self, addr: str, model: str, version: int, owner: str, fence: int):
-        """Tell a worker to take new weights; returns what it answered, or a fault."""
-
-    async def versions(self, addr: str):
-        """Return the versions of a worker's models, or a fault."""
+    async def order(
+        self,
+        addr: str,
+        model: str,
+        version: int,
+        owner: str,
+        fence: int,
+        worker: str = "",
+        expected_count: int | None = None,
+    ):
+        """Tell a worker to take new weights; returns what it answered, or a fault.
+
+        With a worker's name another one refuses, and with an expected count one that has taken more orders than that.
+        """
+
+    async def report(self, addr: str):
+        """Return the WorkerReport of a worker, or a fault."""
--- a/swiftdeck/gateway/worker_registry.py
+++ b/swiftdeck/gateway/worker_registry.py
@@ -85,8 +85,13 @@
 
     @staticmethod
     def forget_version(worker: Worker, model: str):
-        """A life has other weights than was believed, without saying which: it is asked for the newest next."""
-        worker.weights.pop(model, None)
+        """A life has other weights than was believed, without saying which.
+
+        Where the list says otherwise it is believed now; else the worker is asked for the newest next.
+        """
+        believed = worker.weights.pop(model, 0)
+        if worker.listed.weights.get(model, believed) != believed:
+            worker.weights[model] = worker.listed.weights[model]
 
     def serving(self, service: str):
         """Workers of a service that the list shows as ready."""
--- a/tests/gateway/cases/late_orders.py
+++ b/tests/gateway/cases/late_orders.py
@@ -1,5 +1,8 @@
 """Cases of orders that reach their workers long after they were given up: newer weights are not undone."""
 
+from unittest import mock
+
+from swiftdeck.platform.orders import PlatformOrders
 from tests.gateway.case import SiteCase
 from tests.gateway.town import MODEL
 
@@ -7,6 +10,14 @@
 DELAY_S, PAUSE_S, AFTER_S = 9.0, 3.0, 16.0
 
 
+async def order_without_count(self, addr, model, version, owner, fence, worker, expected_count):
+    """An order that doesn't say how many were taken before it."""
+    return await ORDER(self, addr, model, version, owner, fence, worker)
+
+
+ORDER = PlatformOrders.order
+
+
 class LateOrdersCase(SiteCase):
     def name(self, town, version):
         """Name new weights; they are acknowledged when this returns."""
@@ -42,3 +53,28 @@
                 self.assertEqual(self.versions(town), {3})
                 self.assert_none_goes_back(town)
                 self.assert_kept(town, 0.9)
+
+    def test_delays_of_any_length_take_no_worker_back(self):
+        for seed, delays_s in enumerate(((0.9, 2.0, 4.0), (3.1, 5.0, 7.0), (11.0, 13.0, 6.0)), 73):
+            with self.subTest(delays_s):
+                town = self.name_twice(seed, delays_s)
+                self.assertEqual(self.versions(town), {3})
+                self.assert_none_goes_back(town)
+                self.assert_kept(town, 0.9)
+
+    def test_without_the_count_a_late_order_takes_a_worker_back(self):
+        with mock.patch.object(PlatformOrders, "order", order_without_count):
+            town = self.name_twice(71, [DELAY_S] * len(LATE))
+            with self.assertRaises(AssertionError):
+                self.assert_none_goes_back(town)
+
+    def test_a_worker_that_went_back_all_the_same_is_moved_again(self):
+        town = self.town(77, models=6)
+        self.name(town, 2)
+        town.world.run(6.0)
+        self.assertEqual(self.versions(town), {2})
+        for name in LATE:
+            town.up[name].versions[MODEL] = 1
+        town.world.run(12.0)
+        self.assertEqual(self.versions(town), {2})
+        self.assert_kept(town, 0.9)
--- a/tests/gateway/cases/operator.py
+++ b/tests/gateway/cases/operator.py
@@ -98,11 +98,12 @@
         def killed():
             town = self.town(5, rate=5)
             town.world.run(5)
-            town.up["lm1"].busy = "other"
+            worker = town.up["lm1"]
+            worker._order_status = lambda asked: 409
             town.operate(lambda: town.operator.name(MODEL, 2))
             town.world.run(0.5)
             town.kill(town.head(), back_s=6)
-            town.up["lm1"].busy = None
+            del worker._order_status
             town.world.run(9)
             return town
 
--- a/tests/gateway/test_worker_registry.py
+++ b/tests/gateway/test_worker_registry.py
@@ -43,6 +43,14 @@
         worker_registry.take([listed("w1", weights={"m": 4, "n": 1})])
         self.assertEqual(worker.knows("m"), 4)
 
+    def test_a_version_that_was_wrong_gives_way_to_what_the_list_says(self):
+        worker_registry = WorkerRegistry()
+        worker_registry.take([listed("w1", weights={"m": 3})])
+        worker = worker_registry.workers["w1"]
+        worker_registry.learn(worker, {"m": 4})
+        worker_registry.forget_version(worker, "m")
+        self.assertEqual(worker.knows("m"), 3)
+
     def test_watchers_hear_of_who_comes_and_goes(self):
         worker_registry, heard = WorkerRegistry(), []
         worker_registry.watchers.append(lambda: heard.append(sorted(worker_registry.workers)))
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -25,6 +25,7 @@
 class OrdersTest(unittest.TestCase):
     def setUp(self):
         self.world, self.answer, self.asked = World(1), (202, {}), []
+        self.named = []
         self.world.start("here", "10.0.0.1", lambda: asyncio.sleep(0))
         self.world.start(
             "worker", "10.0.0.9", lambda: HttpServer(self.handle).start("10.0.0.9", 80)
@@ -35,6 +36,7 @@
         self.asked.append(
             (exchange.method, exchange.path, exchange.json() if exchange.body else None)
         )
+        self.named.append(exchange.headers.get("swiftdeck-expected-worker"))
         if self.answer is None:
             await asyncio.sleep(60)
         status, body = self.answer
@@ -44,13 +46,13 @@
             else exchange.give(status, body)
         )
 
-    def order(self):
+    def order(self, *more):
         return self.world.do(
-            "here", lambda: PlatformOrders().order(ADDR, "daka510000", 2, "node-7", 41)
+            "here", lambda: PlatformOrders().order(ADDR, "daka510000", 2, "node-7", 41, *more)
         )
 
-    def versions(self):
-        return self.world.do("here", lambda: PlatformOrders().versions(ADDR))
+    def report(self):
+        return self.world.do("here", lambda: PlatformOrders().report(ADDR))
 
     def test_an_order_as_the_page_shows_it(self):
         self.assertEqual(self.order(), 202)
@@ -72,6 +74,14 @@
             ],
         )
 
+        self.assertEqual(self.named, [None])
+
+    def test_an_order_names_its_worker_and_the_count_that_it_expects(self):
+        for count in (0, 7):
+            self.assertEqual(self.order("i-7f3a91c2", count), 202)
+            self.assertEqual(self.asked[-1][2]["expected-count"], count)
+        self.assertEqual(self.named, ["i-7f3a91c2"] * 2)
+
     def test_each_answer_is_told_by_its_status(self):
         for status in (200, 202, 400, 409, 412, 421):
             for body in ({}, b"", b"{}"):
@@ -96,10 +106,21 @@
             ({"models": [{"name": "a", "version": "3"}, 5, None]}, ({}, False)),
         ):
             self.answer = (200, report)
-            self.assertEqual(self.versions(), wanted)
+            got = self.report()
+            self.assertEqual((got.versions, got.is_busy), wanted)
         self.assertEqual(self.asked[0], ("GET", "/swiftdeck/report", None))
 
+    def test_a_report_tells_how_many_orders_were_taken(self):
+        for told, wanted in ((0, 0), (2, 2), ("2", None), (None, None), (True, None)):
+            self.answer = (200, REPORT | {"call-count": told})
+            self.assertEqual(self.report().order_count, wanted)
+
+    def test_what_a_worker_is_busy_with_it_does_not_hold(self):
+        for is_busy, version, wanted in ((False, 1, True), (False, 2, False), (True, 1, False)):
+            self.answer = (200, REPORT | {"busy": is_busy})
+            self.assertEqual(self.report().holds("daka510000", version), wanted)
+
     def test_a_report_that_cannot_be_read_is_a_fault(self):
         for bad in ((503, {}), (200, []), (200, b"{"), (200, b""), (200, 7)):
             self.answer = bad
-            self.assertTrue(is_fault(self.versions()), bad)
+            self.assertTrue(is_fault(self.report()), bad)
