Exchanges with workers that are given up are reset, not only closed

Closing a connection leaves what was written with the kernel, which goes on sending it behind a cut; a reset drops it. Test on a real socket: the other side sees a reset where an answer was due, a close where it had come.

--- a/swiftdeck/http/client.py
+++ b/swiftdeck/http/client.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from swiftdeck.fault import BAD_RETURN, TIMED_OUT, UNREACHED, WORKER_LOST, is_fault
+from swiftdeck.http.reset import reset
 
 READ_AHEAD = 262144
 LINE_LIMIT = 262144
@@ -99,9 +100,17 @@
         head = await self.event()
         return head if is_fault(head) else HttpReturn(self, head)
 
+    def is_awaiting(self) -> bool:
+        """Whether an answer is due, or part of one."""
+        return self.conn.their_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
+
     def close(self):
-        """Drop the connection."""
-        if self.transport:
+        """Drop the connection; an exchange that is under way is taken back as far as it can be."""
+        if not self.transport:
+            return
+        if self.is_awaiting():
+            reset(self.transport)
+        else:
             self.transport.abort()
 
 
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -3,8 +3,6 @@
 import asyncio
 import math
 import re
-import socket
-import struct
 from collections import Counter
 from urllib.parse import parse_qsl, unquote, urlsplit
 
@@ -22,9 +20,9 @@
 )
 from swiftdeck.http.cuts import CutReason
 from swiftdeck.http.drain import Drain, DrainTimes, Phase
+from swiftdeck.http.reset import reset
 
 HEAD_LIMIT = 32768
-RESET = struct.pack("ii", 1, 0)
 LOOK_S = 0.01
 HEAD = "HEAD"
 """The method whose answers have no body."""
@@ -460,10 +458,10 @@
         """Cut the connection; for a client that takes its end for the end of an answer, by a reset."""
         if self.transport and not self.gone:
             self.cut_reason = self.cut_reason or reason
-            sock = self.transport.get_extra_info("socket")
-            if sock is not None and self.conn.their_http_version == b"1.0":
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            self.transport.abort()
+            if self.conn.their_http_version == b"1.0":
+                reset(self.transport)
+            else:
+                self.transport.abort()
 
     def connection_lost(self, error):
         self.gone = True
