A given-up exchange is reset only where bytes of it have not arrived

A reset is sent once and may be lost; a close is repeated until the other side knows of it, so that a worker behind a lossy link notices.

--- a/swiftdeck/http/client.py
+++ b/swiftdeck/http/client.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from swiftdeck.fault import BAD_RETURN, TIMED_OUT, UNREACHED, WORKER_LOST, is_fault
-from swiftdeck.http.reset import reset
+from swiftdeck.http.reset import give_up
 
 READ_AHEAD = 262144
 LINE_LIMIT = 262144
@@ -109,7 +109,7 @@
         if not self.transport:
             return
         if self.is_awaiting():
-            reset(self.transport)
+            give_up(self.transport)
         else:
             self.transport.abort()
 
