--- a/swiftdeck/gateway/swap.py
+++ b/swiftdeck/gateway/swap.py
@@ -8,23 +8,15 @@
 
 from swiftdeck.chain.weight_ages import WeightAges
 from swiftdeck.control.core import Core
-from swiftdeck.fault import is_fault
-from swiftdeck.gateway.interfaces import WorkerReport
 from swiftdeck.gateway.listing import Listing
 from swiftdeck.gateway.old_weights import OldWeights
 from swiftdeck.gateway.swap_pace import Candidate, SwapPace
+from swiftdeck.gateway.worker_moves import Move, WorkerMoves
 from swiftdeck.gateway.worker_registry import WorkerRegistry
 from swiftdeck.wire.messages import SwapNews
 
-TAKEN, HOLDS, OLD_FENCE = 202, 200, 412
 RESTART_S, WAITED = 1.4, "waited"
-STEER_MS, ASK_MS, GIVE_UP_S, LOOK_S = 80, 100, 4.0, 0.15
-LOAD_LEAST_S = 0.42
-"""After an order a worker isn't asked for so long: loading takes longer."""
-TELL_S = 0.2
-"""How often routers are told again that a worker is being moved."""
-LIST_LAG_S = 5.0
-"""After so long the list has what a worker that was moved has; where it says otherwise, the worker went back."""
+LOOK_S = 0.15
 SLOT_S = 3.0
 """How long a worker that is being ordered holds back the next one; after that it is slow, or silent."""
 
@@ -76,19 +68,16 @@
     As many workers are ordered at a time as have to be while routers may still use the others. Once that time is over the rest
     get nothing to do until they have been ordered, so all are.
 
-    An order without an answer may reach its worker seconds later, after newer ones. So each names its worker, and how many
-    orders that one had taken when it was last asked: of all orders that were given with the same count only one is taken.
-
     Weights are ordered only once their naming is committed: what this core alone has taken in may be lost with it, and a
     worker can't be taken back to older weights.
     """
 
     def __init__(self, core, orders):
-        self.core, self.orders = core, orders
+        self.core = core
         self.busy: dict[str, Swap] = {}
         self.since_s, self.headed_in, self.headed_s = None, 0, -math.inf
         self.tried_s, self.waited_in = {}, b""
-        self.moved_s, self.order_counts, self.counted_in = {}, {}, 0
+        self.moves = WorkerMoves(core, orders, self.fence, self._tell, self._on_moved)
         self.telling, self.seen_view, self.pace = {}, 0, SwapPace()
         self.old_weights = OldWeights(
             WeightAges(), core.settings.oldWeightsMs / 1000, core.settings.weightsBoundMs / 1000
@@ -146,9 +135,7 @@
             fence = self.fence()
             if not fence:
                 continue
-            if self.counted_in != fence:
-                self.counted_in = fence
-                self.order_counts.clear()
+            self.moves.follow(fence, self.core.worker_registry.workers)
             if self.waited_in != self._waited(fence):
                 self.waited_in = self._waited(fence)
                 self.noting = asyncio.ensure_future(self._note_waited(fence))
@@ -167,14 +154,12 @@
 
     def _order_some(self, model, version):
         workers = self.core.worker_registry.workers
-        for table in (self.tried_s, self.moved_s, self.order_counts):
-            for name in [name for name in table if name not in workers]:
-                del table[name]
+        self.tried_s = {name: at for name, at in self.tried_s.items() if name in workers}
         able = [each for each in workers.values() if model in each.weights]
         behind = [
             self._candidate(each, model)
             for each in able
-            if self._version(each, model) < version
+            if self.moves.version(each, model) < version
             and not each.listed.draining
             and each.name not in self.busy
         ]
@@ -186,14 +171,6 @@
         for worker in self.pace.chosen(behind, len(able), taken, now_s):
             self._begin(worker, model, version)
 
-    def _version(self, worker, model):
-        """The version that a worker has: what is known of it, unless the list has said otherwise for long."""
-        known, listed = worker.knows(model), worker.listed.weights.get(model, 0)
-        moved_s = self.moved_s.get(worker.name, -math.inf)
-        if listed < known and self.core.listing.read_s - moved_s > LIST_LAG_S:
-            return listed
-        return known
-
     def _candidate(self, worker, model):
         until_s = self.old_weights.sent_until_s(model, worker.knows(model))
         return Candidate(worker, until_s, self.tried_s.get(worker.name, -math.inf))
@@ -203,7 +180,7 @@
         until_s = self.old_weights.sent_until_s(model, worker.knows(model))
         swap = self.busy[worker.name] = Swap(model, now_s, until_s)
         self.tried_s[worker.name] = now_s
-        swap.task = asyncio.ensure_future(self._swap(worker, model, version))
+        swap.task = asyncio.ensure_future(self._swap(Move(worker, model, version)))
 
     def _tell(self, worker, model, version, for_ms):
         """Tell all routers of a worker, in one message with the others of which the same is told now."""
@@ -218,105 +195,23 @@
             news = SwapNews(workers=names, model=model, version=version, for_ms=for_ms)
             self.core.mesh.tell_all(routers, news)
 
-    async def _swap(self, worker, model, version):
+    async def _swap(self, move):
         try:
-            self._tell(worker, model, 0, 1500)
-            await asyncio.sleep(STEER_MS / 1000)
-            if not self.fence():
-                return
-            report = await self._report_before(worker)
-            if report is None:
-                return
-            if report.holds(model, version):
-                return self._moved(worker, model, version, report)
-            if report.is_busy or await self._order(worker, model, version, report.order_count):
-                await self._await_version(worker, model, version)
+            await self.moves.make(move)
         finally:
-            self.busy.pop(worker.name, None)
-
-    async def _report_before(self, worker):
-        """What a worker says before it is ordered, or None where it says nothing.
-
-        What it said after the last order stands as long as this core gives the orders; should another one have been taken
-        since, the next is refused, and the worker is asked again.
-        """
-        known = self.order_counts.get(worker.name)
-        if known is not None:
-            return WorkerReport({}, False, known)
-        report = await self.orders.report(worker.listed.addr)
-        if is_fault(report):
-            self._note_unanswered("report unanswered", worker, report)
-            return None
-        return report
-
-    def _note_unanswered(self, event, worker, fault):
-        self.core.board.count["ordersUnanswered"] += 1
-        self.core.board.note(event, worker=worker.name, code=fault.code, reason=fault.reason)
-
-    async def _order(self, worker, model, version, order_count):
-        """Order a worker to take weights; whether it does, as far as is known."""
-        fence, count = self.fence(), self.core.board.count
-        if not fence:
-            return False
-        self.order_counts.pop(worker.name, None)
-        got = await self.orders.order(
-            worker.listed.addr,
-            model,
-            version,
-            self.core.me.name,
-            fence,
-            worker.name,
-            order_count,
-        )
-        count["ordersSent"] += 1
-        if is_fault(got):
-            self._note_unanswered("order unanswered", worker, got)
-            return False
-        if got == OLD_FENCE:
-            count["ordersFenced"] += 1
-            await asyncio.sleep(1.0)
-            return False
-        if got not in (TAKEN, HOLDS):
-            count[f"ordersRefused.{got}"] += 1
-            return False
-        return True
+            self.busy.pop(move.worker.name, None)
 
-    def _note_moved(self, worker, model, version):
-        swap, now_s = self.busy[worker.name], self.loop.time()
+    def _on_moved(self, move):
+        """Go on with the next workers, at the pace that this one took."""
+        swap, now_s = self.busy[move.worker.name], self.loop.time()
         self.pace.note(now_s - swap.begun_s)
         self.core.board.note(
             "worker moved",
-            worker=worker.name,
-            model=model,
-            version=version,
+            worker=move.worker.name,
+            model=move.model,
+            version=move.version,
             tookMs=int((now_s - swap.begun_s) * 1000),
             spareMs=int(min(3600.0, swap.until_s - now_s) * 1000),
             atOnce=len(self.busy),
         )
-
-    async def _await_version(self, worker, model, version):
-        """Ask a worker that was ordered until it has the weights, or does nothing about them, or takes too long."""
-        end_s, tell_s = self.loop.time() + GIVE_UP_S, 0.0
-        await asyncio.sleep(LOAD_LEAST_S)
-        while self.loop.time() < end_s:
-            report = await self.orders.report(worker.listed.addr)
-            if not is_fault(report):
-                if report.holds(model, version):
-                    return self._moved(worker, model, version, report)
-                if not report.is_busy:
-                    return
-            if self.loop.time() >= tell_s:
-                tell_s = self.loop.time() + TELL_S
-                self._tell(worker, model, 0, 600)
-            await asyncio.sleep(ASK_MS / 1000)
-
-    def _moved(self, worker, model, version, report):
-        """Take in that a worker has the weights, and tell all routers."""
-        if report.order_count is not None:
-            self.order_counts[worker.name] = report.order_count
-        self.moved_s[worker.name] = self.loop.time()
-        self.core.worker_registry.learn(worker, {model: version})
-        self.core.board.count["swapsDone"] += 1
-        self._note_moved(worker, model, version)
         self.kick.set()
-        self._tell(worker, model, version, 0)
