Soak: clients that leave, orders that come late, and GONE in its verdict

Stand-in workers drop a request when its connection closes, also by the end of a stream; the checker counts an order's time from when it was given. A planted router that does not see its clients leave must be found.

--- a/swiftdeck/bench/outer/checker.py
+++ b/swiftdeck/bench/outer/checker.py
@@ -12,8 +12,8 @@
 LINK, PROCESS = "link", "process"
 """What a trouble concerns: a machine's links, or its processes alone."""
 LEFT_BEHIND_SHARE, LEFT_BEHIND_STRETCH = 0.1, 1.5
-GONE_MS, GONE_FEW, GONE_SHARE = 500, 3, 0.25
-"""How long after a client has left a worker may still get its request or work on it, how many may, and which share of those at work."""
+GONE_FEW, GONE_SHARE = 3, 0.25
+"""How many requests of clients that left may reach a worker late, and how many or which share may still be worked on."""
 ADMISSION_MS, LAST_SHARE, UNANSWERED_MOST = 3000, 1 / 6, 3
 """Until when after SIGTERM a request may be taken that is still run in the last share of the grace, and how many requests from kept
 connections may be passed on and left without an answer."""
@@ -36,6 +36,7 @@
     grace_ms: int = 8000
     loss_slack_ms: int = 200
     recovery_ms: int = 12000
+    gone_ms: int = 500
 
     def in_touch(self, machine, at_ms, since_ms=None):
         """Whether a machine and the core were calm for long enough before a time, and since another."""
@@ -338,7 +339,8 @@
                 not bounds.checks_fences or now["status"] in (200, 202)
             ):
                 yield f"{worker} got fence {now['fence']} after {before['fence']}"
-            if now["owner"] != before["owner"] and now["atMs"] - before["atMs"] < bounds.lease_ms:
+            apart_ms = abs(_given_ms(now) - _given_ms(before))
+            if now["owner"] != before["owner"] and apart_ms < bounds.lease_ms:
                 yield f"{worker} got orders of {before['owner']} and {now['owner']} at {before['atMs']} and {now['atMs']}"
         for fence in {item["fence"] for item in orders}:
             owners = {item["owner"] for item in orders if item["fence"] == fence}
@@ -346,6 +348,11 @@
                 yield f"{worker} got orders of {sorted(owners)} under fence {fence}"
 
 
+def _given_ms(order):
+    """When an order was given: before it arrived by as long as it was held up on its way."""
+    return order["atMs"] - order.get("heldMs", 0)
+
+
 def version(records, bounds):
     """A run that begins on weights much older than what was acknowledged, or workers that are left behind."""
     named = records.of("named")
@@ -556,7 +563,7 @@
     left = [
         item
         for item in records.of("left")
-        if bounds.in_touch(item["router"], item["atMs"] + GONE_MS, item["atMs"])
+        if bounds.in_touch(item["router"], item["atMs"] + bounds.gone_ms, item["atMs"])
     ]
     arrivals = defaultdict(list)
     for item in records.of("arrive"):
@@ -565,21 +572,21 @@
         f"{item['id']} reached a worker {at_ms - item['atMs']} ms after its client had left"
         for item in left
         for at_ms in arrivals[item["id"]]
-        if at_ms > item["atMs"] + GONE_MS
+        if at_ms > item["atMs"] + bounds.gone_ms
     ]
     if len(late) > GONE_FEW:
         yield from late
-    open_runs = [found for item in left for found in _open_runs(records, item)]
+    open_runs = [found for item in left for found in _open_runs(records, bounds, item)]
     worked_on = [
         f"{run['id']} was worked on {end_ms - left_ms} ms after its client had left"
         for run, left_ms, end_ms in open_runs
-        if end_ms > left_ms + GONE_MS
+        if end_ms > left_ms + bounds.gone_ms
     ]
     if len(worked_on) > max(GONE_FEW, GONE_SHARE * len(open_runs)):
         yield from worked_on
 
 
-def _open_runs(records, left):
+def _open_runs(records, bounds, left):
     """The runs of a request that are under way when its client leaves, with that time and their end.
 
     Left out are those that may not be repeated and are no streams, and those that come to their end soon by themselves.
@@ -592,7 +599,7 @@
     for run in records.runs[left["id"]]:
         end = ends.get(run["run"])
         end_ms = end["atMs"] if end else FOREVER
-        ends_soon = end is not None and end["whole"] and end_ms <= left_ms + GONE_MS
+        ends_soon = end is not None and end["whole"] and end_ms <= left_ms + bounds.gone_ms
         if run["atMs"] <= left_ms < end_ms and not ends_soon:
             yield run, left_ms, end_ms
 
--- a/swiftdeck/bench/outer/site_forms.py
+++ b/swiftdeck/bench/outer/site_forms.py
@@ -25,6 +25,8 @@
     thaw_slack_ms: int = 300
     ack_within_ms: int = 4000
     loss_slack_ms: int = 200
+    gone_ms = 500
+    """How long work may go on for a client that has left; no process is told."""
 
     def judged(self, troubles: list, slack: float = 1.0) -> Bounds:
         """What the checker goes by; a slack over 1 widens the bounds of time."""
@@ -40,6 +42,7 @@
             troubles=troubles,
             grace_ms=self.grace_s * 1000,
             loss_slack_ms=int(self.loss_slack_ms * slack),
+            gone_ms=int(self.gone_ms * slack),
         )
 
     def lines(self) -> list[str]:
--- a/swiftdeck/bench/outer/worker.py
+++ b/swiftdeck/bench/outer/worker.py
@@ -8,6 +8,7 @@
 from swiftdeck.bench.outer.store import PARTS, give_reports
 from swiftdeck.fault import is_fault
 from swiftdeck.http.client import fetch_json
+from swiftdeck.http.cuts import CutReason
 from swiftdeck.http.server import HttpServer
 from swiftdeck.platform.speech import parts_of
 
@@ -112,12 +113,13 @@
     async def _order(self, exchange):
         if self.order_delays_s:
             delay_s = self.order_delays_s.pop(0)
-            asyncio.get_running_loop().call_later(delay_s, self._take_order, exchange)
+            exchange.watch_client(exchange.abort)
+            asyncio.get_running_loop().call_later(delay_s, self._take_order, exchange, delay_s)
             return await asyncio.Event().wait()
         return await exchange.give(self._take_order(exchange), {})
 
-    def _take_order(self, exchange):
-        """The status of an order, which is begun where that is 202."""
+    def _take_order(self, exchange, held_s=0.0):
+        """The status of an order that was held up so long on its way; it is begun where that is 202."""
         asked = exchange.json()
         status = self._order_status(asked) if isinstance(asked, dict) else 400
         if exchange.headers.get("swiftdeck-expected-worker", self.name) != self.name:
@@ -130,6 +132,7 @@
             model=asked.get("model"),
             version=asked.get("version"),
             status=status,
+            heldMs=int(held_s * 1000),
         )
         if status == 202:
             self.orders += 1
@@ -168,6 +171,8 @@
         self.record("loaded", worker=self.name, model=model, version=version)
 
     async def _request(self, exchange):
+        """One request, which is dropped when its connection closes."""
+        exchange.watch_client(lambda: exchange.abort(CutReason.CLIENT_LEFT))
         head = exchange.headers
         name, model = head.get("swiftdeck-request-id", ""), head.get("swiftdeck-model", "")
         self.record("arrive", worker=self.name, service=self.plan["backend"], id=name)
--- a/swiftdeck/soak/schedule.py
+++ b/swiftdeck/soak/schedule.py
@@ -51,6 +51,7 @@
     DRAIN_WORKER = "drain-worker"
     WORKER_QUIRK = "worker-quirk"
     LOSE_ORDERS = "lose-order-answers"
+    DELAY_ORDERS = "delay-orders"
     LOSE_ANSWERS = "lose-operator-answers"
     SECOND_OPERATOR = "second-operator"
 
@@ -63,6 +64,7 @@
     Kind.WORKER_QUIRK,
     Kind.WORKER_QUIRK,
     Kind.LOSE_ORDERS,
+    Kind.DELAY_ORDERS,
     Kind.LOSE_ANSWERS,
     Kind.SECOND_OPERATOR,
 )
--- a/swiftdeck/soak/stand_ins.py
+++ b/swiftdeck/soak/stand_ins.py
@@ -12,6 +12,8 @@
 SHOW_S, TOKEN_STEP_S, ROOM = 0.2, 0.02, 140000
 CAPACITY = {MODEL_SERVICE: 12}
 PLAIN_CAPACITY = 8
+ORDER_DELAY_S, ORDERS_DELAYED = (0.5, 9.0), 3
+"""How long orders are held up on their way, and how many of one worker in one trouble."""
 PLAIN_WORK_S, SLOW_PATH, SLOW_WORK_S = 0.02, b"/slow-", (0.5, 4.5)
 
 
@@ -107,6 +109,15 @@
         self.workers[name] = worker
         self.forgotten.discard(name)
 
+    def delay_orders(self, share):
+        """Have some workers get their next orders late, though given up; returns those workers."""
+        workers = [each for each in self.workers.values() if self.random.random() < share]
+        for worker in workers:
+            worker.order_delays_s = [
+                self.random.uniform(*ORDER_DELAY_S) for _ in range(ORDERS_DELAYED)
+            ]
+        return workers
+
     def crash_worker(self, name):
         """End a worker: its connections are reset, and it listens no more."""
         worker = self.workers[name]
--- a/swiftdeck/soak/traffic.py
+++ b/swiftdeck/soak/traffic.py
@@ -13,6 +13,8 @@
 PLAIN_NAMES, STREAM_NAMES = ("safe", "once", "public", "slow-once"), ("stream", "resume")
 CHANGE_SHARE, SHORT_SHARE, PLAIN_SHARE, KEEP_SHARE = 0.2, 0.25, 0.45, 0.7
 REST_S = (0.5, 6.0)
+LEAVES_S = (0.02, 1.5)
+"""After how long a client closes its connection that doesn't wait for its answer."""
 BY_NAME = {each.name: each for each in ROUTES}
 
 
@@ -23,6 +25,7 @@
     roving_per_s: float = 7.0
     resting: int = 6
     busy: int = 3
+    leaving_per_s: float = 2.0
 
 
 class StickyClient(Client):
@@ -54,7 +57,8 @@
     def start(self):
         """Begin all clients."""
         roving = Client("roving", self.record("clients"), self._random(), self.doors)
-        clients = [self._rove(roving)]
+        leaving = Client("leaving", self.record("clients"), self._random(), self.doors)
+        clients = [self._rove(roving), self._leave(leaving)]
         for number in range(self.size.resting):
             clients.append(self._rest(self._sticky(f"resting{number}")))
         for number in range(self.size.busy):
@@ -71,6 +75,14 @@
             self.open.add(task)
             task.add_done_callback(self.open.discard)
 
+    async def _leave(self, client):
+        while not self.is_ending:
+            await asyncio.sleep(self.random.expovariate(self.size.leaving_per_s))
+            leaves_s = self.random.uniform(*LEAVES_S)
+            task = asyncio.ensure_future(self._one_of_any(client, leaves_s=leaves_s))
+            self.open.add(task)
+            task.add_done_callback(self.open.discard)
+
     async def _rest(self, client):
         while not self.is_ending:
             await self._one_of_any(client, keeps=True)
@@ -82,26 +94,27 @@
             name = self.random.choice(STREAM_NAMES)
             await self._ask(client, name, self._prompt(), out, keeps=True)
 
-    async def _one_of_any(self, client, keeps=None):
+    async def _one_of_any(self, client, keeps=None, leaves_s=None):
         keeps = self.random.random() < KEEP_SHARE if keeps is None else keeps
         drawn = self.random.random()
         if drawn < CHANGE_SHARE:
             path = self.random.choice(self.recent_paths())
-            return await self._ask(client, "safe", path=path, keeps=keeps)
+            return await self._ask(client, "safe", path=path, keeps=keeps, leaves_s=leaves_s)
         if drawn < CHANGE_SHARE + SHORT_SHARE:
             parts = [("greeting", 90), (f"short{self.count}", SHORT_TOKENS)]
-            return await self._ask(client, "resume", parts, SHORT, keeps=keeps)
+            return await self._ask(client, "resume", parts, SHORT, keeps=keeps, leaves_s=leaves_s)
         if drawn < CHANGE_SHARE + SHORT_SHARE + PLAIN_SHARE:
-            return await self._ask(client, self.random.choice(PLAIN_NAMES), keeps=keeps)
+            name = self.random.choice(PLAIN_NAMES)
+            return await self._ask(client, name, keeps=keeps, leaves_s=leaves_s)
         out = self.random.randint(SHORT, LONG[0])
         name = self.random.choice(STREAM_NAMES)
-        return await self._ask(client, name, self._prompt(), out, keeps=keeps)
+        return await self._ask(client, name, self._prompt(), out, keeps=keeps, leaves_s=leaves_s)
 
     def _prompt(self):
         book = self.random.randrange(BOOKS)
         return [(f"book{book}", BOOK_TOKENS), (f"own{self.count}", OWN_TOKENS)]
 
-    async def _ask(self, client, name, parts=(), out=SHORT, path=None, keeps=True):
+    async def _ask(self, client, name, parts=(), out=SHORT, path=None, keeps=True, leaves_s=None):
         self.count += 1
         route, tenant = BY_NAME[name], self.random.choice(TENANTS)
         is_model = route.service == MODEL_SERVICE
@@ -117,6 +130,7 @@
             within_ms=route.timeout_ms,
             aim_ms=route.target_ms,
             keeps=keeps,
+            leaves_s=leaves_s,
         )
 
     async def finish(self) -> bool:
--- a/swiftdeck/soak/troubles.py
+++ b/swiftdeck/soak/troubles.py
@@ -39,6 +39,7 @@
             Kind.DRAIN_WORKER: self._drain_worker,
             Kind.WORKER_QUIRK: self._worker_quirk,
             Kind.LOSE_ORDERS: self._lose_orders,
+            Kind.DELAY_ORDERS: self._delay_orders,
             Kind.LOSE_ANSWERS: self._lose_answers,
             Kind.SECOND_OPERATOR: self._second_operator,
         }
@@ -230,6 +231,12 @@
         for worker in workers:
             worker.lost_answers_share = 0.0
 
+    async def _delay_orders(self, trouble):
+        workers = self.stand_ins.delay_orders(trouble.share)
+        await asyncio.sleep(trouble.for_s)
+        for worker in workers:
+            worker.order_delays_s = []
+
     async def _lose_answers(self, trouble):
         self.operators.lose_answers(trouble.share)
         await asyncio.sleep(trouble.for_s)
--- a/swiftdeck/soak/verdict.py
+++ b/swiftdeck/soak/verdict.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from swiftdeck.bench.outer.checker import Records, check, lost
+from swiftdeck.bench.outer.client import LEFT
 from swiftdeck.soak.site import BOUNDS
 
 SERVED_SHARE, REQUESTS_EACH_S, CHANGES_EACH_S = 0.5, 1.0, 0.3
@@ -28,6 +29,8 @@
     troubles: int
     overlap: float
     lost_answers: int
+    left: int
+    late_orders: int
     counters_read: int
     stalls: int
     longest_stall_s: float
@@ -112,7 +115,11 @@
 
 def _sums(soak):
     kinds = Counter(item["kind"] for item in soak.items)
-    last = {item["id"].rpartition(".")[0]: item for item in soak.items if item["kind"] == "result"}
+    last = {
+        item["id"].rpartition(".")[0]: item
+        for item in soak.items
+        if item["kind"] == "result" and item["end"] != LEFT
+    }
     return Sums(
         requests=len(last),
         served=sum(item["complete"] and 200 <= item["status"] < 300 for item in last.values()),
@@ -124,6 +131,10 @@
         troubles=len(soak.troubles.done),
         overlap=round(soak.schedule.overlap(), 2),
         lost_answers=sum(each.lost for each in soak.operators.all),
+        left=kinds["left"],
+        late_orders=sum(
+            item["kind"] == "order" and item.get("heldMs", 0) > 0 for item in soak.items
+        ),
         counters_read=soak.invariants.answers,
         stalls=soak.stalls.count,
         longest_stall_s=round(soak.stalls.longest_s, 2),
@@ -149,6 +160,7 @@
         "orders": (sums.orders, 1),
         "counters read": (sums.counters_read, 1),
         "planned stops": (sums.planned, 1),
+        "clients that left": (sums.left, 1),
     }
     return [f"only {count} {what}" for what, (count, wanted) in least.items() if count < wanted]
 
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -3,6 +3,7 @@
 import os
 import sys
 
+from swiftdeck.http.server import HttpExchange
 from swiftdeck.soak import program
 from swiftdeck.soak.program import MAKERS
 
@@ -10,6 +11,7 @@
 ENDS_AT_ONCE = "router ends at once"
 OLD_CONFIGURATION = "router keeps its first configuration"
 BROKEN_INVARIANT = "core counts a broken invariant"
+BLIND_TO_CLIENTS = "router does not see its clients leave"
 
 
 def ends_at_once(node):
@@ -39,10 +41,17 @@
     node.board.count["invariant.planted"] += 1
 
 
+def blind_to_clients(node):
+    """A router that takes a client that has closed its connection for one that listens."""
+    HttpExchange.watch_client = lambda self, on_client_end: None
+    HttpExchange.has_client_ended = lambda self, for_s=0.0: False
+
+
 FAULTS = {
     ENDS_AT_ONCE: ("router", ends_at_once),
     OLD_CONFIGURATION: ("router", keeps_first_configuration),
     BROKEN_INVARIANT: ("core", counts_broken_invariant),
+    BLIND_TO_CLIENTS: ("router", blind_to_clients),
 }
 
 
--- a/tests/soak/test_soak_short.py
+++ b/tests/soak/test_soak_short.py
@@ -24,6 +24,14 @@
         Trouble(4.5, 10.0, Kind.TERMINATE, "router2", rest_s=0.5),
     ],
 )
+SILENT = Schedule(
+    6.0,
+    [
+        *STOPS.troubles[:1],
+        *(Trouble(0.5, 5.0, Kind.WORKER_QUIRK, f"models{at}", how="silence") for at in range(1, 5)),
+    ],
+)
+LEAVERS = SoakSize(seconds=SILENT.seconds, traffic=TrafficSize(6.0, 4, 3, 8.0))
 BUSY = SoakSize(seconds=STOPS.seconds, traffic=TrafficSize(6.0, 4, 9))
 
 
@@ -63,6 +71,11 @@
         self.assertIn("CONFIG", verdict.rules, told)
         self.assertTrue(any("invariant.planted" in each for each in verdict.invariants), told)
 
+    def test_work_for_clients_that_have_left_is_found(self):
+        with mock.patch.dict(os.environ, {planted.VARIABLE: planted.BLIND_TO_CLIENTS}):
+            verdict = self.soak(LEAVERS, PLANTED_PROGRAM, SILENT)
+        self.assertIn("GONE", verdict.rules, self.told(verdict))
+
     def test_processes_end_when_a_run_breaks_off(self):
         soak = Soak(SEED, self.folder, SHORT, say=self.lines.append)
         broken = mock.patch.object(soak.stand_ins, "start", side_effect=OSError("planted"))
