--- a/swiftdeck/bench/long_day_shapes.py
+++ b/swiftdeck/bench/long_day_shapes.py
@@ -7,6 +7,7 @@
     CORE_TROUBLES,
     DRAIN_TROUBLES,
     LASTING_CORE_LOSSES,
+    LEAVERS_TROUBLES,
     ORDER_TROUBLES,
     SHORT_CORE_LOSSES,
     TROUBLES,
@@ -265,6 +266,17 @@
     busy_terminations(day, first_s=12.0, least_gap_s=22.0, most_gap_s=30.0, at_once=3.0)
 
 
+def leavers(day: Timetable) -> None:
+    """Clients leave all day, while workers are slow, hang, fall mute or lose their links."""
+    routine(day)
+    for at_s in day.times(2.0, day.length_s - 4.0, 8.0, 16.0):
+        share = day.chance.choice([0.2, 0.4, 0.8])
+        leaves_ms = day.chance.choice([100, 300, 600])
+        day.fault(at_s, "give_up", share=share, x=leaves_ms, for_s=day.chance.uniform(5.0, 12.0))
+    for at_s in day.times(3.0, day.length_s - 10.0, 5.0, 9.0):
+        day.chance.choice(LEAVERS_TROUBLES)(day, at_s, day.chance.uniform(3.0, 8.0))
+
+
 SHAPES: dict[str, Callable[[Timetable], None]] = {
     "terms": terms,
     "mixed": mixed,
@@ -280,4 +292,5 @@
     "lasting": lasting,
     "heads": heads,
     "late-core": late_core,
+    "leavers": leavers,
 }
--- a/swiftdeck/bench/long_day_troubles.py
+++ b/swiftdeck/bench/long_day_troubles.py
@@ -274,6 +274,15 @@
     orders_unanswered,
     leader_killed_repeatedly,
 ]
+LEAVERS_TROUBLES: list[Trouble] = [
+    workers_hanging,
+    grey_workers,
+    slow_workers,
+    cut_workers,
+    frozen_routers,
+    cut_routers,
+    cut_leader,
+]
 DRAIN_TROUBLES: list[Trouble] = [
     grey_workers,
     grey_workers,
--- a/tests/bench/test_long_days.py
+++ b/tests/bench/test_long_days.py
@@ -32,6 +32,7 @@
     "events_gap": "",
     "garble": "extra late unframed early rot",
     "herd_kill": f"power off taken all {MACHINE_WORDS}",
+    "give_up": "",
     "hup": "",
     "kv_slow": "zones",
     "node_cut": f"all servers reset refuse {MACHINE_WORDS}",
--- a/tests/soak/test_soak_short.py
+++ b/tests/soak/test_soak_short.py
@@ -32,7 +32,7 @@
     ],
 )
 LEAVERS = SoakSize(seconds=SILENT.seconds, traffic=TrafficSize(6.0, 4, 3, 8.0))
-BUSY = SoakSize(seconds=STOPS.seconds, traffic=TrafficSize(6.0, 4, 9))
+BUSY = SoakSize(seconds=STOPS.seconds, traffic=TrafficSize(16.0, 6, 9))
 
 
 class SoakShortTest(unittest.TestCase):
