--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -24,6 +24,7 @@
 
 HEAD_LIMIT = 32768
 LOOK_S = 0.01
+PROCESSING = 102
 HEAD = "HEAD"
 """The method whose answers have no body."""
 FOREVER = DrainTimes(math.inf, math.inf)
@@ -87,6 +88,11 @@
         ended_s = self.conversation.client_ended_s
         return ended_s is not None and self.conversation.loop.time() - ended_s >= for_s
 
+    def show_life(self):
+        """Send an informational response, to which a client that has closed the connection replies with a reset."""
+        if not self.begun:
+            self.conversation.send(h11.InformationalResponse(status_code=PROCESSING, headers=[]))
+
     async def lines(self):
         """The lines of a body that is read as it comes; one that is too long ends them."""
         rest = b""
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -48,6 +48,8 @@
 )
 
 OUTAGE_S = 15.0
+PROBE_S = 0.2
+"""How often a caller that has ended its side is shown that its call is alive."""
 LOOK_S, ANSWERS_S = 0.05, 0.6
 """How often a stopping router looks for open calls, and how long the last answers may take."""
 
@@ -376,7 +378,23 @@
         async def end():
             return await call.end_with_work() if isinstance(call, Call) else self._refuse(STOPPING)
 
-        return await self.calls.run(serve, end)
+        probing = []
+        exchange.watch_client(lambda: probing.append(asyncio.ensure_future(self._probe(exchange))))
+        try:
+            return await self.calls.run(serve, end)
+        finally:
+            for each in probing:
+                each.cancel()
+
+    async def _probe(self, exchange):
+        """Find out whether a caller that has ended its side still listens.
+
+        One that has closed replies to the first bytes with a reset; the next ones fail by it, and
+        the call is cancelled with its connection.
+        """
+        while not exchange.begun:
+            exchange.show_life()
+            await asyncio.sleep(PROBE_S)
 
     def _refuse(self, fault):
         self.board.count[f"faults.{fault.code}"] += 1
--- a/tests/cases/calls.py
+++ b/tests/cases/calls.py
@@ -207,6 +207,31 @@
         self.sound(town)
 
     def test_a_caller_that_goes_away_frees_its_slot_and_its_run(self):
+        for way in ("abort", "close"):
+            with self.subTest(way):
+                self.caller_goes_away(way)
+
+    def test_a_caller_that_closes_before_the_first_piece_is_noticed_soon(self):
+        town = self.town(workers=1, speed=1.0)
+        busy = self.occupy(town, town.site.routers[0]["http"], False)
+
+        async def leave():
+            ip, _, port = town.site.routers[0]["http"].rpartition(":")
+            link = await connect(ip, int(port))
+            body = b'{"model": "check", "parts": ["waits", "x"]}'
+            key = [("authorization", "Bearer key-saga")]
+            work = asyncio.ensure_future(link.exchange("POST", "/v1/calls", key, body))
+            await asyncio.sleep(0.2)
+            work.cancel()
+            link.transport.close()
+
+        open_before = sum(town.up[name].open for name in town.router_names())
+        town.world.do("callers", leave)
+        town.world.run(0.5)
+        self.assertEqual(sum(town.up[name].open for name in town.router_names()), open_before)
+        self.assertFalse(busy)
+
+    def caller_goes_away(self, way):
         town = self.town(workers=1)
         town.change("PATCH", {"models": {"screener": {"cap": 1, "idleMs": 500}}})
 
@@ -222,7 +247,7 @@
                 )
             )
             await asyncio.sleep(1.0)
-            link.close()
+            getattr(link.transport, way)()
             work.cancel()
 
         town.world.do("callers", leave)
