--- a/swiftdeck/bench/outer/client.py
+++ b/swiftdeck/bench/outer/client.py
@@ -4,14 +4,95 @@
 import itertools
 import re
 
+import attrs
+
 from swiftdeck.bench.outer.worker import digest
 from swiftdeck.fault import is_fault
 from swiftdeck.http.client import connect
 
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+) (\S+)\n\n")
-LEFT, SILENT = "left", "silence or deadline"
-"""How a try ends that its client gives up."""
+LEFT, SILENT, WHOLE, NOT_REACHED = "left", "silence or deadline", "whole", "not reached"
+"""How a try ends that its client gives up, that has its answer, or that no router took."""
 PROMISES, FINAL = (408, 421, 429, 503), (400, 401, 404, 413, 431)
+STREAMING, SAFE = "streaming", "safe"
+LEAST_SILENCE_S, SILENCE_AIMS, SILENCE_GAPS = 2.0, 4, 8
+"""A stream is given up after a silence: the longest of a time, of some aims, and of some longest pauses."""
+CONNECT_MS, NO_DOOR_PAUSE_S, AGAIN_S = 1000, 0.2, 0.05
+
+
+@attrs.frozen
+class Wanted:
+    """What a client asks for, and how long and how often it tries.
+
+    `door` is the name and the address of a router, where the client does not choose one. With `leaves_s` it closes its
+    connection so long after it sent its request, and doesn't come back.
+    """
+
+    host: str
+    path: str
+    key: str = ""
+    method: str = "POST"
+    body: bytes = b"{}"
+    kind: str = SAFE
+    resumable: bool = False
+    model: str = ""
+    parts: tuple = ()
+    out: int = 12
+    within_ms: float = 6000
+    aim_ms: float = 600
+    gap_ms: float = 250
+    tries: int = 3
+    keeps: bool = True
+    door: tuple[str, str] | None = None
+    headers: tuple = ()
+    leaves_s: float | None = None
+
+    def is_stream(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self.kind == STREAMING
+
+    def silence_s(self) -> float:
+        """After how long without anything a try is given up."""
+        if not self.is_stream():
+            return self.within_ms / 1000
+        aims_s, gaps_s = SILENCE_AIMS * self.aim_ms / 1000, SILENCE_GAPS * self.gap_ms / 1000
+        return max(LEAST_SILENCE_S, aims_s, gaps_s)
+
+    def lines(self, name, left_ms, last_event) -> list:
+        """The headers of one try."""
+        lines = [
+            ("Swiftdeck-Request-Id", name),
+            ("Swiftdeck-Time-Left-Ms", str(left_ms)),
+            *self.headers,
+        ]
+        if self.key:
+            lines.append(("Authorization", f"Bearer {self.key}"))
+        if self.is_stream():
+            lines.append(("Accept", "text/event-stream"))
+        if self.model:
+            lines += self._prompt_lines()
+        if last_event and self.resumable:
+            lines.append(("Last-Event-Id", str(last_event)))
+        return lines
+
+    def _prompt_lines(self):
+        tokens = sum(each for _, each in self.parts)
+        prefix = ",".join(f"{part}:{count}" for part, count in self.parts)
+        return [
+            ("Swiftdeck-Model", self.model),
+            ("Swiftdeck-Token-Count", f"{tokens},{self.out}"),
+            ("Swiftdeck-Prompt-Prefix", prefix),
+        ]
+
+    def is_tried_again(self, got) -> bool:
+        """Whether a further try may follow one that ended so."""
+        if got["end"] == LEFT or got["complete"] and 200 <= got["status"] < 300:
+            return False
+        if got["status"] in FINAL:
+            return False
+        if self.kind == SAFE or not got["sent"] or got["status"] in PROMISES and got["complete"]:
+            return True
+        return self.is_stream() and self.resumable
 
 
 class Client:
@@ -21,167 +102,108 @@
         self.name, self.record, self.random, self.doors = name, record, random, doors
         self.serial, self.kept = itertools.count(1), {}
 
-    async def ask(
-        self,
-        host,
-        path,
-        key="",
-        method="POST",
-        body=b"{}",
-        kind="safe",
-        resumable=False,
-        model="",
-        parts=(),
-        out=12,
-        within_ms=6000,
-        aim_ms=600,
-        gap_ms=250,
-        tries=3,
-        keeps=True,
-        door=None,
-        headers=(),
-        leaves_s=None,
-    ):
-        """One request with its further tries; gives the last result.
-
-        A client that leaves closes its connection so long after it sent its request, and doesn't come back.
-        """
+    async def ask(self, host, path, **fields):
+        """One request with its further tries, by the fields of `Wanted`; gives the last result."""
+        wanted = Wanted(host, path, **fields)
         loop = asyncio.get_running_loop()
-        end_s, root, events = loop.time() + within_ms / 1000, f"{self.name}-{next(self.serial)}", []
-        silence_s = (
-            max(2.0, 4 * aim_ms / 1000, 8 * gap_ms / 1000)
-            if kind == "streaming"
-            else within_ms / 1000
-        )
-        for turn in range(tries):
-            name = f"{root}.{turn}"
-            left_ms = max(1, int((end_s - loop.time()) * 1000))
-            lines = [
-                ("Swiftdeck-Request-Id", name),
-                ("Swiftdeck-Time-Left-Ms", str(left_ms)),
-                *headers,
-            ]
-            lines += [("Authorization", f"Bearer {key}")] if key else []
-            lines += [("Accept", "text/event-stream")] if kind == "streaming" else []
-            lines += (
-                [
-                    ("Swiftdeck-Model", model),
-                    ("Swiftdeck-Token-Count", f"{sum(each for _, each in parts)},{out}"),
-                    (
-                        "Swiftdeck-Prompt-Prefix",
-                        ",".join(f"{part}:{tokens}" for part, tokens in parts),
-                    ),
-                ]
-                if model
-                else []
-            )
-            lines += [("Last-Event-Id", str(events[-1][0]))] if events and resumable else []
-            chosen = door or self._door()
-            if chosen is None:
-                await asyncio.sleep(0.2)
+        end_s = loop.time() + wanted.within_ms / 1000
+        root, events = f"{self.name}-{next(self.serial)}", []
+        for turn in range(wanted.tries):
+            door = wanted.door or self._door()
+            if door is None:
+                await asyncio.sleep(NO_DOOR_PAUSE_S)
                 continue
-            self.record(
-                "try",
-                id=name,
-                root=root,
-                host=host,
-                target=path,
-                key=key,
-                method=method,
-                body=digest(body),
-                router=chosen[0],
-                mode=kind,
-                resumable=resumable,
-                end_ms=left_ms,
-                after=events[-1][0] if events else 0,
-            )
-            got = {
-                "id": name,
-                "router": chosen[0],
-                "status": 0,
-                "end": "",
-                "sent": False,
-                "complete": False,
-                "seal": "",
-                "events": [],
-                "body": "",
-                "ownId": "",
-                "retryAfter": 0.0,
-                "mode": kind,
-            }
-            try:
-                await self._try(
-                    chosen[1],
-                    host,
-                    path,
-                    method,
-                    body,
-                    lines,
-                    got,
-                    end_s,
-                    silence_s,
-                    keeps,
-                    leaves_s,
-                )
-            finally:
-                self.record("result", **got)
+            got = await self._one_try(wanted, door, root, turn, events, end_s)
             events += got["events"]
-            if not self._again(got, kind, resumable) or loop.time() >= end_s:
-                break
-            if got["end"] == LEFT:
+            if not wanted.is_tried_again(got) or loop.time() >= end_s:
                 break
-            await asyncio.sleep(max(0, min(got["retryAfter"] or 0.05, (end_s - loop.time()) / 3)))
+            pause_s = min(got["retryAfter"] or AGAIN_S, (end_s - loop.time()) / 3)
+            await asyncio.sleep(max(0, pause_s))
         return got | {"allEvents": events}
 
     def _door(self):
         doors = self.doors()
         return self.random.choice(doors) if doors else None
 
-    @staticmethod
-    def _again(got, kind, resumable):
-        if got["complete"] and 200 <= got["status"] < 300 or got["status"] in FINAL:
-            return False
-        if kind == "safe" or not got["sent"] or got["status"] in PROMISES and got["complete"]:
-            return True
-        return kind == "streaming" and resumable
-
-    async def _try(
-        self, addr, host, path, method, body, headers, got, end_s, silence_s, keeps, leaves_s
-    ):
-        link = self.kept.pop(addr, None) if keeps else None
-        if link is None or link.gone or link.conn.trailing_data[0]:
-            if link is not None and link.conn.trailing_data[0]:
-                self.record("surplus", data=repr(link.conn.trailing_data[0][:40]))
-            ip, _, port = addr.rpartition(":")
-            link = await connect(ip, int(port), 1000)
-            if is_fault(link):
-                got["end"] = "not reached"
-                return
-        else:
-            got["kept"] = True
+    async def _one_try(self, wanted, door, root, turn, events, end_s):
+        """Send a request once, and record it and what came of it."""
+        name, last_event = f"{root}.{turn}", events[-1][0] if events else 0
+        left_ms = max(1, int((end_s - asyncio.get_running_loop().time()) * 1000))
+        self.record(
+            "try",
+            id=name,
+            root=root,
+            host=wanted.host,
+            target=wanted.path,
+            key=wanted.key,
+            method=wanted.method,
+            body=digest(wanted.body),
+            router=door[0],
+            mode=wanted.kind,
+            resumable=wanted.resumable,
+            end_ms=left_ms,
+            after=last_event,
+        )
+        got = {
+            "id": name,
+            "router": door[0],
+            "status": 0,
+            "end": "",
+            "sent": False,
+            "complete": False,
+            "seal": "",
+            "events": [],
+            "body": "",
+            "ownId": "",
+            "retryAfter": 0.0,
+            "mode": wanted.kind,
+        }
+        try:
+            lines = wanted.lines(name, left_ms, last_event)
+            await self._exchange(wanted, door[1], lines, got, end_s)
+        finally:
+            self.record("result", **got)
+        return got
+
+    async def _exchange(self, wanted, addr, lines, got, end_s):
+        link = await self._link(wanted, addr, got)
+        if link is None:
+            got["end"] = NOT_REACHED
+            return
         got["sent"] = True
-        leaving = asyncio.timeout(leaves_s)
+        leaving = asyncio.timeout(wanted.leaves_s)
         try:
             async with leaving, asyncio.timeout_at(end_s):
-                async with asyncio.timeout(silence_s) as silence:
-                    await self._read(
-                        link, host, path, method, body, headers, got, silence, silence_s
-                    )
+                async with asyncio.timeout(wanted.silence_s()) as silence:
+                    await self._read(wanted, link, lines, got, silence)
         except TimeoutError:
             got["end"] = LEFT if leaving.expired() else SILENT
-        if got["end"] == "whole" and keeps and got["keep"]:
+        if got["end"] == WHOLE and wanted.keeps and got["keep"]:
             self.kept[addr] = link
         else:
             self._leave(link, got)
 
+    async def _link(self, wanted, addr, got):
+        """A connection to a router, kept or new, or None."""
+        link = self.kept.pop(addr, None) if wanted.keeps else None
+        if link is not None and link.conn.trailing_data[0]:
+            self.record("surplus", data=repr(link.conn.trailing_data[0][:40]))
+        elif link is not None and not link.gone:
+            got["kept"] = True
+            return link
+        ip, _, port = addr.rpartition(":")
+        link = await connect(ip, int(port), CONNECT_MS)
+        return None if is_fault(link) else link
+
     def _leave(self, link, got):
         """Close a connection as clients do: by the end of the stream, not by a reset."""
         if got["end"] in (LEFT, SILENT) and not link.gone:
             self.record("left", id=got["id"], router=got["router"])
         link.transport.close()
 
-    async def _read(self, link, host, path, method, body, headers, got, silence, silence_s):
-        answer = await link.exchange(method, path, headers, body, host)
+    async def _read(self, wanted, link, lines, got, silence):
+        """Send the request, and read its answer as it comes."""
+        answer = await link.exchange(wanted.method, wanted.path, lines, wanted.body, wanted.host)
         got["keep"] = False
         if is_fault(answer):
             got["end"] = f"no answer: {answer.reason}"
@@ -194,17 +216,24 @@
             "retryAfter": float(head.get("retry-after", 0)),
             "keep": head.get("connection", "") != "close",
         }
+        has_events = wanted.is_stream() and answer.status == 200
         async for piece in answer.pieces():
             data += piece
-            silence.reschedule(asyncio.get_running_loop().time() + silence_s)
-            if got["mode"] == "streaming" and answer.status == 200:
-                end = data.rfind(b"\n\n") + 2 if b"\n\n" in data else 0
-                got["events"] += [
-                    [int(number), name.decode(), run.decode()]
-                    for number, name, _, run in EVENT.findall(data[:end])
-                ]
-                del data[:end]
+            silence.reschedule(asyncio.get_running_loop().time() + wanted.silence_s())
+            if has_events:
+                got["events"] += self._events(data)
         got["complete"] = answer.fault is None
-        got["end"] = "whole" if got["complete"] else f"cut: {answer.fault.reason}"
-        got["body"] = digest(bytes(data)) if got["mode"] != "streaming" else ""
-        got["rest"] = len(data) if got["mode"] == "streaming" and answer.status == 200 else 0
+        got["end"] = WHOLE if got["complete"] else f"cut: {answer.fault.reason}"
+        got["body"] = "" if wanted.is_stream() else digest(bytes(data))
+        got["rest"] = len(data) if has_events else 0
+
+    @staticmethod
+    def _events(data):
+        """Take the whole events out of what has come: their number, name and run."""
+        end = data.rfind(b"\n\n") + 2 if b"\n\n" in data else 0
+        found = [
+            [int(number), name.decode(), run.decode()]
+            for number, name, _, run in EVENT.findall(data[:end])
+        ]
+        del data[:end]
+        return found
