--- a/swiftdeck/bench/outer/client.py
+++ b/swiftdeck/bench/outer/client.py
@@ -95,6 +95,24 @@
         return self.is_stream() and self.resumable
 
 
+def empty_result(name, router, kind) -> dict:
+    """The result of a try of which nothing was sent and nothing has come."""
+    return {
+        "id": name,
+        "router": router,
+        "status": 0,
+        "end": "",
+        "sent": False,
+        "complete": False,
+        "seal": "",
+        "events": [],
+        "body": "",
+        "ownId": "",
+        "retryAfter": 0.0,
+        "mode": kind,
+    }
+
+
 class Client:
     """Sends requests, each try under an id of its own."""
 
@@ -144,20 +162,7 @@
             end_ms=left_ms,
             after=last_event,
         )
-        got = {
-            "id": name,
-            "router": door[0],
-            "status": 0,
-            "end": "",
-            "sent": False,
-            "complete": False,
-            "seal": "",
-            "events": [],
-            "body": "",
-            "ownId": "",
-            "retryAfter": 0.0,
-            "mode": wanted.kind,
-        }
+        got = empty_result(name, door[0], wanted.kind)
         try:
             lines = wanted.lines(name, left_ms, last_event)
             await self._exchange(wanted, door[1], lines, got, end_s)
--- a/tests/gateway/raw.py
+++ b/tests/gateway/raw.py
@@ -4,6 +4,7 @@
 
 import h11
 
+from swiftdeck.bench.outer.client import SAFE, empty_result
 from swiftdeck.bench.outer.worker import digest
 from tests.gateway.town import HOST, KEYS, ROUTES
 
@@ -105,20 +106,7 @@
             )
         )
         conn.send(h11.EndOfMessage())
-        got = {
-            "id": name,
-            "router": self.router,
-            "status": 0,
-            "end": "",
-            "sent": True,
-            "complete": False,
-            "seal": "",
-            "events": [],
-            "body": "",
-            "ownId": "",
-            "retryAfter": 0.0,
-            "mode": "safe",
-        }
+        got = empty_result(name, self.router, SAFE) | {"sent": True}
         body = b""
         try:
             while (event := conn.next_event()) is not h11.NEED_DATA:
