--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -124,7 +124,7 @@
     def _client_ended(self):
         """End the work for a client that has left: now, or once a request that may run only once has waited for too long."""
         self._end_if_abandoned()
-        self.loop.call_later(HALF_CLOSED_S, self._end_if_abandoned)
+        self.loop.call_later(HALF_CLOSED_S + MARGIN_S, self._end_if_abandoned)
 
     def _end_if_abandoned(self):
         if self._is_abandoned():
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -25,6 +25,7 @@
 HEAD_LIMIT = 32768
 LOOK_S = 0.01
 PROCESSING = 102
+"""The status of an informational response: a request is being worked on."""
 HEAD = "HEAD"
 """The method whose answers have no body."""
 FOREVER = DrainTimes(math.inf, math.inf)
@@ -90,7 +91,7 @@
 
     def show_life(self):
         """Send an informational response, to which a client that has closed the connection replies with a reset."""
-        if not self.begun:
+        if not self.begun and not self.conversation.is_ending():
             self.conversation.send(h11.InformationalResponse(status_code=PROCESSING, headers=[]))
 
     async def lines(self):
