--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -703,11 +703,13 @@
         if not self.isLast() or self.needs_copy or self.fault is not None:
             return NOT_TAIL
         config = self.durable.config
+        packed = self.updates.pack_whole(config) if ask.takes_packed else b""
         return PeekReturn(
             version=self.durable.version,
-            document=config.bytes(),
+            document=b"" if packed else config.bytes(),
             digest=config.digest(),
             view=self.agreement.decided.number,
+            packed=packed,
         )
 
     def on_config_ask(self, ask, sender):
--- a/swiftdeck/chain/config_updates.py
+++ b/swiftdeck/chain/config_updates.py
@@ -36,6 +36,13 @@
         else:
             told.document = parts[0]
 
+    def pack_whole(self, config) -> bytes:
+        """The compressed form of a whole configuration, empty for one that is too small to gain by it."""
+        text = config.bytes()
+        if len(text) < PACK_FROM_BYTES:
+            return b""
+        return self._pack((b"", False, config.digest()), [text])
+
     def _pack(self, key, parts):
         """The compressed form of an update, made once; a tail sends the same one to most routers."""
         if key not in self.packed:
--- a/swiftdeck/traffic/lease.py
+++ b/swiftdeck/traffic/lease.py
@@ -130,9 +130,17 @@
         best = max(await self._peeked(), key=lambda each: each.view, default=None)
         if best is not None and self.held is None:
             self.board.count["configsPeeked"] += 1
-            self._install(
-                LeaseReturn(version=best.version, document=best.document, digest=best.digest)
+            told = unpack(
+                LeaseReturn(
+                    version=best.version,
+                    document=best.document,
+                    digest=best.digest,
+                    packed=best.packed,
+                    is_whole=True,
+                )
             )
+            if not is_fault(told):
+                self._install(told)
 
     async def _peeked(self):
         """What tails answer; the others are given a moment more once one has answered."""
@@ -140,7 +148,7 @@
             ref.addr for ref in self.cluster_map.view.members
         }
         open_tasks = {
-            asyncio.ensure_future(self.mesh.ask(addr, PeekAsk(), PEEK_ASK_MS))
+            asyncio.ensure_future(self.mesh.ask(addr, PeekAsk(takes_packed=True), PEEK_ASK_MS))
             for addr in sorted(addrs)
         }
         told, timeout_s = [], None
--- a/swiftdeck/wire/messages.py
+++ b/swiftdeck/wire/messages.py
@@ -534,7 +534,7 @@
 
 @message
 class PeekAsk(Wire):
-    pass
+    takes_packed: bool = bp.bool_field(1)
 
 
 @message
@@ -543,6 +543,7 @@
     document: bytes = bp.bytes_field(2)
     digest: bytes = bp.bytes_field(3)
     view: int = bp.uint64_field(4)
+    packed: bytes = bp.bytes_field(5)
 
 
 @message
--- a/tests/chain/test_config_updates.py
+++ b/tests/chain/test_config_updates.py
@@ -54,6 +54,15 @@
         self.assertEqual(unpack(changed).deltas, [LARGE, b"second"])
         self.assertEqual(unpack(whole).document, LARGE)
 
+    def test_a_whole_configuration_for_a_router_without_a_lease_is_packed_once(self):
+        updates = ConfigUpdates(Board())
+        packed = updates.pack_whole(Config(LARGE))
+        self.assertLess(len(packed), len(LARGE) // 5)
+        self.assertIs(updates.pack_whole(Config(LARGE)), packed)
+        told = LeaseReturn(packed=packed, is_whole=True)
+        self.assertEqual(unpack(told).document, LARGE)
+        self.assertEqual(updates.pack_whole(Config(b"{}")), b"")
+
     def test_small_updates_and_routers_that_take_none_packed_get_them_plain(self):
         for told in (self.update([b"small"]), self.update([LARGE], takes_packed=False)):
             self.assertEqual((told.packed, len(told.deltas)), (b"", 1))
--- a/tests/traffic/test_lease_peeks.py
+++ b/tests/traffic/test_lease_peeks.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import unittest
+import zlib
 from types import SimpleNamespace
 
+import msgspec
+
 from swiftdeck.board.board import Board
 from swiftdeck.config.configuration import Configuration
 from swiftdeck.fault import NOT_TAIL, TIMED_OUT
@@ -57,6 +60,18 @@
         self.world.run(PEEK_AGAIN_S + 0.1)
         self.assertEqual((lease.held.version, lease.is_held()), (4, False))
 
+    def test_a_packed_configuration_is_taken_and_a_damaged_one_is_not(self):
+        config = Configuration.empty()
+        packed = zlib.compress(msgspec.msgpack.encode([config.bytes()]))
+        for told, version in ((packed, 4), (packed[:-5], None)):
+            with self.subTest(version):
+                self.setUp()
+                answer = PeekReturn(version=4, view=9, digest=config.digest(), packed=told)
+                self.answers = {CORES[1]: answer}
+                lease = self.started()
+                self.world.run(PEEK_AGAIN_S + 0.1)
+                self.assertEqual(lease.held and lease.held.version, version)
+
     def test_of_two_tails_the_one_of_the_newer_view_counts(self):
         self.answers = {CORES[0]: self.told(4, 9), CORES[1]: self.told(5, 10)}
         lease = self.started()
