--- a/swiftdeck/soak/program.py
+++ b/swiftdeck/soak/program.py
@@ -5,8 +5,6 @@
 import sys
 
 from swiftdeck.platform import program
-from swiftdeck.soak.addresses import FILTER_PORT
-from swiftdeck.soak.link_filter import filter_links
 
 PR_SET_PDEATHSIG = 1
 
@@ -16,15 +14,19 @@
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-def filtered(make):
-    """A maker of nodes whose links can be cut."""
-    return lambda place, log: filter_links(make(place, log), FILTER_PORT)
+def filtered_makers():
+    """The platform's makers of nodes, whose links can be cut here."""
+    from swiftdeck.platform.nodes import MAKERS
+    from swiftdeck.soak.addresses import FILTER_PORT
+    from swiftdeck.soak.link_filter import filter_links
 
+    def filtered(make):
+        return lambda place, log: filter_links(make(place, log), FILTER_PORT)
 
-MAKERS = {role: filtered(make) for role, make in program.MAKERS.items()}
+    return {role: filtered(make) for role, make in MAKERS.items()}
 
 
-def main(makers=MAKERS) -> int:
+def main(makers=filtered_makers) -> int:
     """Entry: as the platform's, for as long as the driver runs."""
     end_with_driver()
     return program.main(makers)
--- a/tests/gateway/town.py
+++ b/tests/gateway/town.py
@@ -22,9 +22,9 @@
 from swiftdeck.gateway.swap import SwapCore
 from swiftdeck.platform.caches import PlatformCaches
 from swiftdeck.platform.lists import PlatformList
+from swiftdeck.platform.nodes import ready_door
 from swiftdeck.platform.operator_door import OperatorDoor
 from swiftdeck.platform.orders import PlatformOrders
-from swiftdeck.platform.program import ready_door
 from swiftdeck.platform.settings import read_place
 from swiftdeck.platform.speech import Callers, Workers
 from swiftdeck.sim.folder import SimFolder
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -5,7 +5,7 @@
 
 from swiftdeck.http.server import HttpExchange
 from swiftdeck.soak import program
-from swiftdeck.soak.program import MAKERS
+from swiftdeck.soak.program import filtered_makers
 
 VARIABLE, SEPARATOR = "SOAK_PLANTED_FAULTS", ", "
 ENDS_AT_ONCE = "router ends at once"
@@ -69,5 +69,10 @@
     return made
 
 
+def planted_makers():
+    """The soak's makers, with the faults asked for."""
+    return {role: planted(role, make) for role, make in filtered_makers().items()}
+
+
 if __name__ == "__main__":
-    sys.exit(program.main({role: planted(role, make) for role, make in MAKERS.items()}))
+    sys.exit(program.main(planted_makers))
