--- a/swiftdeck/wire/mesh.py
+++ b/swiftdeck/wire/mesh.py
@@ -318,7 +318,12 @@
         self.cast_all((addr,), message)
 
     def cast_all(self, addrs, message):
-        """Send a message to many as datagrams; it is written out once."""
+        """Send a message to many as datagrams; it is written out once.
+
+        Nothing is sent any more once the mesh is closed.
+        """
+        if self.datagrams.is_closing():
+            return
         kind, data = type(message).__name__, self._envelope(message)
         for addr in addrs:
             self.note_sent(kind, data)
--- a/tests/wire/test_mesh.py
+++ b/tests/wire/test_mesh.py
@@ -1,6 +1,7 @@
 """Tests of `wire/mesh.py`."""
 
 import asyncio
+import socket
 import unittest
 from unittest import mock
 
@@ -187,3 +188,20 @@
         got, took_s = self.slow_return(5)
         self.assertEqual(got.code, TIMED_OUT.code)
         self.assertLess(took_s, 1.2)
+
+
+class ClosedTest(unittest.TestCase):
+    async def cast_after_close(self):
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            addr = "127.0.0.1:%d" % free.getsockname()[1]
+        mesh = Mesh(addr)
+        await mesh.start()
+        mesh.close()
+        await asyncio.sleep(0)
+        mesh.cast(addr, ListAsk())
+        return mesh.count["castsFailed"], mesh.sent["ListAsk"]
+
+    def test_a_cast_of_a_mesh_that_is_closed_is_nothing(self):
+        """On a real socket, whose transport fails by an exception of its own once it is closed."""
+        self.assertEqual(asyncio.run(self.cast_after_close()), (0, 0))
