--- a/swiftdeck/bench/platform_api/site_forms.py
+++ b/swiftdeck/bench/platform_api/site_forms.py
@@ -163,6 +163,18 @@
     return document | {"limits": document["limits"] | {"idle-ms": idle_ms}}
 
 
+@attrs.frozen
+class MachineLimits:
+    """What a process may use of its machine: memory in MB, and descriptors."""
+
+    memory_mb: int = 300
+    file_handles: int = 4100
+
+    def lines(self) -> list[str]:
+        """Return the limits as lines of a settings file."""
+        return [f"memory-mb = {self.memory_mb}", f"file-handles = {self.file_handles}"]
+
+
 @attrs.frozen
 class MachineSettings:
     """The contents of the settings file of a machine."""
@@ -178,6 +190,7 @@
     listen: dict[str, str]
     bounds: SiteBounds
     tolerated_machines: int = 1
+    limits: MachineLimits = MachineLimits()
 
     def text(self) -> str:
         """Return the text of the settings file."""
@@ -196,6 +209,8 @@
             f'address = "{self.list_address}"',
             "[listen-addresses]",
             *(f'{key} = "{value}"' for key, value in self.listen.items()),
+            "[limits]",
+            *self.limits.lines(),
             "[bounds]",
             *self.bounds.lines(),
         ]
--- a/swiftdeck/soak/site.py
+++ b/swiftdeck/soak/site.py
@@ -5,6 +5,7 @@
 import attrs
 
 from swiftdeck.bench.platform_api.site_forms import (
+    MachineLimits,
     MachineSettings,
     Route,
     SiteBounds,
@@ -68,10 +69,13 @@
 
 
 class Site:
-    """The machines and workers of a site in a block of loopback addresses."""
+    """The machines and workers of a site in a block of loopback addresses.
 
-    def __init__(self, block, cores=3, routers=3, models=4, plain=3):
-        self.block = block
+    `limits` has the MachineLimits of the machines of a role.
+    """
+
+    def __init__(self, block, cores=3, routers=3, models=4, plain=3, limits=None):
+        self.block, self.limits = block, limits or {}
         self.list_address = f"{block.ip(LIST_HOST)}:{HTTP_PORT}"
         self.store_address = f"{block.ip(STORE_HOST)}:{HTTP_PORT}"
         self.cores = [self._machine("core", number, CORE_HOSTS) for number in range(1, cores + 1)]
@@ -116,6 +120,7 @@
             list_address=self.list_address,
             listen=listen,
             bounds=BOUNDS,
+            limits=self.limits.get(machine.role, MachineLimits()),
         )
         return settings.text()
 
--- a/tests/programs/test_runner.py
+++ b/tests/programs/test_runner.py
@@ -5,7 +5,7 @@
 import sys
 import unittest
 
-from tests.runner import TOP, judge, read_known
+from tests.runner import ALONE, TOP, alone, discover, judge, leaves, read_known, shard
 
 
 def good(self):
@@ -106,6 +106,18 @@
         self.assertEqual((known, len(malformed)), ({"a.B.c": "slow, #7"}, 5))
         self.assertEqual(self.run_tests("tiny.Tiny.test_b", test_a=good, test_b=bad)[0], (1, 2))
 
+    def test_each_test_is_in_one_shard_or_runs_alone(self):
+        everything = discover()
+        parts = [shard(everything, number, 3) for number in range(3)]
+        in_shards = [test.id() for part in parts for test in leaves(part)]
+        by_themselves = [test.id() for test in leaves(alone(everything))]
+        self.assertEqual(
+            sorted(in_shards + by_themselves), sorted(test.id() for test in leaves(everything))
+        )
+        self.assertTrue(by_themselves)
+        self.assertTrue(all(name.startswith(ALONE) for name in by_themselves))
+        self.assertFalse(any(name.startswith(ALONE) for name in in_shards))
+
     def test_the_program_runs_the_tests_of_a_checkout_and_prints_the_verdict_last(self):
         result = subprocess.run(
             [sys.executable, "-m", "swiftdeck.programs.tests", "test_prefix.py"],
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -6,6 +6,8 @@
 
 TOP = Path(__file__).resolve().parent
 KNOWN_RED = TOP.parent / "KNOWN-RED.txt"
+ALONE = ("tests.crowds.",)
+"""Beginnings of the ids of tests that load the machine, and so run alone, after all shards."""
 
 
 class Result(unittest.TextTestResult):
@@ -101,23 +103,43 @@
 
 
 def shard(suite, number: int, count: int):
-    """One of several parts of a suite that are about as long; together they are the suite."""
-    tests = sorted(leaves(suite), key=lambda test: test.id())
+    """One of several parts of a suite that are about as long.
+
+    Together they are the suite but for the tests that run alone.
+    """
+    tests = sorted(
+        (test for test in leaves(suite) if not runs_alone(test)), key=lambda test: test.id()
+    )
     return unittest.TestSuite(tests[number::count])
 
 
+def alone(suite):
+    """The tests of a suite that run alone, one after another."""
+    return unittest.TestSuite(test for test in leaves(suite) if runs_alone(test))
+
+
+def runs_alone(test) -> bool:
+    """Whether a test must not run beside others."""
+    return test.id().startswith(ALONE)
+
+
 def discover(pattern="*.py"):
     """The tests in files of such a name."""
     return unittest.TestLoader().discover(str(TOP), pattern=pattern, top_level_dir=str(TOP.parent))
 
 
 def main() -> int:
-    """Run the test files, or those that match a pattern, or a shard of all as `--shard 2/8`."""
+    """Run the test files, or those that match a pattern, or a shard of all as `--shard 2/8`.
+
+    `--alone` runs the tests that no shard has.
+    """
     everything = discover()
     text = KNOWN_RED.read_text() if KNOWN_RED.exists() else ""
     if sys.argv[1:2] == ["--shard"]:
         number, _, count = sys.argv[2].partition("/")
         suite = shard(everything, int(number), int(count))
+    elif sys.argv[1:2] == ["--alone"]:
+        suite = alone(everything)
     else:
         suite = discover(*sys.argv[1:2])
     passed, failed = judge(suite, text, ids_of(everything))
