HTTP: requests sent ahead are read only as far as they are answered

Cause: reading pauses while a request is worked on and over 32 KiB wait behind it, but the end of each request resumed it whatever still waited. So each small request let up to 256 KiB more in.

Now one place decides whether to read: not while what waits behind the current request is over that limit. 64 KiB are read at a time, a quarter of asyncio's default.

--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -19,6 +19,12 @@
 from swiftdeck.http.reset import reset
 
 HEAD_LIMIT_BYTES = 32768
+READ_BYTES = 65536
+"""How many bytes are read from a connection at a time; asyncio's own default is four times that."""
+BACKLOG_LIMIT_BYTES = HEAD_LIMIT_BYTES
+"""Unprocessed bytes behind the current request above which reading pauses."""
+QUEUED_PIECES_LIMIT = 64
+"""Unprocessed pieces of a streamed body above which reading pauses."""
 LATE_END_S = 0.5
 """Work that continues for longer than this after its client has left counts as late."""
 HEAD_END, CHUNKS_END = re.compile(rb"\n\r?\n"), b"\r\n\r\n"
@@ -58,6 +64,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
+        transport.max_size = READ_BYTES
         self.server.open[self] = None
         self.start_idle_timer(self.server.idleMs)
 
@@ -105,13 +112,20 @@
         if self.request is None and self.task is None and not self.conn.trailing_data[0]:
             self.start_idle_timer(self.server.slow_ms)
         self.receive(data)
-        if (
-            self.body_queue
-            and self.body_queue.qsize() > 64
-            or self.task
-            and len(self.conn.trailing_data[0]) > HEAD_LIMIT_BYTES
-        ):
+        self.adjust_reading()
+
+    def adjust_reading(self):
+        """Pause reading while enough is waiting to be processed, else resume it."""
+        if self._has_backlog():
             self.transport.pause_reading()
+        elif not self.transport.is_reading():
+            self.transport.resume_reading()
+
+    def _has_backlog(self) -> bool:
+        """Return whether a streamed body, or what follows the current request, has to wait."""
+        if self.body_queue is not None:
+            return self.body_queue.qsize() > QUEUED_PIECES_LIMIT
+        return self.task is not None and len(self.conn.trailing_data[0]) > BACKLOG_LIMIT_BYTES
 
     def receive(self, data):
         """Pass received bytes, or none at the end of the stream, to h11 and process its events."""
@@ -266,11 +280,11 @@
             self.method = b""
             self.previous_tail, self.latest_data = b"", self.conn.trailing_data[0]
             self.start_idle_timer(self.server.idleMs)
-            self.transport.resume_reading()
             try:
                 self.process_events()
             except h11.RemoteProtocolError as error:
                 self.reject(BAD_REQUEST.with_reason(str(error)), error.error_status_hint)
+            self.adjust_reading()
             if self.server.is_stopped and not self.rejecting:
                 self.stop()
         else:
--- a/swiftdeck/http/exchange.py
+++ b/swiftdeck/http/exchange.py
@@ -73,7 +73,7 @@
                 yield line
             if len(rest) > self.conversation.server.body_limit:
                 return
-            self.conversation.transport.resume_reading()
+            self.conversation.adjust_reading()
         if rest:
             yield rest
 
