HTTP: answers without a body wait for their client, and closing ends in time

A client that sends requests ahead and reads nothing made a server write without end where answers have no body (heads, readiness): only a piece of a body waited for the client. And a connection that was closed with unread answers stayed open for as long as its client liked, with its descriptor and its buffer.

Now each handler's answer waits until the client has read, whatever it consists of, and a closing connection whose client reads nothing is aborted after the time that a slow reader has.

--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -84,6 +84,8 @@
 
         The idle limit may have been raised since the timer was set; the current one applies.
         """
+        if self.transport.is_closing():
+            return self.transport.abort()
         if self.task is not None:
             return
         if not self.is_idle():
@@ -92,7 +94,17 @@
         if left_s > 0:
             self.set_idle_timer(left_s)
         else:
-            self.transport.close()
+            self.close()
+
+    def close(self):
+        """Close the connection once all is sent, or abort it if the client doesn't read that in time."""
+        self.transport.close()
+        self.limit_closing()
+
+    def limit_closing(self):
+        """Abort the connection, which is closing, if its client doesn't read what was written."""
+        if self.transport.get_write_buffer_size():
+            self.set_idle_timer(self.server.slow_write_ms / 1000)
 
     def is_idle(self) -> bool:
         """Return whether no byte of an unanswered request has been received."""
@@ -177,7 +189,7 @@
                 self.task = self.loop.create_task(self.serve(request, b"".join(self.body)))
                 self.body = []
             elif isinstance(event, h11.ConnectionClosed):
-                return self.transport.close()
+                return self.close()
             else:
                 return
 
@@ -216,6 +228,7 @@
             fault = await self.server.handler(exchange)
             if is_fault(fault):
                 await exchange.give_fault(fault)
+            await self.writable()
         except asyncio.CancelledError:
             if exchange is None or not exchange.finished:
                 self.abort(CutReason.UNANSWERED)
@@ -289,7 +302,7 @@
                 self.stop()
         else:
             self.cut_reason = self.cut_reason or CutReason.UNANSWERED
-            self.transport.close()
+            self.close()
 
     def stop(self):
         """Close the connection unless a request is being handled.
@@ -297,7 +310,7 @@
         A partly received request gets a fault that guarantees that it has not run.
         """
         if self.is_idle():
-            self.transport.close()
+            self.close()
         elif self.task is None and not self.transport.is_closing():
             self.reject(ROUTER_STOPPING)
         elif self.body_queue is not None:
@@ -316,7 +329,7 @@
             return self.abort(CutReason.UNANSWERED)
         await exchange.give_fault(fault)
         task.cancel()
-        self.transport.close()
+        self.close()
 
     def reject(self, fault, status=None):
         """Answer a request that can't be served by a fault, and close the connection."""
@@ -339,7 +352,7 @@
             if self.method != HEAD.encode():
                 self.send(h11.Data(data=data))
             self.send(h11.EndOfMessage())
-        self.transport.close()
+        self.close()
 
     def send(self, event):
         if self.gone:
@@ -372,7 +385,10 @@
         if not self.rejecting:
             self.receive(b"")
         self._note_client_end("endOfStream")
-        return self.task is not None and not self.rejecting
+        stays_open = self.task is not None and not self.rejecting
+        if not stays_open:
+            self.limit_closing()
+        return stays_open
 
     def abort(self, reason=CutReason.HANDLER_FAILED):
         """Abort the connection; reset it for HTTP/1.0, where its end marks the end of a response."""
