HTTP: large bodies wait in a fifth of the memory; beyond that 503 at once

Bodies came as lists of pieces, were joined, were joined again to be sent to a worker, and stayed with a kept connection after their answer.

Now a server has one pool of memory for bodies over 32 KiB, a fifth of memoryMb (new setting; memory-mb on the platform). A body is counted twice, as it is copied once. Where the length is announced it is reserved with the head; where it isn't, in steps. Without room the answer is 503 (code 126, not run, Retry-After), before the body is read; a body over the limit gets 413 before it is read. The rest of a refused body is read and dropped for a second, so that its client gets the answer. A kept connection holds no body. A single body at the limit always has room: the settings are checked for that.

--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -12,6 +12,7 @@
 
 from swiftdeck.config.policy import ALL_ON, Policy
 from swiftdeck.fault import BAD_SETTING
+from swiftdeck.http.limits import BODY_COPIES, ServerLimits
 
 Ms = Annotated[int, msgspec.Meta(ge=10, le=600000)]
 
@@ -29,6 +30,7 @@
     "operatorKey",
     "founders",
     "mayFound",
+    "memoryMb",
 }
 
 
@@ -69,6 +71,7 @@
     claimsMost: Annotated[int, msgspec.Meta(ge=1000, le=10000000)] = 200000
     callsOpen: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 2000
     bodyBytes: Annotated[int, msgspec.Meta(ge=1024, le=64 << 20)] = 4 << 20
+    memoryMb: Annotated[int, msgspec.Meta(ge=64, le=1 << 20)] = 300
     archive: bool = True
     renewMs: Ms = 500
     episodeTokens: Annotated[int, msgspec.Meta(ge=1, le=10000000)] = 2048
@@ -107,6 +110,9 @@
             yield "grantMs: must be below holdLicenceMs"
         if self.leaveMs >= self.stopMs:
             yield "leaveMs: must be below stopMs"
+        body_memory_bytes = ServerLimits.within(self.memoryMb).body_memory_bytes
+        if BODY_COPIES * self.bodyBytes > body_memory_bytes:
+            yield "bodyBytes: memoryMb leaves no room for a body of this size"
         if self.inner == self.http:
             yield "http: is the same as inner"
 
--- a/swiftdeck/control/core.py
+++ b/swiftdeck/control/core.py
@@ -14,9 +14,12 @@
 from swiftdeck.control.operators import OperatorHttpApi
 from swiftdeck.duty.ballots import Ballots
 from swiftdeck.fault import CORRUPT_RECORD, OUTCOME_UNDECIDED, is_fault
+from swiftdeck.http.limits import ServerLimits
 from swiftdeck.http.server import HttpServer
 from swiftdeck.member.core_watch import CoreWatch
 
+OPERATOR_BODY_FACTOR = 4
+"""How much larger a body of an operator may be than one of a client."""
 OPERATOR_DRAIN_S = 2.0
 """How long open requests of operators may take after the process was told to stop."""
 
@@ -79,11 +82,13 @@
             else None
         )
         self.operators = OperatorHttpApi(self)
+        limits = ServerLimits.within(settings.memoryMb)
         self.http = HttpServer(
             self.operators.handle,
-            settings.bodyBytes * 4,
+            min(settings.bodyBytes * OPERATOR_BODY_FACTOR, limits.largest_body_bytes()),
             note=self.telemetry.log_event,
             streams=(b"/v1/changes",),
+            limits=limits,
         )
         self.agreement.watchers.append(self.on_view)
 
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -31,6 +31,7 @@
 from swiftdeck.gateway.share import BudgetShare
 from swiftdeck.gateway.worker_registry import WorkerRegistry
 from swiftdeck.http.drain import Drain, DrainTimes, OpenRequests
+from swiftdeck.http.limits import OPERATIONS_BODY_BYTES, ServerLimits
 from swiftdeck.http.server import HttpServer
 from swiftdeck.runtime.ticks import next_tick
 from swiftdeck.traffic.lease import ConfigLease
@@ -107,11 +108,18 @@
             lambda: self.lease.routers,
         )
         self.drain = Drain(DrainTimes(settings.leaveMs / 1000, settings.stopMs / 1000))
+        limits = ServerLimits.within(settings.memoryMb)
         self.http = HttpServer(
-            self.handle, settings.bodyBytes, note=self.telemetry.log_event, drain=self.drain
+            self.handle,
+            settings.bodyBytes,
+            note=self.telemetry.log_event,
+            drain=self.drain,
+            limits=limits,
         )
         self.ops = (
-            HttpServer(self.operate, note=self.telemetry.log_event) if settings.opsHttp else None
+            HttpServer(self.operate, OPERATIONS_BODY_BYTES, note=self.telemetry.log_event)
+            if settings.opsHttp
+            else None
         )
         self.routes, self.tenants = None, {}
         self.requests, self.cores_lost_s = OpenRequests(self.drain), -math.inf
@@ -190,7 +198,8 @@
         self.routes, self.tenants = RouteTable(document), held.tenant_by_key
         limits = document.limits.get(CLIENT_LIMITS)
         if limits:
-            self.http.head_limit, self.http.body_limit = limits.head_bytes, limits.body_bytes
+            self.http.head_limit = limits.head_bytes
+            self.http.body_limit = min(limits.body_bytes, self.http.limits.largest_body_bytes())
             self.http.slow_ms, self.http.idleMs = limits.head_wait_ms, limits.idle_ms
         self.placing.follow(document.services)
         self.cache_followers.stores = list(self.placing.stores)
--- a/swiftdeck/gateway/pool.py
+++ b/swiftdeck/gateway/pool.py
@@ -9,6 +9,7 @@
 from swiftdeck.http.client import HttpLink
 
 IDLE_MOST_S, IDLE_MARGIN_S, UNLIMITED_S = 20.0, 1.0, 1e9
+WRITE_BYTES = 65536
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.I)
 
 
@@ -59,14 +60,23 @@
             if self.conn.our_state is h11.DONE:
                 self.conn.start_next_cycle()
             self.sent_request = h11.Request(method=method, target=target, headers=headers)
-            data = self.conn.send(self.sent_request)
-            data += self.conn.send(h11.Data(data=body)) if body else b""
-            data += self.conn.send(h11.EndOfMessage())
+            head = self.conn.send(self.sent_request)
+            framed_body = self.conn.send(h11.Data(data=body)) if body else b""
+            framed_body += self.conn.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             return WORKER_LOST.with_reason(str(error))
-        self.transport.write(data)
+        self._write_request(head, framed_body)
         return None
 
+    def _write_request(self, head, framed_body):
+        """Write a small request at once, and a large body in pieces, so that no whole copy is made of it."""
+        if len(framed_body) <= WRITE_BYTES:
+            return self.transport.write(head + framed_body)
+        self.transport.write(head)
+        pieces = memoryview(framed_body)
+        for offset in range(0, len(pieces), WRITE_BYTES):
+            self.transport.write(pieces[offset : offset + WRITE_BYTES])
+
     async def skip_response(self):
         """Read the answer to an earlier request to its end and prepare for the one to this request.
 
--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -9,13 +9,16 @@
 from swiftdeck.fault import (
     BAD_REQUEST,
     HANDLER_FAILED,
+    NO_BODY_MEMORY,
     ROUTER_STOPPING,
     SLOW_REQUEST,
     TOO_LARGE,
+    Fault,
     is_fault,
 )
 from swiftdeck.http.cuts import CutReason
 from swiftdeck.http.exchange import HEAD, HttpExchange, retry_after_headers
+from swiftdeck.http.limits import BODY_COPIES
 from swiftdeck.http.reset import reset
 
 HEAD_LIMIT_BYTES = 32768
@@ -25,11 +28,23 @@
 """Unprocessed bytes behind the current request above which reading pauses."""
 QUEUED_PIECES_LIMIT = 64
 """Unprocessed pieces of a streamed body above which reading pauses."""
+FREE_BODY_BYTES = 32768
+"""The size up to which a body needs no reservation of memory."""
+BODY_STEP_BYTES = 1 << 18
+"""The step in which the memory for a body of unknown length is reserved."""
+DISCARD_S = 1.0
+"""How long the rest of a refused request is still read, so that its client gets the answer."""
 LATE_END_S = 0.5
 """Work that continues for longer than this after its client has left counts as late."""
 HEAD_END, CHUNKS_END = re.compile(rb"\n\r?\n"), b"\r\n\r\n"
 
 
+def announced_length(request: h11.Request) -> int:
+    """Return the length of the body that the head of a request announces, 0 where it gives none."""
+    lengths = [int(value) for name, value in request.headers if name == b"content-length"]
+    return lengths[0] if lengths else 0
+
+
 def find_ambiguity(head: bytes):
     """Return why two parsers may disagree on where the request of a complete head ends, or None.
 
@@ -55,7 +70,8 @@
         self.server = server
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=server.head_limit)
         self.loop = asyncio.get_running_loop()
-        self.request, self.body, self.body_size, self.method = None, [], 0, b""
+        self.request, self.body, self.method = None, bytearray(), b""
+        self.discarded_bytes = 0
         self.task = self.idle_timer = self.transport = None
         self.write_resumed = self.body_queue = self.exchange = self.cut_reason = None
         self.gone = self.rejecting = self.is_chunked = False
@@ -86,6 +102,8 @@
         """
         if self.transport.is_closing():
             return self.transport.abort()
+        if self.rejecting:
+            return self.close()
         if self.task is not None:
             return
         if not self.is_idle():
@@ -120,12 +138,18 @@
 
     def data_received(self, data):
         if self.rejecting:
-            return
+            return self.discard(data)
         if self.request is None and self.task is None and not self.conn.trailing_data[0]:
             self.start_idle_timer(self.server.slow_ms)
         self.receive(data)
         self.adjust_reading()
 
+    def discard(self, data):
+        """Drop bytes of a refused request; close the connection after as many as a body may have."""
+        self.discarded_bytes += len(data)
+        if self.discarded_bytes > self.server.body_limit:
+            self.close()
+
     def adjust_reading(self):
         """Pause reading while enough is waiting to be processed, else resume it."""
         if self._has_backlog():
@@ -173,26 +197,42 @@
                 self.body_queue = asyncio.Queue()
                 self.task = self.loop.create_task(self.serve(event, b"", self.body_queue))
             elif isinstance(event, h11.Request):
-                self.request, self.body, self.body_size = event, [], 0
+                self.request, self.body = event, bytearray()
+                fault = self.reserve_body(announced_length(event))
+                if fault is not None:
+                    return self.reject(fault)
                 if self.conn.they_are_waiting_for_100_continue:
                     self.send(h11.InformationalResponse(status_code=100, headers=[]))
             elif isinstance(event, h11.Data):
-                self.body_size += len(event.data)
-                if self.body_size > self.server.body_limit:
-                    return self.reject(
-                        TOO_LARGE.with_reason(f"body is over {self.server.body_limit} bytes")
-                    )
-                self.body.append(bytes(event.data))
+                self.body += event.data
+                fault = self.reserve_body(len(self.body))
+                if fault is not None:
+                    return self.reject(fault)
             elif isinstance(event, h11.EndOfMessage):
                 self.idle_timer.cancel()
                 request, self.request = self.request, None
-                self.task = self.loop.create_task(self.serve(request, b"".join(self.body)))
-                self.body = []
+                body, self.body = bytes(self.body), bytearray()
+                self.task = self.loop.create_task(self.serve(request, body))
             elif isinstance(event, h11.ConnectionClosed):
                 return self.close()
             else:
                 return
 
+    def reserve_body(self, size: int) -> Fault | None:
+        """Reserve the memory for a body of some size; return the fault that refuses it, or None.
+
+        What is reserved already for a larger size stands. A small body needs no reservation.
+        """
+        if size > self.server.body_limit:
+            return TOO_LARGE.with_reason(f"body is over {self.server.body_limit} bytes")
+        memory = self.server.body_memory
+        if size <= FREE_BODY_BYTES or BODY_COPIES * size <= memory.reserved.get(self, 0):
+            return None
+        steps = -(-size // BODY_STEP_BYTES)
+        if memory.reserve(self, BODY_COPIES * steps * BODY_STEP_BYTES):
+            return None
+        return NO_BODY_MEMORY
+
     def next_event(self):
         """Return the next event of h11; reject ambiguous ends of requests, which h11 accepts."""
         raw = self.conn.trailing_data[0] if self.conn.their_state is h11.IDLE else b""
@@ -240,6 +280,7 @@
                 await self.handle_failure(exchange, error)
         finally:
             self.task = self.body_queue = None
+            self.server.body_memory.release(self)
             self._note_late_end()
         self.next_request()
 
@@ -290,7 +331,7 @@
             and (self.server.keeps_connections() or self.conn.trailing_data[0])
         ):
             self.conn.start_next_cycle()
-            self.method = b""
+            self.method, self.exchange = b"", None
             self.previous_tail, self.latest_data = b"", self.conn.trailing_data[0]
             self.start_idle_timer(self.server.idleMs)
             try:
@@ -309,7 +350,7 @@
 
         A partly received request gets a fault that guarantees that it has not run.
         """
-        if self.is_idle():
+        if self.is_idle() or self.rejecting:
             self.close()
         elif self.task is None and not self.transport.is_closing():
             self.reject(ROUTER_STOPPING)
@@ -332,8 +373,14 @@
         self.close()
 
     def reject(self, fault, status=None):
-        """Answer a request that can't be served by a fault, and close the connection."""
+        """Answer a request that can't be served by a fault, and close the connection.
+
+        The rest of a body is read and dropped for a while, because a connection that is closed with
+        unread bytes is reset, and its client may lose the answer.
+        """
         self.rejecting = True
+        self.body = bytearray()
+        self.server.body_memory.release(self)
         self.cut_reason = self.cut_reason or CutReason.CLIENT_FAULT
         self.server.count[f"faults.{fault.code}"] += 1
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -352,7 +399,12 @@
             if self.method != HEAD.encode():
                 self.send(h11.Data(data=data))
             self.send(h11.EndOfMessage())
-        self.close()
+        if self.conn.their_state is h11.SEND_BODY and not self.transport.is_closing():
+            self.transport.write_eof()
+            self.set_idle_timer(DISCARD_S)
+            self.transport.resume_reading()
+        else:
+            self.close()
 
     def send(self, event):
         if self.gone:
@@ -406,6 +458,7 @@
         if self.exchange is not None and not self.exchange.finished:
             self.server.note_cut(self.exchange, self.cut_reason or CutReason.CLIENT_LEFT)
         self.server.open.pop(self, None)
+        self.server.body_memory.release(self)
         self.resume_writing()
         if self.idle_timer:
             self.idle_timer.cancel()
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -10,6 +10,8 @@
 from swiftdeck.http.connection import HEAD_LIMIT_BYTES, HttpConnection
 from swiftdeck.http.cuts import CutReason
 from swiftdeck.http.drain import Drain, DrainTimes, Phase
+from swiftdeck.http.limits import ServerLimits
+from swiftdeck.runtime.memory_pool import MemoryPool
 
 POLL_INTERVAL_S = 0.01
 UNLIMITED = DrainTimes(math.inf, math.inf)
@@ -31,12 +33,15 @@
         note=lambda *_, **__: None,
         streams=(),
         drain=None,
+        limits=None,
     ):
         self.handler, self.body_limit, self.note, self.streams = handler, body_limit, note, streams
         self.idleMs, self.slow_ms, self.slow_write_ms = idleMs, slow_ms, slow_write_ms
         self.open, self.is_stopped, self.server = {}, False, None
         self.drain = drain or Drain(UNLIMITED)
         self.head_limit = HEAD_LIMIT_BYTES
+        self.limits = limits or ServerLimits()
+        self.body_memory = MemoryPool(self.limits.body_memory_bytes)
         self.count = Counter()
 
     async def start(self, ip, port):
--- a/swiftdeck/platform/settings.py
+++ b/swiftdeck/platform/settings.py
@@ -49,6 +49,12 @@
     machines: int = 1
 
 
+class LimitsTable(msgspec.Struct, rename="kebab", frozen=True):
+    """What a process may use of its machine."""
+
+    memory_mb: float = 300
+
+
 class PlatformApi(msgspec.Struct, rename="kebab", frozen=True):
     """Address and limits of the API that lists the workers."""
 
@@ -69,6 +75,7 @@
     listen_addresses: ListenAddresses = ListenAddresses()
     bounds: BoundsTable = BoundsTable()
     tolerate: TolerateTable = TolerateTable()
+    limits: LimitsTable = LimitsTable()
     first_start: bool = False
     data_dir: str = ""
 
@@ -155,6 +162,7 @@
             ackWaitMs=400,
             listMs=600,
             bodyBytes=4 << 20,
+            memoryMb=int(file.limits.memory_mb),
         ),
         Settings,
     )
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -29,6 +29,7 @@
     is_fault,
 )
 from swiftdeck.http.drain import Drain, DrainTimes, OpenRequests
+from swiftdeck.http.limits import ServerLimits
 from swiftdeck.http.server import HttpServer
 from swiftdeck.traffic.call import Call, CallBody
 from swiftdeck.traffic.claims import Claims
@@ -112,7 +113,11 @@
         self.drain = Drain(DrainTimes(0.0, settings.stopMs / 1000))
         self.calls = OpenRequests(self.drain)
         self.http = HttpServer(
-            self.handle, settings.bodyBytes, note=self.telemetry.log_event, drain=self.drain
+            self.handle,
+            settings.bodyBytes,
+            note=self.telemetry.log_event,
+            drain=self.drain,
+            limits=ServerLimits.within(settings.memoryMb),
         )
         self.coordinators, self.known_coordinators, self.running, self.served = {}, {}, {}, {}
         self.coordinator_contacts: dict[str, CoordinatorContact] = {}
--- a/tests/config/test_outward_names.py
+++ b/tests/config/test_outward_names.py
@@ -53,6 +53,7 @@
         "claimsMost",
         "callsOpen",
         "bodyBytes",
+        "memoryMb",
         "archive",
         "renewMs",
         "episodeTokens",
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -20,6 +20,8 @@
             ({"foo": 1}, "foo"),
             ({"http": "127.0.0.1:7000"}, "http"),
             ({"configLicenceMs": 1000}, "configLicenceMs"),
+            ({"memoryMb": 64, "bodyBytes": 16 << 20}, "bodyBytes"),
+            ({"memoryMb": 1}, "memoryMb"),
         ]:
             fault = read_settings(flags=valid | invalid)
             self.assertTrue(is_fault(fault))
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -1,9 +1,12 @@
 """Tests of `http/connection.py` and `http/server.py` with clients that keep to no limit."""
 
 import asyncio
+import gc
 import unittest
+import weakref
 
 from swiftdeck.http.connection import BACKLOG_LIMIT_BYTES, READ_BYTES
+from swiftdeck.http.limits import ServerLimits
 from swiftdeck.http.server import HttpServer
 from swiftdeck.sim.transport import HIGH_WATER_BYTES
 from swiftdeck.sim.world import World
@@ -11,10 +14,40 @@
 GET, HEAD = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n", b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n"
 LARGE_ANSWER_BYTES = 32 << 20
 """More than the kernel takes for a client that reads nothing."""
+BODY_BYTES = 1 << 18
+CHUNKED_POST = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 ANSWER_BYTES = 1000
 """More than an answer without a body takes."""
 
 
+def post(size):
+    """Return the head of a request with a body of some size."""
+    return b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % size
+
+
+class Recorder(asyncio.Protocol):
+    """A client that writes pieces with pauses, and records what it receives."""
+
+    def __init__(self, pieces, pause_s=0.01):
+        self.pieces, self.pause_s, self.received = list(pieces), pause_s, bytearray()
+        self.is_closed = False
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self._write_next()
+
+    def _write_next(self):
+        if self.pieces and not self.is_closed:
+            self.transport.write(self.pieces.pop(0))
+            asyncio.get_running_loop().call_later(self.pause_s, self._write_next)
+
+    def data_received(self, data):
+        self.received.extend(data)
+
+    def connection_lost(self, error):
+        self.is_closed = True
+
+
 class SilentReader(asyncio.Protocol):
     """A client that writes and reads nothing."""
 
@@ -88,6 +121,77 @@
             connection.transport.get_write_buffer_size(), HIGH_WATER_BYTES + ANSWER_BYTES
         )
 
+    def record(self, *requests):
+        """Open a recording connection for each request, given by its pieces; return them."""
+        protocols = [Recorder(pieces) for pieces in requests]
+
+        async def connect():
+            for protocol in protocols:
+                await asyncio.get_running_loop().create_connection(
+                    lambda protocol=protocol: protocol, "10.0.0.1", 80
+                )
+
+        self.world.start("clients", "10.0.0.2", connect)
+        return protocols
+
+    def test_bodies_wait_in_no_more_memory_than_there_is_for_them(self):
+        ran = []
+
+        async def answer(exchange):
+            ran.append(len(exchange.body))
+            await exchange.send_response(200, [], b"")
+
+        limits = ServerLimits(body_memory_bytes=4 * BODY_BYTES)
+        server = self.serve(answer, body_limit=BODY_BYTES, idleMs=5000, limits=limits)
+        unfinished = [post(BODY_BYTES), b"x" * (BODY_BYTES - 1)]
+        chunked = [CHUNKED_POST, *[b"8000\r\n" + b"x" * 0x8000 + b"\r\n"] * 7]
+        first, second, third, fourth, small = self.record(
+            unfinished, unfinished, unfinished, chunked, [post(5) + b"small"]
+        )
+        self.world.run(2)
+        self.assertEqual(ran, [5])
+        self.assertEqual((bytes(first.received), bytes(second.received)), (b"", b""))
+        self.assertTrue(small.received.startswith(b"HTTP/1.1 200 "), small.received)
+        for refused in (third, fourth):
+            self.assertTrue(refused.received.startswith(b"HTTP/1.1 503 "), refused.received)
+            self.assertIn(b"retry-after: 1\r\n", refused.received)
+            self.assertIn(b'"notRun":true', refused.received)
+        self.assertLessEqual(server.body_memory.used_bytes, limits.body_memory_bytes)
+        self.world.run(30)
+        self.assertEqual((server.body_memory.used_bytes, server.open), (0, {}))
+        (whole,) = self.record([post(BODY_BYTES), b"x" * BODY_BYTES])
+        self.world.run(2)
+        self.assertEqual(ran, [5, BODY_BYTES])
+        self.assertTrue(whole.received.startswith(b"HTTP/1.1 200 "), whole.received)
+
+    def test_a_body_over_the_limit_is_refused_before_it_is_read(self):
+        server = self.serve(None, body_limit=BODY_BYTES)
+        (client,) = self.record([post(BODY_BYTES + 1), *[b"x" * 1000] * 100])
+        self.world.run(0.5)
+        self.assertTrue(client.received.startswith(b"HTTP/1.1 413 "), client.received)
+        self.assertEqual(server.body_memory.used_bytes, 0)
+        self.world.run(5)
+        self.assertEqual(server.open, {})
+
+    def test_a_kept_connection_holds_no_body(self):
+        bodies = []
+
+        class Body:
+            """Stands for bytes, to which no weak reference can be made."""
+
+        async def answer(exchange):
+            exchange.body = Body()
+            bodies.append(weakref.ref(exchange.body))
+            exchange.watch_client(lambda body=exchange.body: body)
+            await exchange.send_response(200, [], b"")
+
+        server = self.serve(answer)
+        self.record([post(5) + b"small"])
+        self.world.run(1)
+        self.assertEqual(len(server.open), 1)
+        gc.collect()
+        self.assertEqual([body() for body in bodies], [None])
+
     def test_a_connection_that_closes_does_not_wait_for_its_client_for_ever(self):
         async def answer(exchange):
             exchange.conversation.transport.set_write_buffer_limits(2 * LARGE_ANSWER_BYTES)
