HTTP: a bound on connections; a new one takes the place of the longest waiting

Nothing bounded them, and an idle one stays for 15 to 60 s.

Now a server keeps as many connections as it has MB, and at the most a quarter of the descriptors beyond 200 (new setting fileHandles; file-handles on the platform). Beyond that a new one takes the place of the one that has waited longest for its client: silent, with a request half sent (503, code 127, not run), a stream that isn't continued, or one that doesn't read. One that is worked on is never ended for another. What the kernel keeps unread for a connection is bounded too (SO_RCVBUF 64 KiB), as it counts as memory.

--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -31,6 +31,7 @@
     "founders",
     "mayFound",
     "memoryMb",
+    "fileHandles",
 }
 
 
@@ -72,6 +73,7 @@
     callsOpen: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 2000
     bodyBytes: Annotated[int, msgspec.Meta(ge=1024, le=64 << 20)] = 4 << 20
     memoryMb: Annotated[int, msgspec.Meta(ge=64, le=1 << 20)] = 300
+    fileHandles: Annotated[int, msgspec.Meta(ge=300, le=1 << 20)] = 4096
     archive: bool = True
     renewMs: Ms = 500
     episodeTokens: Annotated[int, msgspec.Meta(ge=1, le=10000000)] = 2048
@@ -93,6 +95,10 @@
             if field.name not in PER_PROCESS_SETTINGS
         }
 
+    def server_limits(self) -> ServerLimits:
+        """Return what clients may take of a process with these settings."""
+        return ServerLimits.within(self.memoryMb, self.fileHandles)
+
     def faults(self):
         """Yield a message for each invalid address and each conflict between settings."""
         for name in ("inner", "http"):
@@ -110,7 +116,7 @@
             yield "grantMs: must be below holdLicenceMs"
         if self.leaveMs >= self.stopMs:
             yield "leaveMs: must be below stopMs"
-        body_memory_bytes = ServerLimits.within(self.memoryMb).body_memory_bytes
+        body_memory_bytes = self.server_limits().body_memory_bytes
         if BODY_COPIES * self.bodyBytes > body_memory_bytes:
             yield "bodyBytes: memoryMb leaves no room for a body of this size"
         if self.inner == self.http:
--- a/swiftdeck/control/core.py
+++ b/swiftdeck/control/core.py
@@ -14,7 +14,6 @@
 from swiftdeck.control.operators import OperatorHttpApi
 from swiftdeck.duty.ballots import Ballots
 from swiftdeck.fault import CORRUPT_RECORD, OUTCOME_UNDECIDED, is_fault
-from swiftdeck.http.limits import ServerLimits
 from swiftdeck.http.server import HttpServer
 from swiftdeck.member.core_watch import CoreWatch
 
@@ -82,7 +81,7 @@
             else None
         )
         self.operators = OperatorHttpApi(self)
-        limits = ServerLimits.within(settings.memoryMb)
+        limits = settings.server_limits()
         self.http = HttpServer(
             self.operators.handle,
             min(settings.bodyBytes * OPERATOR_BODY_FACTOR, limits.largest_body_bytes()),
--- a/swiftdeck/fault.py
+++ b/swiftdeck/fault.py
@@ -92,6 +92,9 @@
 NO_BODY_MEMORY = _define_fault(
     126, "no memory is left for the body of the request", 503, notRun=True, retry_ms=1000
 )
+TOO_MANY_CONNECTIONS = _define_fault(
+    127, "too many connections are open", 503, notRun=True, retry_ms=1000
+)
 CLAIMED = _define_fault(130, "call was already claimed", 409)
 WORKER_LOST = _define_fault(140, "worker failed after dispatch, outcome unknown", 502)
 WORKER_SILENT = _define_fault(141, "worker sent nothing in time, outcome unknown", 504)
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -108,7 +108,7 @@
             lambda: self.lease.routers,
         )
         self.drain = Drain(DrainTimes(settings.leaveMs / 1000, settings.stopMs / 1000))
-        limits = ServerLimits.within(settings.memoryMb)
+        limits = settings.server_limits()
         self.http = HttpServer(
             self.handle,
             settings.bodyBytes,
@@ -117,7 +117,12 @@
             limits=limits,
         )
         self.ops = (
-            HttpServer(self.operate, OPERATIONS_BODY_BYTES, note=self.telemetry.log_event)
+            HttpServer(
+                self.operate,
+                OPERATIONS_BODY_BYTES,
+                note=self.telemetry.log_event,
+                limits=ServerLimits.of_operations(settings.fileHandles),
+            )
             if settings.opsHttp
             else None
         )
--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -13,6 +13,7 @@
     ROUTER_STOPPING,
     SLOW_REQUEST,
     TOO_LARGE,
+    TOO_MANY_CONNECTIONS,
     Fault,
     is_fault,
 )
@@ -81,8 +82,8 @@
     def connection_made(self, transport):
         self.transport = transport
         transport.max_size = READ_BYTES
-        self.server.open[self] = None
         self.start_idle_timer(self.server.idleMs)
+        self.server.register(self)
 
     def start_idle_timer(self, ms):
         """Start the timer that ends a connection that is too slow."""
@@ -128,6 +129,38 @@
         """Return whether no byte of an unanswered request has been received."""
         return self.task is None and self.request is None and not self.conn.trailing_data[0]
 
+    def awaits_request(self) -> bool:
+        """Return whether no request is being worked on: none has come, or not the whole of it."""
+        return self.task is None
+
+    def awaits_body(self) -> bool:
+        """Return whether a handler waits for more of a streamed body."""
+        return self.exchange is not None and self.exchange.awaits_body
+
+    def is_stalled(self) -> bool:
+        """Return whether the client is too slow to read what was written."""
+        return self.write_resumed is not None
+
+    def evict(self):
+        """End the connection in favour of another one, with a fault for a request not yet run."""
+        if self.is_stalled() or self.rejecting or self.transport.is_closing():
+            self.abort(CutReason.CLIENT_STALLED)
+        elif self.is_idle():
+            self.close()
+        elif self.task is None:
+            self.reject(TOO_MANY_CONNECTIONS)
+            self.close()
+        elif self.awaits_body():
+            self.end_body()
+        else:
+            self.close()
+
+    def end_body(self):
+        """Let the handler of a streamed body finish with what it has received."""
+        if self.body_queue is not None:
+            self.body_queue.put_nowait(None)
+            self.body_queue = None
+
     def closes_after_response(self) -> bool:
         """Return whether the response that begins now is the last.
 
@@ -354,9 +387,8 @@
             self.close()
         elif self.task is None and not self.transport.is_closing():
             self.reject(ROUTER_STOPPING)
-        elif self.body_queue is not None:
-            self.body_queue.put_nowait(None)
-            self.body_queue = None
+        else:
+            self.end_body()
 
     async def end_handler(self, fault):
         """Send a fault in place of a handler that has not ended, and cancel it.
--- a/swiftdeck/http/exchange.py
+++ b/swiftdeck/http/exchange.py
@@ -41,7 +41,7 @@
         }
         self.body = body
         self.begun = self.finished = False
-        self.body_queue, self.name = None, ""
+        self.body_queue, self.awaits_body, self.name = None, False, ""
         self.on_client_end = None
 
     def watch_client(self, on_client_end):
@@ -64,10 +64,19 @@
         if not self.begun and not self.conversation.is_ending():
             self.conversation.send(h11.InformationalResponse(status_code=PROCESSING, headers=[]))
 
+    async def _next_piece(self):
+        """Return the next piece of a streamed body, or None at its end."""
+        self.awaits_body = True
+        self.conversation.idle_since_s = self.conversation.loop.time()
+        try:
+            return await self.body_queue.get()
+        finally:
+            self.awaits_body = False
+
     async def lines(self):
         """Yield the lines of a streamed body; a line over the body limit ends them."""
         rest = b""
-        while (data := await self.body_queue.get()) is not None:
+        while (data := await self._next_piece()) is not None:
             *lines, rest = (rest + data).split(b"\n")
             for line in lines:
                 yield line
--- a/swiftdeck/http/limits.py
+++ b/swiftdeck/http/limits.py
@@ -7,8 +7,15 @@
 """The share of the memory of a process that large request bodies may take."""
 BODY_COPIES = 2
 """How often a body is in memory while it is passed on."""
-OPERATIONS_BODY_BYTES = 65536
-"""The largest body that a server takes whose requests have none."""
+CONNECTIONS_PER_MB = 1
+RESERVED_HANDLES = 200
+"""Descriptors of a process that are not for connections."""
+CONNECTIONS_SHARE = 0.25
+"""The share of the other descriptors that the connections of clients may take."""
+RECEIVE_BUFFER_BYTES = 65536
+"""How much the kernel keeps of what a client has sent and was not read yet."""
+OPERATIONS_BODY_BYTES, OPERATIONS_CONNECTIONS = 65536, 32
+"""The limits of a server whose requests have no body and come from few clients."""
 
 
 @attrs.frozen
@@ -20,12 +27,26 @@
     """
 
     body_memory_bytes: int = 256 * MEBIBYTE
+    connections: int = 4096
 
     def largest_body_bytes(self) -> int:
         """Return the size of the largest body that there is memory for."""
         return self.body_memory_bytes // BODY_COPIES
 
     @classmethod
-    def within(cls, memory_mb: int):
-        """Return the limits of a process that may use so much memory."""
-        return cls(body_memory_bytes=int(memory_mb * BODY_MEMORY_SHARE * MEBIBYTE))
+    def within(cls, memory_mb: int, file_handles: int):
+        """Return the limits of a process that may use so much memory and so many descriptors."""
+        handles = int((file_handles - RESERVED_HANDLES) * CONNECTIONS_SHARE)
+        return cls(
+            body_memory_bytes=int(memory_mb * BODY_MEMORY_SHARE * MEBIBYTE),
+            connections=min(memory_mb * CONNECTIONS_PER_MB, handles),
+        )
+
+    @classmethod
+    def of_operations(cls, file_handles: int):
+        """Return the limits of a server for readiness and status alone."""
+        handles = int((file_handles - RESERVED_HANDLES) * CONNECTIONS_SHARE)
+        return cls(
+            body_memory_bytes=BODY_COPIES * OPERATIONS_BODY_BYTES,
+            connections=min(OPERATIONS_CONNECTIONS, handles),
+        )
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -10,8 +10,9 @@
 from swiftdeck.http.connection import HEAD_LIMIT_BYTES, HttpConnection
 from swiftdeck.http.cuts import CutReason
 from swiftdeck.http.drain import Drain, DrainTimes, Phase
-from swiftdeck.http.limits import ServerLimits
+from swiftdeck.http.limits import RECEIVE_BUFFER_BYTES, ServerLimits
 from swiftdeck.runtime.memory_pool import MemoryPool
+from swiftdeck.runtime.receive_buffer import limit_receive_buffers
 
 POLL_INTERVAL_S = 0.01
 UNLIMITED = DrainTimes(math.inf, math.inf)
@@ -48,6 +49,36 @@
         """Listen on an address."""
         self.loop = asyncio.get_running_loop()
         self.server = await self.loop.create_server(lambda: HttpConnection(self), ip, port)
+        limit_receive_buffers(self.server, RECEIVE_BUFFER_BYTES)
+
+    def register(self, connection):
+        """Add a new connection; where there are too many, end the one that has waited longest.
+
+        That is one without a request that is being worked on. Otherwise it is a streamed body, or
+        else a response, that its client doesn't continue. Without any of these it is the new one.
+        """
+        self.open[connection] = None
+        if len(self.open) <= self.limits.connections:
+            return
+        others = [other for other in self.open if other is not connection]
+        for is_candidate in (
+            HttpConnection.awaits_request,
+            HttpConnection.awaits_body,
+            HttpConnection.is_stalled,
+        ):
+            candidates = list(filter(is_candidate, others))
+            if candidates:
+                return self._evict(min(candidates, key=lambda other: other.idle_since_s))
+        self._evict(connection)
+
+    def _evict(self, connection):
+        """End a connection, which counts as open no more."""
+        self.count["connectionsEvicted"] += 1
+        try:
+            connection.evict()
+        except (ConnectionError, h11.LocalProtocolError) as error:
+            self.close_failed(connection, error)
+        self.open.pop(connection, None)
 
     def phase(self) -> Phase:
         """Return the phase, which decides about a request that is received now."""
--- a/swiftdeck/platform/settings.py
+++ b/swiftdeck/platform/settings.py
@@ -53,6 +53,7 @@
     """What a process may use of its machine."""
 
     memory_mb: float = 300
+    file_handles: int = 4096
 
 
 class PlatformApi(msgspec.Struct, rename="kebab", frozen=True):
@@ -163,6 +164,7 @@
             listMs=600,
             bodyBytes=4 << 20,
             memoryMb=int(file.limits.memory_mb),
+            fileHandles=file.limits.file_handles,
         ),
         Settings,
     )
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -29,7 +29,6 @@
     is_fault,
 )
 from swiftdeck.http.drain import Drain, DrainTimes, OpenRequests
-from swiftdeck.http.limits import ServerLimits
 from swiftdeck.http.server import HttpServer
 from swiftdeck.traffic.call import Call, CallBody
 from swiftdeck.traffic.claims import Claims
@@ -117,7 +116,7 @@
             settings.bodyBytes,
             note=self.telemetry.log_event,
             drain=self.drain,
-            limits=ServerLimits.within(settings.memoryMb),
+            limits=settings.server_limits(),
         )
         self.coordinators, self.known_coordinators, self.running, self.served = {}, {}, {}, {}
         self.coordinator_contacts: dict[str, CoordinatorContact] = {}
--- a/tests/config/test_outward_names.py
+++ b/tests/config/test_outward_names.py
@@ -54,6 +54,7 @@
         "callsOpen",
         "bodyBytes",
         "memoryMb",
+        "fileHandles",
         "archive",
         "renewMs",
         "episodeTokens",
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -192,6 +192,42 @@
         gc.collect()
         self.assertEqual([body() for body in bodies], [None])
 
+    def test_a_new_connection_takes_the_place_of_the_one_that_has_waited_longest(self):
+        async def answer(exchange):
+            if exchange.path == "/slow":
+                await asyncio.sleep(100)
+            await exchange.send_response(200, [], b"")
+
+        server = self.serve(answer, limits=ServerLimits(connections=3))
+        slow, begun = [b"GET /slow HTTP/1.1\r\nHost: x\r\n\r\n"], [b"GET /a HTTP/1.1\r\nHo"]
+        running, *waiting = self.record(slow, [], begun)
+        self.world.run(0.1)
+        for _ in range(3):
+            waiting += self.record([GET])
+            self.world.run(0.1)
+            self.assertEqual(len(server.open), 3)
+        silent, unfinished, first, second, third = waiting
+        self.assertEqual((bytes(silent.received), silent.is_closed), (b"", True))
+        self.assertTrue(unfinished.received.startswith(b"HTTP/1.1 503 "), unfinished.received)
+        self.assertIn(b'"code":127', unfinished.received)
+        for served in (first, second, third):
+            self.assertTrue(served.received.startswith(b"HTTP/1.1 200 "), served.received)
+        closed = [client.is_closed for client in (running, first, second, third)]
+        self.assertEqual(closed, [False, True, False, False])
+
+    def test_a_new_connection_is_closed_while_all_others_are_worked_on(self):
+        async def never_answer(exchange):
+            await asyncio.Future()
+
+        server = self.serve(never_answer, limits=ServerLimits(connections=2))
+        running = self.record([GET], [GET])
+        self.world.run(0.1)
+        (refused,) = self.record([GET])
+        self.world.run(0.1)
+        self.assertEqual((refused.is_closed, bytes(refused.received)), (True, b""))
+        self.assertEqual([client.is_closed for client in running], [False, False])
+        self.assertEqual(len(server.open), 2)
+
     def test_a_connection_that_closes_does_not_wait_for_its_client_for_ever(self):
         async def answer(exchange):
             exchange.conversation.transport.set_write_buffer_limits(2 * LARGE_ANSWER_BYTES)
