HTTP: bodies in tiny chunks leave other connections their turn

Callers saw a router that hung: beside 64 clients with chunks of two bytes no ordinary request was served within a minute. Cause: all chunks of a read, up to 37,000, were processed before any other connection had its turn.

Now 64 parts of requests are processed at a time; meanwhile nothing more is read from that connection.

--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -33,6 +33,8 @@
 """The size up to which a body needs no reservation of memory."""
 BODY_STEP_BYTES = 1 << 18
 """The step in which the memory for a body of unknown length is reserved."""
+EVENTS_PER_TURN = 64
+"""How many parts of requests, such as chunks, are processed before other connections get a turn."""
 DISCARD_S = 1.0
 """How long the rest of a refused request is still read, so that its client gets the answer."""
 LATE_END_S = 0.5
@@ -75,7 +77,7 @@
         self.discarded_bytes = 0
         self.task = self.idle_timer = self.transport = None
         self.write_resumed = self.body_queue = self.exchange = self.cut_reason = None
-        self.gone = self.rejecting = self.is_chunked = False
+        self.gone = self.rejecting = self.is_chunked = self.is_continuing = False
         self.client_ended_s = None
         self.previous_tail = self.latest_data = b""
 
@@ -191,17 +193,20 @@
             self.transport.resume_reading()
 
     def _has_backlog(self) -> bool:
-        """Return whether a streamed body, or what follows the current request, has to wait."""
+        """Return whether what has come is to be processed before more is read."""
+        if self.is_continuing:
+            return True
         if self.body_queue is not None:
             return self.body_queue.qsize() > QUEUED_PIECES_LIMIT
         return self.task is not None and len(self.conn.trailing_data[0]) > BACKLOG_LIMIT_BYTES
 
     def receive(self, data):
         """Pass received bytes, or none at the end of the stream, to h11 and process its events."""
-        self.previous_tail, self.latest_data = (
-            (self.previous_tail + self.latest_data[-len(CHUNKS_END) :])[-len(CHUNKS_END) :],
-            data,
-        )
+        if data:
+            self.previous_tail, self.latest_data = (
+                (self.previous_tail + self.latest_data[-len(CHUNKS_END) :])[-len(CHUNKS_END) :],
+                data,
+            )
         try:
             self.conn.receive_data(data)
             self.process_events()
@@ -209,47 +214,84 @@
             self.reject(BAD_REQUEST.with_reason(str(error)), error.error_status_hint)
 
     def process_events(self):
-        """Process the events that h11 has, until a request is being handled."""
-        while (self.task is None or self.body_queue is not None) and not self.rejecting:
-            event = self.next_event()
-            if isinstance(event, h11.Request):
-                self.method = event.method
-            if self.body_queue is not None:
-                if isinstance(event, h11.Data):
-                    self.body_queue.put_nowait(bytes(event.data))
-                elif isinstance(event, h11.EndOfMessage):
-                    self.body_queue.put_nowait(None)
-                    self.body_queue = None
-                else:
-                    return
-            elif (
-                isinstance(event, h11.Request)
-                and event.target.partition(b"?")[0] in self.server.streams
-            ):
-                self.idle_timer.cancel()
-                self.body_queue = asyncio.Queue()
-                self.task = self.loop.create_task(self.serve(event, b"", self.body_queue))
-            elif isinstance(event, h11.Request):
-                self.request, self.body = event, bytearray()
-                fault = self.reserve_body(announced_length(event))
-                if fault is not None:
-                    return self.reject(fault)
-                if self.conn.they_are_waiting_for_100_continue:
-                    self.send(h11.InformationalResponse(status_code=100, headers=[]))
-            elif isinstance(event, h11.Data):
-                self.body += event.data
-                fault = self.reserve_body(len(self.body))
-                if fault is not None:
-                    return self.reject(fault)
-            elif isinstance(event, h11.EndOfMessage):
-                self.idle_timer.cancel()
-                request, self.request = self.request, None
-                body, self.body = bytes(self.body), bytearray()
-                self.task = self.loop.create_task(self.serve(request, body))
-            elif isinstance(event, h11.ConnectionClosed):
-                return self.close()
-            else:
+        """Process the events that h11 has, until a request is being handled.
+
+        After EVENTS_PER_TURN of them other connections get their turn.
+        """
+        for _ in range(EVENTS_PER_TURN):
+            if self.rejecting or self.task is not None and self.body_queue is None:
                 return
+            if not self.process_event(self.next_event()):
+                return
+        if not self.is_continuing:
+            self.is_continuing = True
+            self.loop.call_soon(self.continue_events)
+
+    def continue_events(self):
+        """Process further events after other connections had their turn."""
+        self.is_continuing = False
+        if self.is_ending():
+            return
+        try:
+            self.process_events()
+        except h11.RemoteProtocolError as error:
+            self.reject(BAD_REQUEST.with_reason(str(error)), error.error_status_hint)
+        self.adjust_reading()
+
+    def process_event(self, event) -> bool:
+        """Process one event of h11; return whether there may be another one now."""
+        if self.body_queue is not None:
+            return self.queue_body(event)
+        if isinstance(event, h11.Request):
+            return self.begin_request(event)
+        if isinstance(event, h11.Data):
+            self.body += event.data
+            return self.admit_body(len(self.body))
+        if isinstance(event, h11.EndOfMessage):
+            self.end_request()
+            return True
+        if isinstance(event, h11.ConnectionClosed):
+            self.close()
+        return False
+
+    def begin_request(self, request) -> bool:
+        """Begin a request after its head; return whether its body may follow."""
+        self.method = request.method
+        if request.target.partition(b"?")[0] in self.server.streams:
+            self.idle_timer.cancel()
+            self.body_queue = asyncio.Queue()
+            self.task = self.loop.create_task(self.serve(request, b"", self.body_queue))
+            return True
+        self.request, self.body = request, bytearray()
+        if not self.admit_body(announced_length(request)):
+            return False
+        if self.conn.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        return True
+
+    def queue_body(self, event) -> bool:
+        """Pass on a piece of a streamed body, or its end; return whether it was one of them."""
+        if isinstance(event, h11.Data):
+            self.body_queue.put_nowait(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self.end_body()
+        else:
+            return False
+        return True
+
+    def end_request(self):
+        """Start the handler of a request whose end has come."""
+        self.idle_timer.cancel()
+        request, self.request = self.request, None
+        body, self.body = bytes(self.body), bytearray()
+        self.task = self.loop.create_task(self.serve(request, body))
+
+    def admit_body(self, size: int) -> bool:
+        """Refuse the request if there is no room for a body of some size; return whether there is."""
+        fault = self.reserve_body(size)
+        if fault is not None:
+            self.reject(fault)
+        return fault is None
 
     def reserve_body(self, size: int) -> Fault | None:
         """Reserve the memory for a body of some size; return the fault that refuses it, or None.
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -4,8 +4,14 @@
 import gc
 import unittest
 import weakref
-
-from swiftdeck.http.connection import BACKLOG_LIMIT_BYTES, READ_BYTES
+from unittest import mock
+
+from swiftdeck.http.connection import (
+    BACKLOG_LIMIT_BYTES,
+    EVENTS_PER_TURN,
+    READ_BYTES,
+    HttpConnection,
+)
 from swiftdeck.http.limits import ServerLimits
 from swiftdeck.http.server import HttpServer
 from swiftdeck.sim.transport import HIGH_WATER_BYTES
@@ -192,6 +198,29 @@
         gc.collect()
         self.assertEqual([body() for body in bodies], [None])
 
+    def test_tiny_chunks_leave_other_connections_their_turn(self):
+        async def answer(exchange):
+            await exchange.send_json(200, {"size": len(exchange.body)})
+
+        server, count = self.serve(answer), 5000
+        chunks = CHUNKED_POST + b"2\r\nxx\r\n" * count + b"0\r\n\r\n"
+        in_turn = []
+
+        class Watched(HttpConnection):
+            """A connection that notes how many chunks it processes at a time."""
+
+            def process_events(self):
+                before = len(self.body)
+                super().process_events()
+                in_turn.append((len(self.body) - before) // 2)
+
+        with mock.patch("swiftdeck.http.server.HttpConnection", Watched):
+            (client,) = self.record([chunks])
+            self.world.run(2)
+        self.assertIn(b'{"size":%d}' % (2 * count), client.received)
+        self.assertLessEqual(max(in_turn), EVENTS_PER_TURN)
+        self.assertEqual(len(server.open), 1)
+
     def test_a_new_connection_takes_the_place_of_the_one_that_has_waited_longest(self):
         async def answer(exchange):
             if exchange.path == "/slow":
