HTTP: a quarter of the connections may leave their answers unread

Each answer that isn't read holds what was written and what the worker sent on, some 600 KiB, for the 20 s that a slow reader has; nothing bounded how many do. Now a quarter of the connections may; beyond that the longest stalled one is aborted. A link to a worker reads 64 KiB ahead in place of 256, and as much at a time. The test fails without it (five stalled connections in place of two).

--- a/swiftdeck/http/client.py
+++ b/swiftdeck/http/client.py
@@ -15,7 +15,8 @@
 )
 from swiftdeck.http.reset import give_up
 
-READ_AHEAD_BYTES = 262144
+READ_AHEAD_BYTES, READ_BYTES = 65536, 65536
+"""How many bytes may wait for their reader, and how many are read from a connection at a time."""
 LINE_LIMIT_BYTES = 262144
 
 
@@ -34,6 +35,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
+        transport.max_size = READ_BYTES
 
     def data_received(self, data):
         try:
--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -139,6 +139,11 @@
         """Return whether a handler waits for more of a streamed body."""
         return self.exchange is not None and self.exchange.awaits_body
 
+    def abort_stalled(self):
+        """Abort the connection of a client that doesn't read its response."""
+        self.server.count["slowCallers"] += 1
+        self.abort(CutReason.CLIENT_STALLED)
+
     def is_stalled(self) -> bool:
         """Return whether the client is too slow to read what was written."""
         return self.write_resumed is not None
@@ -494,14 +499,15 @@
                 async with asyncio.timeout(self.server.slow_write_ms / 1000):
                     await self.write_resumed
             except TimeoutError:
-                self.server.count["slowCallers"] += 1
-                self.abort(CutReason.CLIENT_STALLED)
+                self.abort_stalled()
                 raise ConnectionResetError("client reads nothing")
 
     def pause_writing(self):
         self.write_resumed = self.loop.create_future()
+        self.server.note_stalled(self)
 
     def resume_writing(self):
+        self.server.stalled.pop(self, None)
         if self.write_resumed and not self.write_resumed.done():
             self.write_resumed.set_result(None)
         self.write_resumed = None
--- a/swiftdeck/http/limits.py
+++ b/swiftdeck/http/limits.py
@@ -12,6 +12,8 @@
 """Descriptors of a process that are not for connections."""
 CONNECTIONS_SHARE = 0.25
 """The share of the other descriptors that the connections of clients may take."""
+STALLED_SHARE = 0.25
+"""The share of the connections whose clients may leave their responses unread at the same time."""
 RECEIVE_BUFFER_BYTES = 65536
 """How much the kernel keeps of what a client has sent and was not read yet."""
 OPERATIONS_BODY_BYTES, OPERATIONS_CONNECTIONS = 65536, 32
@@ -23,11 +25,13 @@
     """Limits of one server, for all of its clients together.
 
     `body_memory_bytes` is the memory for large request bodies, counted with the copies that are
-    made of them.
+    made of them. `stalled_connections` is how many clients may leave their responses unread at the
+    same time.
     """
 
     body_memory_bytes: int = 256 * MEBIBYTE
     connections: int = 4096
+    stalled_connections: int = 1024
 
     def largest_body_bytes(self) -> int:
         """Return the size of the largest body that there is memory for."""
@@ -37,16 +41,20 @@
     def within(cls, memory_mb: int, file_handles: int):
         """Return the limits of a process that may use so much memory and so many descriptors."""
         handles = int((file_handles - RESERVED_HANDLES) * CONNECTIONS_SHARE)
+        connections = min(memory_mb * CONNECTIONS_PER_MB, handles)
         return cls(
             body_memory_bytes=int(memory_mb * BODY_MEMORY_SHARE * MEBIBYTE),
-            connections=min(memory_mb * CONNECTIONS_PER_MB, handles),
+            connections=connections,
+            stalled_connections=max(1, int(connections * STALLED_SHARE)),
         )
 
     @classmethod
     def of_operations(cls, file_handles: int):
         """Return the limits of a server for readiness and status alone."""
         handles = int((file_handles - RESERVED_HANDLES) * CONNECTIONS_SHARE)
+        connections = min(OPERATIONS_CONNECTIONS, handles)
         return cls(
             body_memory_bytes=BODY_COPIES * OPERATIONS_BODY_BYTES,
-            connections=min(OPERATIONS_CONNECTIONS, handles),
+            connections=connections,
+            stalled_connections=max(1, int(connections * STALLED_SHARE)),
         )
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -21,7 +21,8 @@
 class HttpServer:
     """Listens for clients and passes each exchange to one handler.
 
-    `streams` has the paths whose handlers read the body as it arrives.
+    `streams` has the paths whose handlers read the body as it arrives. `open` has the connections,
+    and `stalled` those whose clients don't read what was written, longest stalled first.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         self.handler, self.body_limit, self.note, self.streams = handler, body_limit, note, streams
         self.idleMs, self.slow_ms, self.slow_write_ms = idleMs, slow_ms, slow_write_ms
         self.open, self.is_stopped, self.server = {}, False, None
+        self.stalled = {}
         self.drain = drain or Drain(UNLIMITED)
         self.head_limit = HEAD_LIMIT_BYTES
         self.limits = limits or ServerLimits()
@@ -71,6 +73,12 @@
                 return self._evict(min(candidates, key=lambda other: other.idle_since_s))
         self._evict(connection)
 
+    def note_stalled(self, connection):
+        """Add a connection whose client doesn't read; abort the longest stalled if there are too many."""
+        self.stalled[connection] = None
+        if len(self.stalled) > self.limits.stalled_connections:
+            next(iter(self.stalled)).abort_stalled()
+
     def _evict(self, connection):
         """End a connection, which counts as open no more."""
         self.count["connectionsEvicted"] += 1
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -198,6 +198,20 @@
         gc.collect()
         self.assertEqual([body() for body in bodies], [None])
 
+    def test_few_connections_may_leave_their_responses_unread(self):
+        async def answer(exchange):
+            await exchange.send_response(200, [], b"x" * 4 * HIGH_WATER_BYTES)
+
+        server = self.serve(answer, limits=ServerLimits(stalled_connections=2))
+        self.connect(lambda: SilentReader([GET]), 5)
+        self.world.run(1)
+        self.assertEqual((len(server.open), len(server.stalled)), (2, 2))
+        (reader,) = self.record([GET])
+        self.world.run(1)
+        self.assertTrue(reader.received.endswith(b"x" * 4 * HIGH_WATER_BYTES))
+        self.world.run(30)
+        self.assertEqual((len(server.open), server.stalled), (1, {}))
+
     def test_tiny_chunks_leave_other_connections_their_turn(self):
         async def answer(exchange):
             await exchange.send_json(200, {"size": len(exchange.body)})
