HTTP: lines of a stream of changes wait in the memory for bodies, and not for ever

Callers saw a core that answered no read for a minute while 32 strangers sent lines without an end to /v1/changes: each took up to 16 MiB, was copied whole for each piece, and stayed for as long as its sender liked; pieces queued without a bound on their bytes.

Now an unfinished line is counted and bounded like a body, by memory and by time, and ends with a line that names the fault.

--- a/swiftdeck/control/operators.py
+++ b/swiftdeck/control/operators.py
@@ -125,6 +125,8 @@
                 except (msgspec.DecodeError, RecursionError) as error:
                     result = BAD_REQUEST.with_reason(f"line is not JSON: {error}").as_body()
                 await exchange.send_chunk(msgspec.json.encode(result) + b"\n")
+        if exchange.body_fault is not None:
+            await exchange.send_chunk(msgspec.json.encode(exchange.body_fault.as_body()) + b"\n")
         exchange.finish()
 
     async def _handle_outcome(self, exchange, change_id):
--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -27,8 +27,8 @@
 """How many bytes are read from a connection at a time; asyncio's own default is four times that."""
 BACKLOG_LIMIT_BYTES = HEAD_LIMIT_BYTES
 """Unprocessed bytes behind the current request above which reading pauses."""
-QUEUED_PIECES_LIMIT = 64
-"""Unprocessed pieces of a streamed body above which reading pauses."""
+QUEUED_PIECES_LIMIT, QUEUED_BYTES_LIMIT = 64, 65536
+"""Unprocessed pieces of a streamed body, and their bytes, above which reading pauses."""
 FREE_BODY_BYTES = 32768
 """The size up to which a body needs no reservation of memory."""
 BODY_STEP_BYTES = 1 << 18
@@ -74,7 +74,7 @@
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=server.head_limit)
         self.loop = asyncio.get_running_loop()
         self.request, self.body, self.method = None, bytearray(), b""
-        self.discarded_bytes = 0
+        self.discarded_bytes = self.queued_bytes = 0
         self.task = self.idle_timer = self.transport = None
         self.write_resumed = self.body_queue = self.exchange = self.cut_reason = None
         self.gone = self.rejecting = self.is_chunked = self.is_continuing = False
@@ -202,7 +202,10 @@
         if self.is_continuing:
             return True
         if self.body_queue is not None:
-            return self.body_queue.qsize() > QUEUED_PIECES_LIMIT
+            return (
+                self.body_queue.qsize() > QUEUED_PIECES_LIMIT
+                or self.queued_bytes > QUEUED_BYTES_LIMIT
+            )
         return self.task is not None and len(self.conn.trailing_data[0]) > BACKLOG_LIMIT_BYTES
 
     def receive(self, data):
@@ -264,7 +267,7 @@
         self.method = request.method
         if request.target.partition(b"?")[0] in self.server.streams:
             self.idle_timer.cancel()
-            self.body_queue = asyncio.Queue()
+            self.body_queue, self.queued_bytes = asyncio.Queue(), 0
             self.task = self.loop.create_task(self.serve(request, b"", self.body_queue))
             return True
         self.request, self.body = request, bytearray()
@@ -277,6 +280,7 @@
     def queue_body(self, event) -> bool:
         """Pass on a piece of a streamed body, or its end; return whether it was one of them."""
         if isinstance(event, h11.Data):
+            self.queued_bytes += len(event.data)
             self.body_queue.put_nowait(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self.end_body()
@@ -313,6 +317,10 @@
             return None
         return NO_BODY_MEMORY
 
+    def release_body(self):
+        """Give back the memory that is reserved for the body of a request."""
+        self.server.body_memory.release(self)
+
     def next_event(self):
         """Return the next event of h11; reject ambiguous ends of requests, which h11 accepts."""
         raw = self.conn.trailing_data[0] if self.conn.their_state is h11.IDLE else b""
@@ -360,7 +368,7 @@
                 await self.handle_failure(exchange, error)
         finally:
             self.task = self.body_queue = None
-            self.server.body_memory.release(self)
+            self.release_body()
             self._note_late_end()
         self.next_request()
 
@@ -459,7 +467,7 @@
         """
         self.rejecting = True
         self.body = bytearray()
-        self.server.body_memory.release(self)
+        self.release_body()
         self.cut_reason = self.cut_reason or CutReason.CLIENT_FAULT
         self.server.count[f"faults.{fault.code}"] += 1
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -538,7 +546,7 @@
         if self.exchange is not None and not self.exchange.finished:
             self.server.note_cut(self.exchange, self.cut_reason or CutReason.CLIENT_LEFT)
         self.server.open.pop(self, None)
-        self.server.body_memory.release(self)
+        self.release_body()
         self.resume_writing()
         if self.idle_timer:
             self.idle_timer.cancel()
--- a/swiftdeck/http/exchange.py
+++ b/swiftdeck/http/exchange.py
@@ -1,11 +1,12 @@
 """A request of an HTTP connection and its response."""
 
+import asyncio
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
 import msgspec
 
-from swiftdeck.fault import BAD_REQUEST, Fault
+from swiftdeck.fault import BAD_REQUEST, SLOW_REQUEST, Fault
 from swiftdeck.http.cuts import CutReason
 
 PROCESSING = 102
@@ -41,7 +42,8 @@
         }
         self.body = body
         self.begun = self.finished = False
-        self.body_queue, self.awaits_body, self.name = None, False, ""
+        self.body_queue, self.awaits_body, self.body_fault = None, False, None
+        self.name = ""
         self.on_client_end = None
 
     def watch_client(self, on_client_end):
@@ -64,27 +66,49 @@
         if not self.begun and not self.conversation.is_ending():
             self.conversation.send(h11.InformationalResponse(status_code=PROCESSING, headers=[]))
 
-    async def _next_piece(self):
-        """Return the next piece of a streamed body, or None at its end."""
+    async def _next_piece(self, until_s: float | None):
+        """Return the next piece of a streamed body, or None at its end.
+
+        Raises TimeoutError at the loop time `until_s`, if it is given.
+        """
         self.awaits_body = True
         self.conversation.idle_since_s = self.conversation.loop.time()
         try:
-            return await self.body_queue.get()
+            async with asyncio.timeout_at(until_s):
+                piece = await self.body_queue.get()
         finally:
             self.awaits_body = False
+        self.conversation.queued_bytes -= len(piece or b"")
+        return piece
 
     async def lines(self):
-        """Yield the lines of a streamed body; a line over the body limit ends them."""
-        rest = b""
-        while (data := await self._next_piece()) is not None:
-            *lines, rest = (rest + data).split(b"\n")
-            for line in lines:
-                yield line
-            if len(rest) > self.conversation.server.body_limit:
-                return
-            self.conversation.adjust_reading()
+        """Yield the lines of a streamed body; `body_fault` is set where one is refused.
+
+        A line may be as large as a body, and may take as long to arrive.
+        """
+        rest, until_s = bytearray(), None
+        try:
+            while (data := await self._next_piece(until_s)) is not None:
+                rest += data
+                if b"\n" in data:
+                    *lines, tail = bytes(rest).split(b"\n")
+                    for line in lines:
+                        yield line
+                    rest, until_s = bytearray(tail), None
+                    self.conversation.release_body()
+                if rest and until_s is None:
+                    until_s = (
+                        self.conversation.loop.time() + self.conversation.server.slow_ms / 1000
+                    )
+                self.body_fault = self.conversation.reserve_body(len(rest))
+                if self.body_fault is not None:
+                    return
+                self.conversation.adjust_reading()
+        except TimeoutError:
+            self.body_fault = SLOW_REQUEST
+            return
         if rest:
-            yield rest
+            yield bytes(rest)
 
     def json(self):
         """Return the body decoded from JSON, or a fault."""
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -198,6 +198,39 @@
         gc.collect()
         self.assertEqual([body() for body in bodies], [None])
 
+    def test_streamed_lines_wait_in_no_more_memory_than_there_is_for_them(self):
+        async def echo_sizes(exchange):
+            exchange.begin(200, [("transfer-encoding", "chunked")])
+            async for line in exchange.lines():
+                await exchange.send_chunk(b"size %d\n" % len(line))
+            await exchange.send_chunk(b"fault %d\n" % getattr(exchange.body_fault, "code", 0))
+            exchange.finish()
+
+        limits = ServerLimits(body_memory_bytes=2 * BODY_BYTES)
+        server = self.serve(
+            echo_sizes, body_limit=BODY_BYTES, slow_ms=5000, streams=(b"/a",), limits=limits
+        )
+        piece = b"8000\r\n" + b"x" * 0x8000 + b"\r\n"
+        line_end, body_end = b"1\r\n\n\r\n", b"0\r\n\r\n"
+        waiting, refused, served, long = self.record(
+            [CHUNKED_POST, *[piece] * 2],
+            [CHUNKED_POST, b"", b"", *[piece] * 2],
+            [CHUNKED_POST, piece, line_end, body_end],
+            [CHUNKED_POST, *[piece] * 9],
+        )
+        self.world.run(2)
+        self.assertIn(b"fault 126\n", refused.received)
+        self.assertIn(b"size 32768\n", served.received)
+        self.assertIn(b"fault 0\n", served.received)
+        self.assertNotIn(b"fault", waiting.received)
+        self.assertIn(b"fault 126\n", long.received)
+        self.world.run(10)
+        self.assertIn(b"fault 106\n", waiting.received)
+        self.assertEqual(server.body_memory.used_bytes, 0)
+        (over_limit,) = self.record([CHUNKED_POST, *[piece] * 9])
+        self.world.run(2)
+        self.assertIn(b"fault 103\n", over_limit.received)
+
     def test_few_connections_may_leave_their_responses_unread(self):
         async def answer(exchange):
             await exchange.send_response(200, [], b"x" * 4 * HIGH_WATER_BYTES)
