Operators: JSON is decoded into memory that is set aside for it

Callers saw a core of 296 MB take 1.4 GB for four legal bodies of 16 MiB: JSON of many small items takes some thirty times its size once it is decoded. Writes that go on after their answer kept their documents uncounted.

Now the items are counted before a body is decoded, at 64 bytes each and 96 for a field, and the memory is reserved from that for bodies: 413 if it could never be had, 503 if not now. A write that goes on keeps its reservation, and 256 may go on.

--- a/swiftdeck/control/operators.py
+++ b/swiftdeck/control/operators.py
@@ -117,18 +117,26 @@
         )
         async for line in exchange.lines():
             if line.strip():
-                try:
-                    change = msgspec.json.decode(line)
-                    _, result, _ = await self.submit_change(
-                        ({"id": self._new_id()} | change) if isinstance(change, dict) else change
-                    )
-                except (msgspec.DecodeError, RecursionError) as error:
-                    result = BAD_REQUEST.with_reason(f"line is not JSON: {error}").as_body()
+                result = await self._submit_line(exchange, line)
                 await exchange.send_chunk(msgspec.json.encode(result) + b"\n")
         if exchange.body_fault is not None:
             await exchange.send_chunk(msgspec.json.encode(exchange.body_fault.as_body()) + b"\n")
         exchange.finish()
 
+    async def _submit_line(self, exchange, line):
+        """Submit the change in a line of a stream; return the result as a body."""
+        fault = exchange.reserve_decoding(line)
+        if fault is not None:
+            return fault.as_body()
+        try:
+            change = msgspec.json.decode(line)
+        except (msgspec.DecodeError, RecursionError) as error:
+            return BAD_REQUEST.with_reason(f"line is not JSON: {error}").as_body()
+        _, result, _ = await self.submit_change(
+            ({"id": self._new_id()} | change) if isinstance(change, dict) else change
+        )
+        return result
+
     async def _handle_outcome(self, exchange, change_id):
         response = await self.core.change_writer.outcome(change_id, 1500)
         if is_fault(response):
--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -33,6 +33,9 @@
 """The size up to which a body needs no reservation of memory."""
 BODY_STEP_BYTES = 1 << 18
 """The step in which the memory for a body of unknown length is reserved."""
+DECODED_ITEM_BYTES, DECODED_FIELD_BYTES, FREE_DECODED_BYTES = 64, 96, 65536
+"""What an item of JSON and a field of an object take once they are decoded, and up to which size that
+needs no reservation."""
 EVENTS_PER_TURN = 64
 """How many parts of requests, such as chunks, are processed before other connections get a turn."""
 DISCARD_S = 1.0
@@ -317,6 +320,22 @@
             return None
         return NO_BODY_MEMORY
 
+    def reserve_decoding(self, data: bytes) -> Fault | None:
+        """Reserve the memory for the objects that JSON text decodes to; return the fault, or None.
+
+        It is estimated from the number of items in the text, of which a few bytes decode to many.
+        """
+        items = data.count(b",") + data.count(b"[") + data.count(b"{")
+        decoded_bytes = items * DECODED_ITEM_BYTES + data.count(b":") * DECODED_FIELD_BYTES
+        if decoded_bytes <= FREE_DECODED_BYTES:
+            return None
+        memory, size = self.server.body_memory, len(data) + decoded_bytes
+        if size > memory.limit_bytes:
+            return TOO_LARGE.with_reason(f"body has {items} items")
+        if memory.reserve(self, max(size, memory.reserved.get(self, 0))):
+            return None
+        return NO_BODY_MEMORY
+
     def release_body(self):
         """Give back the memory that is reserved for the body of a request."""
         self.server.body_memory.release(self)
--- a/swiftdeck/http/exchange.py
+++ b/swiftdeck/http/exchange.py
@@ -110,8 +110,19 @@
         if rest:
             yield bytes(rest)
 
+    def reserve_decoding(self, data: bytes) -> Fault | None:
+        """Reserve the memory for the objects that JSON text decodes to; return the fault, or None."""
+        return self.conversation.reserve_decoding(data)
+
+    def hand_over_memory(self, owner):
+        """Make the memory that is reserved for this request that of an owner that outlasts it."""
+        self.conversation.server.body_memory.hand_over(self.conversation, owner)
+
     def json(self):
         """Return the body decoded from JSON, or a fault."""
+        fault = self.reserve_decoding(self.body)
+        if fault is not None:
+            return fault
         try:
             return msgspec.json.decode(self.body)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
--- a/swiftdeck/platform/operator_api.py
+++ b/swiftdeck/platform/operator_api.py
@@ -10,9 +10,11 @@
     BAD_REQUEST,
     CHANGE_ID_REUSED,
     INVALID_CONFIG,
+    NO_BODY_MEMORY,
     NO_VIEW,
     OUTCOME_UNDECIDED,
     PEER_TIMEOUT,
+    TOO_LARGE,
     VERSION_CONFLICT,
     is_fault,
 )
@@ -26,8 +28,10 @@
     INVALID_CONFIG.code: 400,
     BAD_REQUEST.code: 400,
     BAD_METHOD.code: 405,
+    TOO_LARGE.code: 413,
 }
 MAX_BASE_DIGITS, ANSWER_WITHIN_MS = 15, 850
+MAX_PENDING_WRITES = 256
 RETRY_AFTER_S = "0.3"
 
 
@@ -47,17 +51,26 @@
             return await self._show(exchange)
         if method not in (("PUT", "PATCH") if path == CONFIG_PATH else ("POST",)):
             return await self._refuse(exchange, BAD_METHOD)
-        id_and_change = (
-            configs.parse_weights(exchange.body)
-            if path == WEIGHTS_PATH
-            else self._parse_change(exchange)
+        id_and_change = self._parse(exchange, path)
+        outcome = (
+            id_and_change
+            if is_fault(id_and_change)
+            else await self._outcome(exchange, *id_and_change)
         )
-        outcome = id_and_change if is_fault(id_and_change) else await self._outcome(*id_and_change)
         if is_fault(outcome):
             return await self._refuse(exchange, outcome)
         self.core.telemetry.count["changesTaken"] += 1
         return await exchange.send_json(200, {"code": 0, "changeId": id_and_change[0]})
 
+    def _parse(self, exchange, path):
+        """Return the change id and the change that a request asks for, or a fault."""
+        fault = exchange.reserve_decoding(exchange.body)
+        if fault is not None:
+            return fault
+        if path == WEIGHTS_PATH:
+            return configs.parse_weights(exchange.body)
+        return self._parse_change(exchange)
+
     def _parse_change(self, exchange):
         base = exchange.headers.get(BASE_HEADER, "").strip().strip('"')
         if not (base.isascii() and base.isdecimal()) or len(base) > MAX_BASE_DIGITS:
@@ -66,24 +79,36 @@
             exchange.body, int(base)
         )
 
-    async def _outcome(self, change_id, change):
+    async def _outcome(self, exchange, change_id, change):
         """Return the outcome of a change, or a fault when it is undecided in time for an answer.
 
         The write goes on after that, and a repeat of the call joins it. A change that is invalid by
-        itself gets that fault even when it is undecided.
+        itself gets that fault even when it is undecided. While too many writes go on, a new one is
+        refused before it begins.
         """
         task = self.pending_writes.get(change_id)
         if task is None:
-            task = self.pending_writes[change_id] = asyncio.ensure_future(
-                self._write(change_id, change)
-            )
-            task.add_done_callback(lambda _: self.pending_writes.pop(change_id))
+            if len(self.pending_writes) >= MAX_PENDING_WRITES:
+                return NO_BODY_MEMORY
+            task = self._begin_write(exchange, change_id, change)
         await asyncio.wait([task], timeout=ANSWER_WITHIN_MS / 1000)
         outcome = task.result() if task.done() else OUTCOME_UNDECIDED.with_reason(change_id)
         is_undecided = is_fault(outcome) and outcome.code not in STATUS_BY_FAULT_CODE
         fault = invalid_by_itself(change) if is_undecided else None
         return outcome if fault is None else fault
 
+    def _begin_write(self, exchange, change_id, change):
+        """Start the task that writes a change, and leave it the memory of the request."""
+        task = asyncio.ensure_future(self._write(change_id, change))
+        self.pending_writes[change_id] = task
+        exchange.hand_over_memory(task)
+        task.add_done_callback(lambda _: self._end_write(task, change_id))
+        return task
+
+    def _end_write(self, task, change_id):
+        self.pending_writes.pop(change_id)
+        self.core.http.body_memory.release(task)
+
     async def _write(self, change_id, change):
         outcome = await self.core.change_writer.write(change_id, change)
         is_id_reused = is_fault(outcome) and outcome.code == CHANGE_ID_REUSED.code
--- a/swiftdeck/runtime/memory_pool.py
+++ b/swiftdeck/runtime/memory_pool.py
@@ -22,9 +22,10 @@
         self.reserved[owner], self.used_bytes = size, used_bytes
         return True
 
-    def add(self, owner, size: int) -> bool:
-        """Extend the reservation of an owner by `size` bytes; return whether there was room."""
-        return self.reserve(owner, self.reserved.get(owner, 0) + size)
+    def hand_over(self, owner, new_owner):
+        """Make the reservation of an owner, if it has one, that of another one."""
+        if owner in self.reserved:
+            self.reserved[new_owner] = self.reserved.get(new_owner, 0) + self.reserved.pop(owner)
 
     def release(self, owner):
         """End the reservation of an owner, if it has one."""
--- a/swiftdeck/sim/model/cluster.py
+++ b/swiftdeck/sim/model/cluster.py
@@ -27,9 +27,9 @@
         super().__init__(core)
         self.on_acknowledged = on_acknowledged
 
-    async def _outcome(self, change_id, change):
+    async def _outcome(self, exchange, change_id, change):
         began_s = self.on_acknowledged.now()
-        outcome = await super()._outcome(change_id, change)
+        outcome = await super()._outcome(exchange, change_id, change)
         if outcome:
             self.on_acknowledged(change_id, began_s)
         return outcome
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -6,6 +6,7 @@
 import weakref
 from unittest import mock
 
+from swiftdeck.fault import is_fault
 from swiftdeck.http.connection import (
     BACKLOG_LIMIT_BYTES,
     EVENTS_PER_TURN,
@@ -231,6 +232,21 @@
         self.world.run(2)
         self.assertIn(b"fault 103\n", over_limit.received)
 
+    def test_json_is_decoded_only_into_memory_that_there_is_for_it(self):
+        async def answer(exchange):
+            body = exchange.json()
+            return body if is_fault(body) else await exchange.send_json(200, len(body))
+
+        limits = ServerLimits(body_memory_bytes=4 << 20)
+        server = self.serve(answer, body_limit=1 << 20, limits=limits)
+        few, many = b"[%b1]" % (b"1," * 1000), b"[%b1]" % (b"{}," * 60000)
+        text = b'["%b"]' % (b"x" * 500000)
+        clients = self.record(*([post(len(body)) + body] for body in (few, many, text)))
+        self.world.run(2)
+        statuses = [client.received.split(b" ", 2)[1] for client in clients]
+        self.assertEqual(statuses, [b"200", b"413", b"200"])
+        self.assertEqual(server.body_memory.used_bytes, 0)
+
     def test_few_connections_may_leave_their_responses_unread(self):
         async def answer(exchange):
             await exchange.send_response(200, [], b"x" * 4 * HIGH_WATER_BYTES)
