HTTP: large answers are counted and written in pieces

A whole configuration of 1 MB was written at once to each client that asked for it, read or not.

Now an answer of over 64 KiB is counted in the memory for bodies and written in pieces as it is read. Where memory is short, answers that are not read give way. Eight reads of the configuration go to the tail at a time.

--- a/swiftdeck/chain/change_writer.py
+++ b/swiftdeck/chain/change_writer.py
@@ -24,6 +24,7 @@
 from swiftdeck.wire.messages import OutcomeAsk, Write
 
 REFUSALS = {VERSION_CONFLICT.code, INVALID_CONFIG.code, CHANGE_ID_REUSED.code, BAD_FRAME.code}
+MAX_CONCURRENT_READS = 8
 NEVER_ACCEPTED = {PEER_UNREACHABLE.code, NOT_HEAD.code, NO_VIEW.code, BASE_VERSION_AHEAD.code}
 
 
@@ -35,6 +36,7 @@
 
     def __init__(self, mesh, cluster_map):
         self.mesh, self.cluster_map = mesh, cluster_map
+        self.reads = asyncio.Semaphore(MAX_CONCURRENT_READS)
 
     async def write(self, change_id: str, change: dict, deadline_ms=11000):
         """Write a change; return its outcome, the fault that refuses it, or OUTCOME_UNDECIDED.
@@ -123,7 +125,14 @@
         )
 
     async def read_tail(self, ask, deadline_ms=3000):
-        """Send a request to the tail, retrying while the tail changes or cannot be reached."""
+        """Send a request to the tail, retrying while the tail changes or cannot be reached.
+
+        A few reads go on at a time, as each response may be as large as the configuration.
+        """
+        async with self.reads:
+            return await self._read_tail(ask, deadline_ms)
+
+    async def _read_tail(self, ask, deadline_ms):
         loop = asyncio.get_running_loop()
         end_s, response = loop.time() + deadline_ms / 1000, NOT_TAIL
         while loop.time() < end_s:
--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -316,7 +316,7 @@
         if size <= FREE_BODY_BYTES or BODY_COPIES * size <= memory.reserved.get(self, 0):
             return None
         steps = -(-size // BODY_STEP_BYTES)
-        if memory.reserve(self, BODY_COPIES * steps * BODY_STEP_BYTES):
+        if self.server.reserve(self, BODY_COPIES * steps * BODY_STEP_BYTES):
             return None
         return NO_BODY_MEMORY
 
@@ -332,10 +332,15 @@
         memory, size = self.server.body_memory, len(data) + decoded_bytes
         if size > memory.limit_bytes:
             return TOO_LARGE.with_reason(f"body has {items} items")
-        if memory.reserve(self, max(size, memory.reserved.get(self, 0))):
+        if self.server.reserve(self, max(size, memory.reserved.get(self, 0))):
             return None
         return NO_BODY_MEMORY
 
+    def reserve_response(self, size: int) -> bool:
+        """Reserve the memory for a large response; return whether there is any."""
+        reserved_bytes = self.server.body_memory.reserved.get(self, 0)
+        return self.server.reserve(self, reserved_bytes + size)
+
     def release_body(self):
         """Give back the memory that is reserved for the body of a request."""
         self.server.body_memory.release(self)
--- a/swiftdeck/http/exchange.py
+++ b/swiftdeck/http/exchange.py
@@ -6,13 +6,15 @@
 import h11
 import msgspec
 
-from swiftdeck.fault import BAD_REQUEST, SLOW_REQUEST, Fault
+from swiftdeck.fault import BAD_REQUEST, NO_BODY_MEMORY, SLOW_REQUEST, Fault
 from swiftdeck.http.cuts import CutReason
 
 PROCESSING = 102
 """The status of the informational response that a request is being worked on."""
-HEAD = "HEAD"
-"""The method whose responses have no body."""
+HEAD, NO_CONTENT = "HEAD", 204
+"""The method and the status whose responses have no body."""
+PIECE_BYTES = 65536
+"""How much of a whole response is written at a time."""
 
 
 def retry_after_headers(fault: Fault) -> list:
@@ -130,24 +132,26 @@
 
     async def send_json(self, status, body, headers=()):
         """Send a whole response with a JSON body, unless a response has begun."""
-        if self.begun:
-            return
-        data = msgspec.json.encode(body) + b"\n"
-        self.begin(
-            status,
-            [("content-type", "application/json"), ("content-length", str(len(data))), *headers],
-        )
-        if self.method != HEAD:
-            await self.send_chunk(data)
-        self.finish()
+        if not self.begun:
+            data = msgspec.json.encode(body) + b"\n"
+            headers = [("content-type", "application/json"), *headers]
+            await self._send_whole(status, headers, data)
 
     async def send_response(self, status, headers, body: bytes):
         """Send a whole response with a body of bytes, unless a response has begun."""
         if not self.begun:
-            self.begin(status, [*headers, ("content-length", str(len(body)))])
-            if body and status != 204 and self.method != HEAD:
-                await self.send_chunk(body)
-            self.finish()
+            await self._send_whole(status, headers, body)
+
+    async def _send_whole(self, status, headers, body: bytes):
+        """Send a whole response; a large one in pieces, and a fault where no memory is left for it."""
+        if len(body) > PIECE_BYTES and not self.conversation.reserve_response(len(body)):
+            return await self.give_fault(NO_BODY_MEMORY)
+        self.begin(status, [*headers, ("content-length", str(len(body)))])
+        if status != NO_CONTENT and self.method != HEAD:
+            pieces = memoryview(body)
+            for offset in range(0, len(body), PIECE_BYTES):
+                await self.send_chunk(pieces[offset : offset + PIECE_BYTES])
+        self.finish()
 
     def abort(self, reason=CutReason.HANDLER_FAILED):
         """Abort the connection, so that a partial response can't look complete."""
--- a/swiftdeck/http/limits.py
+++ b/swiftdeck/http/limits.py
@@ -17,6 +17,7 @@
 RECEIVE_BUFFER_BYTES = 65536
 """How much the kernel keeps of what a client has sent and was not read yet."""
 OPERATIONS_BODY_BYTES, OPERATIONS_CONNECTIONS = 65536, 32
+OPERATIONS_MEMORY_BYTES = 8 * MEBIBYTE
 """The limits of a server whose requests have no body and come from few clients."""
 
 
@@ -54,7 +55,7 @@
         handles = int((file_handles - RESERVED_HANDLES) * CONNECTIONS_SHARE)
         connections = min(OPERATIONS_CONNECTIONS, handles)
         return cls(
-            body_memory_bytes=BODY_COPIES * OPERATIONS_BODY_BYTES,
+            body_memory_bytes=OPERATIONS_MEMORY_BYTES,
             connections=connections,
             stalled_connections=max(1, int(connections * STALLED_SHARE)),
         )
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -73,6 +73,21 @@
                 return self._evict(min(candidates, key=lambda other: other.idle_since_s))
         self._evict(connection)
 
+    def reserve(self, connection, size: int) -> bool:
+        """Reserve memory for the body or the response of a connection; return whether there is any.
+
+        Clients that don't read their responses lose what is reserved for them to those that do.
+        """
+        memory = self.body_memory
+        while not memory.reserve(connection, size):
+            holders = (other for other in self.stalled if other in memory.reserved)
+            holder = next((other for other in holders if other is not connection), None)
+            if holder is None:
+                return False
+            holder.abort_stalled()
+            memory.release(holder)
+        return True
+
     def note_stalled(self, connection):
         """Add a connection whose client doesn't read; abort the longest stalled if there are too many."""
         self.stalled[connection] = None
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -232,6 +232,31 @@
         self.world.run(2)
         self.assertIn(b"fault 103\n", over_limit.received)
 
+    def test_large_responses_that_are_not_read_give_way_to_those_that_are(self):
+        size = 8 * HIGH_WATER_BYTES
+
+        async def answer(exchange):
+            await exchange.send_response(200, [], b"x" * size)
+
+        limits = ServerLimits(body_memory_bytes=3 * size)
+        server = self.serve(answer, limits=limits)
+        self.connect(lambda: SilentReader([GET]), 3)
+        self.world.run(1)
+        self.assertEqual((len(server.stalled), server.body_memory.used_bytes), (3, 3 * size))
+        (reader,) = self.record([GET])
+        self.world.run(1)
+        self.assertTrue(reader.received.endswith(b"x" * size))
+        self.assertEqual((len(server.stalled), server.body_memory.used_bytes), (2, 2 * size))
+
+    def test_a_response_over_the_memory_gets_a_fault(self):
+        async def answer(exchange):
+            await exchange.send_response(200, [], b"x" * 4 * HIGH_WATER_BYTES)
+
+        self.serve(answer, limits=ServerLimits(body_memory_bytes=HIGH_WATER_BYTES))
+        (reader,) = self.record([GET])
+        self.world.run(1)
+        self.assertTrue(reader.received.startswith(b"HTTP/1.1 503 "), reader.received)
+
     def test_json_is_decoded_only_into_memory_that_there_is_for_it(self):
         async def answer(exchange):
             body = exchange.json()
