--- a/swiftdeck/soak/payloads.py
+++ b/swiftdeck/soak/payloads.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from swiftdeck.wire.mesh import LENGTH
+from swiftdeck.wire.link import LENGTH
 
 BLOCK = b"x" * 65536
 ENDLESS_BYTES = 1 << 30
--- a/tests/crowds/test_nodes.py
+++ b/tests/crowds/test_nodes.py
@@ -6,7 +6,8 @@
 
 from swiftdeck.soak import payloads
 from swiftdeck.soak.crowd import Crowd, CrowdGroup, CrowdSize
-from swiftdeck.wire.mesh import HEAD, LENGTH
+from swiftdeck.wire.link import LENGTH
+from swiftdeck.wire.mesh import HEAD
 from swiftdeck.wire.messages import NUMBERS, ConfigAsk, MemberList, OutcomeAsk
 from tests.crowds.case import MEBIBYTE, CrowdCase, with_many_routes
 
--- a/tests/wire/test_mesh.py
+++ b/tests/wire/test_mesh.py
@@ -7,7 +7,8 @@
 
 from swiftdeck.fault import BAD_FRAME, PEER_TIMEOUT, PEER_UNREACHABLE, UNKNOWN_KIND
 from swiftdeck.sim.world import World
-from swiftdeck.wire.mesh import HEAD, Link, Mesh
+from swiftdeck.wire.link import Link
+from swiftdeck.wire.mesh import HEAD, Mesh
 from swiftdeck.wire.messages import NUMBERS, Done, ListAsk, ListReturn
 
 
