--- a/swiftdeck/control/node.py
+++ b/swiftdeck/control/node.py
@@ -5,6 +5,7 @@
 from swiftdeck.member.membership import STATES, Membership
 from swiftdeck.member.news import NewsTable
 from swiftdeck.runtime.telemetry import Telemetry
+from swiftdeck.wire.limits import MeshLimits
 from swiftdeck.wire.mesh import Mesh
 from swiftdeck.wire.messages import Member
 
@@ -15,7 +16,8 @@
     def __init__(self, settings, role, random, log=None):
         self.settings, self.random = settings, random
         self.telemetry = Telemetry(log)
-        self.mesh = Mesh(settings.inner, self.telemetry.log_event)
+        limits = MeshLimits.within(settings.memoryMb)
+        self.mesh = Mesh(settings.inner, self.telemetry.log_event, limits)
         self.me = Member(
             addr=settings.inner,
             name=settings.name,
--- a/swiftdeck/wire/link.py
+++ b/swiftdeck/wire/link.py
@@ -8,6 +8,10 @@
 from swiftdeck.fault import BAD_FRAME, PEER_TIMEOUT
 
 FRAME_LIMIT_BYTES = 64 << 20
+FRAMES_PER_TURN = 32
+"""How many frames of a link are handled before other links get a turn."""
+READ_BYTES = 65536
+"""How many bytes are read from a link at a time; asyncio's own default is four times that."""
 LENGTH = struct.Struct(">I")
 """Prefix of a frame on a stream: its length in bytes."""
 PARTIAL_FRAME_S = 0.25
@@ -27,7 +31,7 @@
 
     `addr` is set only at the side that connected. `received_s` is when bytes were last received, by
     the clock of the loop. `running` has the running handlers of this link's messages, by the id of
-    their task.
+    their task. `partial_since_s` is when the first byte of a frame came that is not whole yet.
     """
 
     def __init__(self, mesh, addr=None):
@@ -35,11 +39,13 @@
         self.transport, self.buffer = None, bytearray()
         self.running: dict[int, RunningHandler] = {}
         self.received_s = asyncio.get_running_loop().time()
-        self.gone = False
+        self.gone = self.is_continuing = False
+        self.partial_since_s = None
 
     def connection_made(self, transport):
         """Register the link with the mesh."""
         self.transport = transport
+        transport.max_size = READ_BYTES
         self.mesh.links[self] = None
 
     def pause_writing(self):
@@ -56,24 +62,77 @@
         """Handle the frames that are complete; a malformed one closes the link."""
         self.received_s = asyncio.get_running_loop().time()
         self.buffer += data
+        self.handle_frames()
+
+    def handle_frames(self):
+        """Handle some of the frames that are complete, and the others after other links' turn."""
         offset = 0
-        while len(self.buffer) - offset >= LENGTH.size:
-            (length,) = LENGTH.unpack_from(self.buffer, offset)
-            if length > FRAME_LIMIT_BYTES:
-                return self.reject("frame over the limit")
-            start = offset + LENGTH.size
-            if len(self.buffer) - start < length:
+        for _ in range(FRAMES_PER_TURN):
+            frame = self._next_frame(offset)
+            if frame is None:
                 break
-            frame = bytes(self.buffer[start : start + length])
-            offset = start + length
+            offset += LENGTH.size + len(frame)
             if not self.mesh.receive(frame, self):
                 return self.reject("frame does not parse")
-        del self.buffer[:offset]
+        if offset:
+            del self.buffer[:offset]
+            self.partial_since_s = None
+        self.adjust_reading()
+        self._note_partial_frame()
+
+    def _next_frame(self, offset) -> bytes | None:
+        """Return the frame at an offset of the buffer, or None if it is not complete."""
+        if len(self.buffer) - offset < LENGTH.size:
+            return None
+        (length,) = LENGTH.unpack_from(self.buffer, offset)
+        if length > self.mesh.frame_limit():
+            self.reject("frame over the limit")
+            return None
+        start = offset + LENGTH.size
+        return bytes(self.buffer[start : start + length]) if self._holds(start + length) else None
+
+    def _holds(self, size) -> bool:
+        return len(self.buffer) >= size
+
+    def adjust_reading(self):
+        """Read nothing more while complete frames wait for their turn."""
+        has_frame = self._has_frame()
+        if has_frame and not self.is_continuing:
+            self.is_continuing = True
+            self.transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._continue)
+        elif not has_frame and not self.transport.is_reading():
+            self.transport.resume_reading()
+
+    def _has_frame(self) -> bool:
+        """Return whether the buffer begins with a complete frame."""
+        if len(self.buffer) < LENGTH.size:
+            return False
+        return self._holds(LENGTH.size + LENGTH.unpack_from(self.buffer)[0])
+
+    def _continue(self):
+        """Handle further frames, which may have come before the end of the link."""
+        self.is_continuing = False
+        self.handle_frames()
+
+    def _note_partial_frame(self):
+        """Tell the mesh how much of a frame is waiting for the rest of it."""
+        if self.gone or not self.buffer:
+            return self.mesh.partial_frames.release(self)
+        if self.partial_since_s is None:
+            self.partial_since_s = self.received_s
+        self.mesh.hold_partial_frame(self)
 
     def reject(self, reason):
         """Count and log a malformed frame, and close the link."""
         self.mesh.count[f"faults.{BAD_FRAME.code}"] += 1
         self.mesh.note("link refused", code=BAD_FRAME.code, reason=reason)
+        self.drop()
+
+    def drop(self):
+        """Close the link at once, with what has arrived and was not handled."""
+        self.buffer.clear()
+        self.mesh.partial_frames.release(self)
         self.transport.abort()
 
     def is_receiving(self):
@@ -92,6 +151,7 @@
         """Cancel the bound handlers of the link and fail its pending requests."""
         self.gone = True
         self.mesh.links.pop(self, None)
+        self.mesh.partial_frames.release(self)
         for handler in list(self.running.values()):
             if handler.is_bound:
                 handler.task.cancel()
--- a/swiftdeck/wire/mesh.py
+++ b/swiftdeck/wire/mesh.py
@@ -20,13 +20,24 @@
     fault_from_code,
     is_fault,
 )
-from swiftdeck.wire.link import PARTIAL_FRAME_S, Link, RunningHandler
+from swiftdeck.runtime.memory_pool import MemoryPool
+from swiftdeck.runtime.receive_buffer import limit_receive_buffers
+from swiftdeck.wire.limits import MeshLimits
+from swiftdeck.wire.link import (
+    FRAME_LIMIT_BYTES,
+    LENGTH,
+    PARTIAL_FRAME_S,
+    Link,
+    RunningHandler,
+)
 from swiftdeck.wire.messages import KINDS, NUMBERS, Done, FaultReturn, WireMessage
 
 RUNNING_HANDLERS_LIMIT = 8192
 """The most messages of one link that are handled at a time."""
 HEAD = struct.Struct(">HQBB")
 """Header: kind number, exchange number, is-return flag, length of the sender address after it."""
+RECEIVE_BUFFER_BYTES = 1 << 17
+"""How much the kernel keeps of what arrived on a link and was not read yet."""
 CONNECT_TIMEOUT_S = 1.0
 SILENCE_LIMIT_S = 1.0
 """How long a link may be silent while a response is due before it is dropped."""
@@ -90,8 +101,10 @@
     by address; `pending` has the requests that await a response, by exchange number.
     """
 
-    def __init__(self, addr, note=lambda *_, **__: None):
+    def __init__(self, addr, note=lambda *_, **__: None, limits=None):
         self.addr, self.note, self.sender = addr, note, addr.encode()
+        self.limits = limits or MeshLimits()
+        self.partial_frames = MemoryPool(self.limits.partial_frame_bytes)
         self.links: dict[Link, None] = {}
         self.outgoing: dict[str, Link] = {}
         self.connecting: dict[str, asyncio.Task] = {}
@@ -106,6 +119,7 @@
         loop = asyncio.get_running_loop()
         ip, port = split_addr(self.addr)
         self.server = await loop.create_server(lambda: Link(self), ip, port)
+        limit_receive_buffers(self.server, RECEIVE_BUFFER_BYTES)
         self.datagrams, _ = await loop.create_datagram_endpoint(
             lambda: Datagrams(self), local_addr=(ip, port)
         )
@@ -117,6 +131,25 @@
         for link in list(self.links):
             link.transport.abort()
 
+    def frame_limit(self) -> int:
+        """Return the size in bytes of the largest frame that is received."""
+        return min(FRAME_LIMIT_BYTES, self.limits.partial_frame_bytes - LENGTH.size)
+
+    def hold_partial_frame(self, link):
+        """Reserve the memory for a frame that has not arrived whole.
+
+        Where it is short, links are dropped, beginning with the one whose frame is the longest on
+        its way.
+        """
+        while not self.partial_frames.reserve(link, len(link.buffer)):
+            oldest = min(
+                self.partial_frames.reserved, key=lambda other: other.partial_since_s, default=link
+            )
+            self.count["partialFramesDropped"] += 1
+            oldest.drop()
+            if oldest is link:
+                return
+
     def register(self, kind, handler, is_bound=False):
         """Pass messages of a kind to `handler(message, sender_addr)`.
 
--- /dev/null
+++ b/tests/wire/test_crowds.py
@@ -0,0 +1,117 @@
+"""Tests of `wire/link.py` and `wire/mesh.py` with strangers that keep to no limit."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from swiftdeck.sim.world import World
+from swiftdeck.wire.limits import MeshLimits
+from swiftdeck.wire.link import FRAMES_PER_TURN, LENGTH, Link
+from swiftdeck.wire.mesh import HEAD, Mesh
+from swiftdeck.wire.messages import NUMBERS, ListAsk, ListReturn
+
+FRAME_BYTES = 100000
+
+
+def frame(message, exchange=0):
+    """Return the frame of a message with its length before it."""
+    data = HEAD.pack(NUMBERS[type(message)], exchange, False, 0) + bytes(message)
+    return LENGTH.pack(len(data)) + data
+
+
+class Stranger(asyncio.Protocol):
+    """A process that writes pieces to a node and keeps its connection."""
+
+    def __init__(self, *pieces, reads=True):
+        self.pieces, self.reads, self.received, self.is_closed = pieces, reads, bytearray(), False
+
+    def connection_made(self, transport):
+        if not self.reads:
+            transport.pause_reading()
+        for piece in self.pieces:
+            transport.write(piece)
+
+    def data_received(self, data):
+        self.received += data
+
+    def connection_lost(self, error):
+        self.is_closed = True
+
+
+class CrowdTest(unittest.TestCase):
+    def setUp(self):
+        self.world, self.meshes = World(), []
+
+    def serve(self, handlers=None, **limits):
+        """Start a mesh at 10.0.0.1:7000, with the handlers of some kinds of messages."""
+
+        async def start():
+            self.meshes.append(Mesh("10.0.0.1:7000", limits=MeshLimits(**limits)))
+            for kind, handler in (handlers or {}).items():
+                self.meshes[0].register(kind, handler)
+            await self.meshes[0].start()
+
+        self.world.start("node", "10.0.0.1", start)
+        self.world.run(1)
+        return self.meshes[0]
+
+    def connect(self, *strangers):
+        """Let strangers connect to the mesh, one after another."""
+
+        async def connect():
+            for stranger in strangers:
+                await asyncio.get_running_loop().create_connection(
+                    lambda stranger=stranger: stranger, "10.0.0.1", 7000
+                )
+
+        self.world.start("strangers", "10.0.0.2", connect)
+        self.world.run(1)
+        return strangers
+
+    def test_partial_frames_wait_in_no_more_memory_than_there_is_for_them(self):
+        mesh = self.serve(partial_frame_bytes=3 * FRAME_BYTES)
+        piece = LENGTH.pack(2 * FRAME_BYTES) + b"x" * (FRAME_BYTES - LENGTH.size)
+        strangers = self.connect(*(Stranger(piece) for _ in range(5)))
+        closed = [stranger.is_closed for stranger in strangers]
+        self.assertEqual(closed, [True, True, False, False, False])
+        self.assertEqual(mesh.partial_frames.used_bytes, 3 * FRAME_BYTES)
+        (too_large,) = self.connect(Stranger(LENGTH.pack(3 * FRAME_BYTES)))
+        self.assertTrue(too_large.is_closed)
+
+    def test_a_frame_that_arrives_whole_gives_its_memory_back(self):
+        received = []
+        mesh = self.serve({ListReturn: lambda message, sender: received.append(message)})
+        data = frame(ListReturn(body=b"x" * FRAME_BYTES))
+        self.connect(Stranger(data[:50000], data[50000:] + data[:10], data[10:]))
+        self.assertEqual([len(message.body) for message in received], [FRAME_BYTES] * 2)
+        self.assertEqual(mesh.partial_frames.used_bytes, 0)
+
+    def test_many_frames_leave_other_links_their_turn(self):
+        received, in_turn, handle_frames = [], [], Link.handle_frames
+
+        def counted(link):
+            before = len(received)
+            handle_frames(link)
+            in_turn.append(len(received) - before)
+
+        self.serve({ListReturn: lambda message, sender: received.append(message)})
+        count = 10 * FRAMES_PER_TURN
+        with mock.patch.object(Link, "handle_frames", counted):
+            self.connect(Stranger(b"".join(frame(ListReturn(age_ms=1)) for _ in range(count))))
+        self.assertEqual((len(received), max(in_turn)), (count, FRAMES_PER_TURN))
+
+    def test_a_node_gets_its_answer_while_strangers_wait(self):
+        self.serve({ListAsk: lambda message, sender: ListReturn(age_ms=5)})
+        self.connect(*(Stranger(LENGTH.pack(1000) + b"x") for _ in range(10)))
+
+        async def ask():
+            mesh = Mesh("10.0.0.3:7000")
+            await mesh.start()
+            return await mesh.request("10.0.0.1:7000", ListAsk())
+
+        self.world.start("other", "10.0.0.3", lambda: asyncio.sleep(0))
+        self.assertEqual(self.world.run_task("other", ask).age_ms, 5)
+
+
+if __name__ == "__main__":
+    unittest.main()
