--- a/swiftdeck/chain/tail_queries.py
+++ b/swiftdeck/chain/tail_queries.py
@@ -13,6 +13,8 @@
 )
 
 MAX_OUTCOME_WAIT_MS = 30000
+OUTCOME_ASK_BYTES = 4096
+"""The largest frame of an OutcomeAsk, which waits for long: an id has 100 characters at the most."""
 
 
 class TailQueries:
@@ -20,8 +22,8 @@
 
     def __init__(self, chain):
         self.chain, self.leases = chain, chain.leases
+        chain.mesh.register(OutcomeAsk, self.on_outcome_ask, size_limit=OUTCOME_ASK_BYTES)
         for kind, handler in (
-            (OutcomeAsk, self.on_outcome_ask),
             (ConfigAsk, self.on_config_ask),
             (DurableConfigAsk, self.on_durable_config_ask),
             (LeaseAsk, self.on_lease_ask),
--- a/swiftdeck/control/node.py
+++ b/swiftdeck/control/node.py
@@ -16,7 +16,7 @@
     def __init__(self, settings, role, random, log=None):
         self.settings, self.random = settings, random
         self.telemetry = Telemetry(log)
-        limits = MeshLimits.within(settings.memoryMb)
+        limits = MeshLimits.within(settings.memoryMb, settings.fileHandles)
         self.mesh = Mesh(settings.inner, self.telemetry.log_event, limits)
         self.me = Member(
             addr=settings.inner,
--- a/swiftdeck/gateway/admission.py
+++ b/swiftdeck/gateway/admission.py
@@ -12,6 +12,8 @@
 from swiftdeck.wire.messages import LoadNews, PlaceAsk, PlaceEnd, PlaceReturn
 
 RESPONSE_MARGIN_MS = 120
+PLACE_ASK_BYTES = 1 << 17
+"""The largest frame of a PlaceAsk, which waits in a queue; the head of a request limits its parts."""
 UNREAD_TOKENS_MAX = 1 << 31
 """Largest backlog sent in a message, in tokens; more than any worker will have to read."""
 
@@ -40,7 +42,7 @@
         )
         self.memory_of, self.broadcast, self.on_admitted = memory_of, broadcast, on_admitted
         self.owners, self.granting_owners, self.policy = Owners(), {}, policy
-        mesh.register(PlaceAsk, self.on_place_ask, True)
+        mesh.register(PlaceAsk, self.on_place_ask, True, size_limit=PLACE_ASK_BYTES)
         mesh.register(PlaceEnd, self.on_place_end)
         broadcast.subscribe(LoadNews, self.on_load_news)
 
--- a/swiftdeck/member/membership.py
+++ b/swiftdeck/member/membership.py
@@ -240,7 +240,7 @@
         for member in probe.about:
             self.learn(member)
         if probe.target and probe.target != self.me.addr:
-            return asyncio.ensure_future(self._probe_for(probe, sender))
+            return self._probe_for(probe, sender)
         about = self._recent_changes()
         known_sender = self.known.get(probe.sender.incarnation)
         if known_sender and known_sender.member.state != ALIVE:
--- a/swiftdeck/wire/mesh.py
+++ b/swiftdeck/wire/mesh.py
@@ -22,7 +22,7 @@
 )
 from swiftdeck.runtime.memory_pool import MemoryPool
 from swiftdeck.runtime.receive_buffer import limit_receive_buffers
-from swiftdeck.wire.limits import MeshLimits
+from swiftdeck.wire.limits import FREE_MESSAGE_BYTES, MeshLimits
 from swiftdeck.wire.link import (
     FRAME_LIMIT_BYTES,
     LENGTH,
@@ -32,8 +32,6 @@
 )
 from swiftdeck.wire.messages import KINDS, NUMBERS, Done, FaultReturn, WireMessage
 
-RUNNING_HANDLERS_LIMIT = 8192
-"""The most messages of one link that are handled at a time."""
 HEAD = struct.Struct(">HQBB")
 """Header: kind number, exchange number, is-return flag, length of the sender address after it."""
 RECEIVE_BUFFER_BYTES = 1 << 17
@@ -53,10 +51,14 @@
 
 @attrs.define(eq=False)
 class Handler:
-    """The handler of a kind of message; a bound one is cancelled when the link is lost."""
+    """The handler of a kind of message; a bound one is cancelled when the link is lost.
+
+    `size_limit` is the size in bytes of the largest message that it takes, if it has a limit.
+    """
 
     function: Callable
     is_bound: bool
+    size_limit: int | None = None
 
 
 class Envelope(msgspec.Struct, eq=False):
@@ -105,6 +107,8 @@
         self.addr, self.note, self.sender = addr, note, addr.encode()
         self.limits = limits or MeshLimits()
         self.partial_frames = MemoryPool(self.limits.partial_frame_bytes)
+        self.handled_messages = MemoryPool(self.limits.handled_message_bytes)
+        self.handler_count = 0
         self.links: dict[Link, None] = {}
         self.outgoing: dict[str, Link] = {}
         self.connecting: dict[str, asyncio.Task] = {}
@@ -150,13 +154,14 @@
             if oldest is link:
                 return
 
-    def register(self, kind, handler, is_bound=False):
+    def register(self, kind, handler, is_bound=False, size_limit=None):
         """Pass messages of a kind to `handler(message, sender_addr)`.
 
         The result of the handler, or of its coroutine, is the response: a message, a fault, or
-        None for Done. A bound handler is cancelled when the link of its message is lost.
+        None for Done. A bound handler is cancelled when the link of its message is lost. A message
+        with a frame of over `size_limit` bytes is refused, where a limit is given.
         """
-        self.handlers[kind] = Handler(handler, is_bound)
+        self.handlers[kind] = Handler(handler, is_bound, size_limit)
 
     async def _get_link(self, addr):
         """Return the link to an address, connecting if necessary, or PEER_UNREACHABLE."""
@@ -296,12 +301,17 @@
             fault = UNKNOWN_KIND.with_reason(str(envelope.number))
             self._send_return(link, envelope.exchange, fault)
             return envelope.exchange != 0
-        if link and len(link.running) >= RUNNING_HANDLERS_LIMIT:
-            self._send_return(link, envelope.exchange, TOO_MANY_CALLS)
+        if handler.size_limit is not None and len(frame) > handler.size_limit:
+            self._refuse(envelope, link)
         else:
-            self._run_handler(handler, envelope, link)
+            self._run_handler(handler, envelope, link, len(frame))
         return True
 
+    def _refuse(self, envelope, link):
+        """Refuse a message that there is no room for."""
+        self.count["messagesRefused"] += 1
+        self._send_return(link, envelope.exchange, TOO_MANY_CALLS)
+
     def _handle_return(self, envelope, link):
         """Complete the request that a response belongs to.
 
@@ -323,7 +333,7 @@
             return fault_from_code(message.code, message.reason, message.retry_ms or None)
         return message
 
-    def _run_handler(self, handler, envelope, link):
+    def _run_handler(self, handler, envelope, link, size):
         """Call a handler and send its response; a coroutine runs in a task of its own."""
         message, exchange = envelope.message, envelope.exchange
         try:
@@ -333,10 +343,35 @@
         if not inspect.iscoroutine(result):
             self._send_return(link, exchange, result)
             return
+        if not self._may_wait(link, size):
+            result.close()
+            return self._refuse(envelope, link)
         task = asyncio.ensure_future(self._await_handler(result, message, exchange, link))
+        if size > FREE_MESSAGE_BYTES:
+            self.handled_messages.reserve(task, size)
+        self.handler_count += 1
         if link:
             link.running[id(task)] = RunningHandler(task, handler.is_bound)
-            task.add_done_callback(lambda task: link.running.pop(id(task), None))
+        task.add_done_callback(lambda task: self._end_handler(task, link))
+
+    def _may_wait(self, link, size) -> bool:
+        """Return whether the handler of a message of some size may wait for something.
+
+        A few handlers for each link may, however many there are.
+        """
+        memory = self.handled_messages
+        if size > FREE_MESSAGE_BYTES and memory.used_bytes + size > memory.limit_bytes:
+            return False
+        running = len(link.running) if link else self.handler_count
+        if running < self.limits.link_handlers_kept:
+            return True
+        return running < self.limits.link_handlers and self.handler_count < self.limits.handlers
+
+    def _end_handler(self, task, link):
+        self.handler_count -= 1
+        self.handled_messages.release(task)
+        if link:
+            link.running.pop(id(task), None)
 
     async def _await_handler(self, coroutine, message, exchange, link):
         try:
--- a/tests/wire/test_crowds.py
+++ b/tests/wire/test_crowds.py
@@ -42,12 +42,12 @@
     def setUp(self):
         self.world, self.meshes = World(), []
 
-    def serve(self, handlers=None, **limits):
+    def serve(self, by_kind=None, **limits):
         """Start a mesh at 10.0.0.1:7000, with the handlers of some kinds of messages."""
 
         async def start():
             self.meshes.append(Mesh("10.0.0.1:7000", limits=MeshLimits(**limits)))
-            for kind, handler in (handlers or {}).items():
+            for kind, handler in (by_kind or {}).items():
                 self.meshes[0].register(kind, handler)
             await self.meshes[0].start()
 
@@ -86,6 +86,42 @@
         self.assertEqual([len(message.body) for message in received], [FRAME_BYTES] * 2)
         self.assertEqual(mesh.partial_frames.used_bytes, 0)
 
+    def test_messages_wait_in_no_more_memory_than_there_is_for_them(self):
+        async def wait(message, sender):
+            await asyncio.sleep(10)
+
+        mesh = self.serve({ListReturn: wait}, handled_message_bytes=3 * FRAME_BYTES)
+        data = frame(ListReturn(body=b"x" * (FRAME_BYTES - 50)), exchange=7)
+        strangers = self.connect(*(Stranger(data) for _ in range(5)))
+        refused = [bool(stranger.received) for stranger in strangers]
+        self.assertEqual(refused, [False] * 3 + [True] * 2)
+        self.assertLessEqual(mesh.handled_messages.used_bytes, 3 * FRAME_BYTES)
+        self.world.run(15)
+        self.assertEqual((mesh.handled_messages.used_bytes, mesh.handler_count), (0, 0))
+
+    def test_few_handlers_wait_at_a_time_and_some_of_each_link(self):
+        async def wait(message, sender):
+            await asyncio.sleep(10)
+
+        limits = {"handlers": 10, "link_handlers": 8, "link_handlers_kept": 2}
+        mesh = self.serve({ListReturn: wait, ListAsk: lambda *_: ListReturn()}, **limits)
+        many = frame(ListReturn()) * 20
+        self.connect(Stranger(many))
+        self.assertEqual(mesh.handler_count, 8)
+        self.connect(Stranger(many))
+        self.assertEqual(mesh.handler_count, 10)
+        _, asking = self.connect(Stranger(many), Stranger(frame(ListAsk(), exchange=1)))
+        self.assertEqual(mesh.handler_count, 12)
+        self.assertTrue(asking.received)
+
+    def test_a_message_over_the_limit_of_its_kind_is_refused(self):
+        received = []
+        mesh = self.serve()
+        mesh.register(ListReturn, lambda *_: received.append(1), size_limit=FRAME_BYTES)
+        body = b"x" * FRAME_BYTES
+        (stranger,) = self.connect(Stranger(frame(ListReturn(body=body), exchange=1)))
+        self.assertEqual((received, bool(stranger.received)), ([], True))
+
     def test_many_frames_leave_other_links_their_turn(self):
         received, in_turn, handle_frames = [], [], Link.handle_frames
 
