Mesh: a bound on unread messages, on those out of reach and on links

Callers saw the tail of the chain take 457 MB of 296: strangers ask for copies of the configuration and read none, and each link might hold 128 MiB. 600 silent links took 621 of 400 descriptors.

The listed tests failed before and pass now.

--- a/swiftdeck/wire/link.py
+++ b/swiftdeck/wire/link.py
@@ -31,7 +31,8 @@
 
     `addr` is set only at the side that connected. `received_s` is when bytes were last received, by
     the clock of the loop. `running` has the running handlers of this link's messages, by the id of
-    their task. `partial_since_s` is when the first byte of a frame came that is not whole yet.
+    their task. `partial_since_s` is when the first byte of a frame came that is not whole yet,
+    `has_received` is set once a frame was received that parses.
     """
 
     def __init__(self, mesh, addr=None):
@@ -39,20 +40,26 @@
         self.transport, self.buffer = None, bytearray()
         self.running: dict[int, RunningHandler] = {}
         self.received_s = asyncio.get_running_loop().time()
-        self.gone = self.is_continuing = False
+        self.gone = self.is_continuing = self.has_received = False
         self.partial_since_s = None
 
     def connection_made(self, transport):
         """Register the link with the mesh."""
         self.transport = transport
         transport.max_size = READ_BYTES
-        self.mesh.links[self] = None
+        self.mesh.register_link(self)
 
     def pause_writing(self):
-        """Do nothing: `send` bounds the write buffer."""
+        """Note that the peer reads too slowly; `send` bounds what waits for it."""
+        self.mesh.congested[self] = None
 
     def resume_writing(self):
-        """Do nothing: writing was never paused."""
+        """Note that the peer has read again."""
+        self.mesh.congested.pop(self, None)
+
+    def unread_bytes(self) -> int:
+        """Return how many bytes wait until the peer reads."""
+        return self.transport.get_write_buffer_size()
 
     def eof_received(self):
         """Return False, so that the transport closes itself."""
@@ -74,6 +81,7 @@
             offset += LENGTH.size + len(frame)
             if not self.mesh.receive(frame, self):
                 return self.reject("frame does not parse")
+            self.has_received = True
         if offset:
             del self.buffer[:offset]
             self.partial_since_s = None
@@ -142,7 +150,9 @@
 
     def send(self, data):
         """Write one framed message; return False when the link is gone or its buffer is full."""
-        if self.gone or self.transport.get_write_buffer_size() > 2 * FRAME_LIMIT_BYTES:
+        if self.gone or self.transport.is_closing():
+            return False
+        if self in self.mesh.congested and not self.mesh.has_room_to_send(self, len(data)):
             return False
         self.transport.write(LENGTH.pack(len(data)) + data)
         return True
@@ -152,6 +162,7 @@
         self.gone = True
         self.mesh.links.pop(self, None)
         self.mesh.partial_frames.release(self)
+        self.mesh.congested.pop(self, None)
         for handler in list(self.running.values()):
             if handler.is_bound:
                 handler.task.cancel()
--- a/swiftdeck/wire/mesh.py
+++ b/swiftdeck/wire/mesh.py
@@ -100,7 +100,9 @@
 
     It sends requests, one-way messages and datagrams, and passes received messages to their
     handlers. `outgoing` has the links that this process opened and `connecting` those being opened,
-    by address; `pending` has the requests that await a response, by exchange number.
+    by address; `pending` has the requests that await a response, by exchange number. `congested`
+    has the links whose peers read too slowly, `waiting_bytes` counts one-way messages that wait for
+    a link.
     """
 
     def __init__(self, addr, note=lambda *_, **__: None, limits=None):
@@ -108,8 +110,9 @@
         self.limits = limits or MeshLimits()
         self.partial_frames = MemoryPool(self.limits.partial_frame_bytes)
         self.handled_messages = MemoryPool(self.limits.handled_message_bytes)
-        self.handler_count = 0
+        self.handler_count = self.waiting_bytes = 0
         self.links: dict[Link, None] = {}
+        self.congested: dict[Link, None] = {}
         self.outgoing: dict[str, Link] = {}
         self.connecting: dict[str, asyncio.Task] = {}
         self.pending: dict[int, PendingRequest] = {}
@@ -135,6 +138,38 @@
         for link in list(self.links):
             link.transport.abort()
 
+    def register_link(self, link):
+        """Add a new link; where others have opened too many, drop one of those.
+
+        That is the one on which nothing has come for the longest time, among those without any
+        valid frame if there are any.
+        """
+        self.links[link] = None
+        opened_by_others = [other for other in self.links if other.addr is None]
+        if link.addr is None and len(opened_by_others) > self.limits.links:
+            others = [other for other in opened_by_others if other is not link]
+            idle = min(others or [link], key=lambda other: (other.has_received, other.received_s))
+            self.count["linksDropped"] += 1
+            self.links.pop(idle)
+            idle.drop()
+
+    def has_room_to_send(self, link, size) -> bool:
+        """Return whether a message may wait until the peer of a link reads.
+
+        Where messages that are unread take too much memory, the links with the most of them are
+        dropped.
+        """
+        unread = {other: other.unread_bytes() for other in self.congested}
+        total = sum(unread.values()) + size
+        for other in sorted(unread, key=unread.get, reverse=True):
+            if total <= self.limits.unread_message_bytes:
+                break
+            self.count["linksCongested"] += 1
+            total -= unread[other]
+            self.congested.pop(other)
+            other.drop()
+        return link in self.congested
+
     def frame_limit(self) -> int:
         """Return the size in bytes of the largest frame that is received."""
         return min(FRAME_LIMIT_BYTES, self.limits.partial_frame_bytes - LENGTH.size)
@@ -253,13 +288,19 @@
             link = self.outgoing.get(addr)
             if link and not link.gone:
                 link.send(data)
+            elif self.waiting_bytes + len(data) > self.limits.unread_message_bytes:
+                self.count["sendsDropped"] += 1
             else:
+                self.waiting_bytes += len(data)
                 asyncio.ensure_future(self._connect_and_send(addr, data))
 
     async def _connect_and_send(self, addr, data):
-        link = await self._get_link(addr)
-        if not is_fault(link):
-            link.send(data)
+        try:
+            link = await self._get_link(addr)
+            if not is_fault(link):
+                link.send(data)
+        finally:
+            self.waiting_bytes -= len(data)
 
     def send_datagram(self, addr, message):
         """Send a message as one datagram; it may be lost."""
--- a/tests/wire/test_crowds.py
+++ b/tests/wire/test_crowds.py
@@ -122,6 +122,43 @@
         (stranger,) = self.connect(Stranger(frame(ListReturn(body=body), exchange=1)))
         self.assertEqual((received, bool(stranger.received)), ([], True))
 
+    def test_unread_messages_wait_in_no_more_memory_than_there_is_for_them(self):
+        body = b"x" * FRAME_BYTES
+        limits = {"unread_message_bytes": 10 * FRAME_BYTES}
+        mesh = self.serve({ListAsk: lambda *_: ListReturn(body=body)}, **limits)
+        asks = frame(ListAsk(), exchange=1)
+        self.connect(*(Stranger(asks * count, reads=False) for count in (20, 3, 5)))
+        unread = sorted(link.unread_bytes() // FRAME_BYTES for link in mesh.links)
+        self.assertEqual(unread, [3, 5])
+        (reader,) = self.connect(Stranger(asks))
+        self.assertGreater(len(reader.received), FRAME_BYTES)
+
+    def test_messages_to_nodes_out_of_reach_wait_in_no_more_memory_than_there_is(self):
+        mesh = self.serve(unread_message_bytes=3 * FRAME_BYTES)
+        self.world.net.vanished.add("10.0.0.9")
+        message = ListReturn(body=b"x" * (FRAME_BYTES - 50))
+
+        async def send():
+            for _ in range(5):
+                mesh.send("10.0.0.9:7000", message)
+            return mesh.waiting_bytes, mesh.count["sendsDropped"]
+
+        waiting_bytes, dropped = self.world.run_task("node", send)
+        self.assertLessEqual(waiting_bytes, 3 * FRAME_BYTES)
+        self.assertEqual(dropped, 2)
+        self.world.run(5)
+        self.assertEqual(mesh.waiting_bytes, 0)
+
+    def test_a_new_link_takes_the_place_of_the_one_that_has_been_silent_longest(self):
+        mesh = self.serve({ListAsk: lambda *_: ListReturn()}, links=3)
+        (node,) = self.connect(Stranger(frame(ListAsk(), exchange=1)))
+        first, second = self.connect(Stranger(), Stranger(b"\0\0"))
+        third, fourth = self.connect(Stranger(), Stranger())
+        strangers = (node, first, second, third, fourth)
+        closed = [stranger.is_closed for stranger in strangers]
+        self.assertEqual(closed, [False, True, True, False, False])
+        self.assertEqual(len(mesh.links), 3)
+
     def test_many_frames_leave_other_links_their_turn(self):
         received, in_turn, handle_frames = [], [], Link.handle_frames
 
