Soak: crowds that keep to no limit come beside all other troubles

A machine counts as in trouble while a crowd is there and for 5 s after, as the users' rules have it.

--- a/swiftdeck/programs/bench.py
+++ b/swiftdeck/programs/bench.py
@@ -172,6 +172,9 @@
     slack: Annotated[
         float, typer.Option(help="By how much bounds of time are widened on a busy machine.")
     ] = 1.0,
+    crowds: Annotated[
+        bool, typer.Option(help="Whether clients that keep to no limit come as well.")
+    ] = False,
     folder: Annotated[
         str, typer.Option(help="Folder for logs and records; by default one that is removed.")
     ] = "",
@@ -181,6 +184,7 @@
     The status is 1 when a rule or an invariant was broken, or the site did not recover.
     """
     size = SHORT_SOAK if short else SoakSize(seconds=seconds, routers=routers, slack=slack)
+    size = attrs.evolve(size, crowds=crowds)
     with (
         tempfile.TemporaryDirectory() as temporary_folder,
         asyncio.Runner(loop_factory=BootLoop) as runner,
--- a/swiftdeck/soak/run.py
+++ b/swiftdeck/soak/run.py
@@ -7,12 +7,14 @@
 
 import attrs
 
+from swiftdeck.bench.platform_api.site_forms import MachineLimits
 from swiftdeck.bench.record import ListRecord, boot_ms
 from swiftdeck.soak.addresses import LoopbackBlock
 from swiftdeck.soak.final_look import FinalCheck
 from swiftdeck.soak.invariants import InvariantWatch
 from swiftdeck.soak.operators import Operators
 from swiftdeck.soak.processes import PROGRAM, SiteProcesses
+from swiftdeck.soak.resources import ResourceWatch
 from swiftdeck.soak.schedule import draw_schedule
 from swiftdeck.soak.site import BOUNDS, Site
 from swiftdeck.soak.stalls import StallWatch
@@ -30,15 +32,18 @@
 class SoakSize:
     """Size of a soak run.
 
-    `slack` is the factor by which time bounds are widened on a busy machine.
+    `slack` is the factor by which time bounds are widened on a busy machine. With `crowds`
+    misbehaving clients come as well.
     """
 
     seconds: float = 60.0
     routers: int = 3
     traffic: TrafficSize = TrafficSize()
     slack: float = 1.0
+    crowds: bool = False
 
 
+LIMITS = {"router": MachineLimits(160, 400), "core": MachineLimits(296, 400)}
 SHORT = SoakSize(seconds=7.0, traffic=TrafficSize(4.0, 4, 2), slack=2.0)
 
 
@@ -49,8 +54,8 @@
         self.seed, self.folder, self.size, self.say = seed, Path(folder), size or SoakSize(), say
         self.folder.mkdir(parents=True, exist_ok=True)
         self.items, rng = [], random.Random(seed)
-        self.site = Site(LoopbackBlock(), routers=self.size.routers)
-        drawn_schedule = draw_schedule(rng.random(), self.size.seconds, self.site)
+        self.site = Site(LoopbackBlock(), routers=self.size.routers, limits=LIMITS)
+        drawn_schedule = draw_schedule(rng.random(), self.size.seconds, self.site, self.size.crowds)
         self.schedule = schedule or drawn_schedule
         self.processes = SiteProcesses(self.site, self.folder, program)
         self.stand_ins = StandIns(self.site, self._record, rng.random())
@@ -73,6 +78,7 @@
         )
         self.invariants = InvariantWatch(self.processes)
         self.stalls = StallWatch(self.troubles)
+        self.resources = ResourceWatch(self.processes.by_name.values())
         self.problems, self.start_ms = [], boot_ms()
 
     def _record(self, source):
@@ -103,11 +109,13 @@
         self._report_step("is up")
         self.processes.write_joining_settings()
         watch_task = asyncio.ensure_future(self._watch())
+        self.resources.start()
         self.operators.start()
         self.traffic.start()
         await self.troubles.play(self.schedule)
         await self._settle_and_check()
         watch_task.cancel()
+        self.resources.stop()
 
     def _report_step(self, step):
         self.say(f"after {(boot_ms() - self.start_ms) / 1000:.1f} s the site {step}")
--- a/swiftdeck/soak/schedule.py
+++ b/swiftdeck/soak/schedule.py
@@ -6,6 +6,7 @@
 import attrs
 
 from swiftdeck.bench.platform_api.worker import QUIRKS
+from swiftdeck.soak.crowd_kinds import KINDS_BY_ROLE
 
 REPLACEMENT_S = {"router": 10.0, "core": 8.0}
 """Usual time in seconds from a planned stop of a machine until it serves again, by role."""
@@ -58,6 +59,7 @@
     DELAY_ORDERS = "delay-orders"
     LOSE_ANSWERS = "lose-operator-answers"
     SECOND_OPERATOR = "second-operator"
+    CROWD = "crowd"
 
 
 MACHINE_KINDS = (
@@ -82,6 +84,8 @@
     Kind.LOSE_ANSWERS,
     Kind.SECOND_OPERATOR,
 )
+CROWD_GAP_S, CROWD_S, CROWD_SERIES = (0.1, 1.0), (1.5, 5.0), 2
+"""Pause between the crowds of a series, how long one stays, and how many series overlap."""
 WORKER_KINDS = (Kind.CRASH_WORKER, Kind.DRAIN_WORKER, Kind.WORKER_QUIRK)
 
 
@@ -141,9 +145,26 @@
     return sum(overlaps) / max(1, len(overlaps))
 
 
-def draw_schedule(seed, seconds, site) -> Schedule:
-    """Return the schedule that a seed generates for a site."""
-    return Schedule(seconds, ScheduleGenerator(seed, seconds, site).troubles)
+def draw_schedule(seed, seconds, site, has_crowds=False) -> Schedule:
+    """Return the schedule that a seed generates for a site, with crowds of clients if wanted."""
+    troubles = ScheduleGenerator(seed, seconds, site).troubles
+    if has_crowds:
+        troubles = sorted(
+            [*troubles, *draw_crowds(seed, seconds, site)], key=lambda trouble: trouble.at_s
+        )
+    return Schedule(seconds, troubles)
+
+
+def draw_crowds(seed, seconds, site):
+    """Yield crowds of misbehaving clients in series that overlap."""
+    rng = random.Random(f"crowds of {seed}")
+    for _ in range(CROWD_SERIES):
+        at_s = rng.uniform(*CROWD_GAP_S)
+        while at_s < seconds:
+            machine, for_s = rng.choice(list(site.machines.values())), rng.uniform(*CROWD_S)
+            kind = rng.choice(list(KINDS_BY_ROLE[machine.role]))
+            yield Trouble(at_s, for_s, Kind.CROWD, machine.name, how=kind)
+            at_s += for_s + rng.uniform(*CROWD_GAP_S)
 
 
 @attrs.frozen
--- a/swiftdeck/soak/troubles.py
+++ b/swiftdeck/soak/troubles.py
@@ -8,6 +8,7 @@
 from swiftdeck.bench.platform_api.rules.records import LINK, PROCESS
 from swiftdeck.bench.platform_api.site_forms import READY_PATH
 from swiftdeck.http.client import fetch_json
+from swiftdeck.soak.crowd_kinds import KINDS_BY_ROLE
 from swiftdeck.soak.link_filter import MAX_LATE_S, Cut
 from swiftdeck.soak.schedule import Kind
 from swiftdeck.soak.site import GRACE_S
@@ -19,6 +20,8 @@
 CRASH_UNNOTICED_S, DRAIN_S = 3.0, 4.6
 """Time until a crashed worker leaves the platform's list, and until a draining worker is ended."""
 CUT_RENEWAL_S = 0.2
+CHOKED_S = 5.0
+"""How long a machine counts as in trouble after clients pressed beyond the usual."""
 
 
 class Troubles:
@@ -33,6 +36,7 @@
         self.operators, self.record_plan, self.now_ms = operators, record("plan"), now_ms
         self.noted, self.planned, self.cuts, self.late_stops, self.started = [], [], {}, [], []
         self.late_shares: dict[int, tuple[str, float]] = {}
+        self.crowd_connections = 0
         self.actions = {
             Kind.TERMINATE: self._terminate,
             Kind.HANG_UP: self._hang_up,
@@ -48,6 +52,7 @@
             Kind.DELAY_ORDERS: self._delay_orders,
             Kind.LOSE_ANSWERS: self._lose_answers,
             Kind.SECOND_OPERATOR: self._second_operator,
+            Kind.CROWD: self._crowd,
         }
 
     async def play(self, schedule):
@@ -274,3 +279,15 @@
     async def _second_operator(self, trouble):
         self.operators.enable_second_operator(trouble.for_s)
         await asyncio.sleep(trouble.for_s)
+
+    async def _crowd(self, trouble):
+        """Let misbehaving clients come to a machine, which is in trouble until CHOKED_S later."""
+        machine = self.site.machines[trouble.target]
+        period = self.begin_trouble(machine.name)
+        crowd = KINDS_BY_ROLE[machine.role][trouble.how].crowd(machine)
+        crowd.start()
+        await asyncio.sleep(trouble.for_s)
+        self.crowd_connections += crowd.opened
+        await crowd.close()
+        await asyncio.sleep(CHOKED_S)
+        self.end_trouble(period)
--- a/swiftdeck/soak/verdict.py
+++ b/swiftdeck/soak/verdict.py
@@ -36,6 +36,9 @@
     counters_read: int
     stalls: int
     longest_stall_s: float
+    crowd_connections: int
+    memory_mb: dict
+    descriptors: dict
 
 
 @attrs.frozen
@@ -120,6 +123,7 @@
         *soak.problems,
         *soak.troubles.unexplained_late_stops(),
         *_unexpected_ends(soak),
+        *exceeded_limits(soak.site, soak.resources.usage),
         *_activity_shortfalls(soak, sums),
     ]
     verdict = Verdict(soak.seed, rules, sorted(soak.invariants.found), problems, sums)
@@ -154,6 +158,9 @@
         counters_read=soak.invariants.answered_reads,
         stalls=soak.stalls.count,
         longest_stall_s=round(soak.stalls.longest_s, 2),
+        crowd_connections=soak.troubles.crowd_connections,
+        memory_mb=_peaks(soak, lambda usage: usage.memory_bytes >> 20),
+        descriptors=_peaks(soak, lambda usage: usage.descriptors),
     )
 
 
@@ -165,18 +172,39 @@
     ]
 
 
+def _peaks(soak, figure) -> dict:
+    """Return the largest figure of the processes of each role."""
+    peaks = {}
+    for name, usage in soak.resources.usage.items():
+        role = soak.site.machines[name].role
+        peaks[role] = max(peaks.get(role, 0), figure(usage))
+    return peaks
+
+
+def exceeded_limits(site, usage_by_name):
+    """Describe the processes that used more than their machine has."""
+    for name, usage in usage_by_name.items():
+        limits = site.limits[site.machines[name].role]
+        if usage.memory_bytes > limits.memory_mb << 20:
+            yield f"{name} used {usage.memory_bytes >> 20} MB of {limits.memory_mb}"
+        if usage.descriptors > limits.file_handles:
+            yield f"{name} used {usage.descriptors} descriptors of {limits.file_handles}"
+
+
 def _activity_shortfalls(soak, sums):
     """Describe what fell short of its minimum, as a run with little activity shows nothing."""
     seconds = soak.size.seconds
+    served_share = 0.0 if soak.size.crowds else MIN_SERVED_SHARE
     minimums = {
         "requests": (sums.requests, MIN_REQUESTS_PER_S * seconds),
-        "requests served": (sums.served, MIN_SERVED_SHARE * sums.requests),
+        "requests served": (sums.served, max(1.0, served_share * sums.requests)),
         "changes": (sums.changes, MIN_CHANGES_PER_S * seconds),
         "weights named": (sums.weights, 1),
         "orders": (sums.orders, 1),
         "counters read": (sums.counters_read, 1),
         "planned stops": (sums.planned, 1),
         "clients that left": (sums.left, 1),
+        "crowds": (sums.crowd_connections, int(soak.size.crowds)),
     }
     return [
         f"only {count} {activity}"
--- a/tests/soak/test_verdict.py
+++ b/tests/soak/test_verdict.py
@@ -5,8 +5,10 @@
 from pathlib import Path
 from types import SimpleNamespace
 
+from swiftdeck.bench.platform_api.site_forms import MachineLimits
 from swiftdeck.soak.invariants import InvariantWatch, broken_invariants
-from swiftdeck.soak.verdict import broken_rules
+from swiftdeck.soak.resources import Usage
+from swiftdeck.soak.verdict import broken_rules, exceeded_limits
 
 ROUTER, OTHER, CORE = "router1", "router2", "core1"
 STOPPED_MS, SENT_MS, CUT_MS = 10000, 14000, 16800
@@ -95,6 +97,14 @@
         self.assertEqual(broken_invariants(counters), {"invariant.a": 2})
         self.assertEqual(broken_invariants(None), {})
 
+    def test_a_process_over_the_limits_of_its_machine_is_found(self):
+        machines = {name: SimpleNamespace(role="router") for name in (ROUTER, OTHER)}
+        site = SimpleNamespace(machines=machines, limits={"router": MachineLimits(160, 400)})
+        within, over = Usage(160 << 20, 400), Usage((160 << 20) + 1, 401)
+        self.assertEqual(list(exceeded_limits(site, {ROUTER: within})), [])
+        found = list(exceeded_limits(site, {ROUTER: within, OTHER: over}))
+        self.assertEqual([line.startswith(f"{OTHER} used ") for line in found], [True, True])
+
     def test_logs_of_all_lives_are_read(self):
         with tempfile.TemporaryDirectory() as folder:
             paths = [Path(folder) / f"{ROUTER}.{life}.log" for life in (1, 2, 3)]
