HTTP: a client that doesn't read is no cut of ours when its router stops

Traced: 24 members of the crowd requests-ahead read nothing, so their answers were begun and waited for them; the router was told to stop, and at the end of its work closed these connections as "unanswered", which counts as a fault of its own. Whoever reads nothing is a stalled client, as at the limit for slow readers.

The new test failed before: {'requestsCut.unanswered': 1, 'invariant.requestsCut': 1}.

--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -478,7 +478,8 @@
             return
         exchange, task = self.exchange, self.task
         if exchange is None or exchange.begun:
-            return self.abort(CutReason.UNANSWERED)
+            stalled = self.is_stalled()
+            return self.abort(CutReason.CLIENT_STALLED if stalled else CutReason.UNANSWERED)
         await exchange.give_fault(fault)
         task.cancel()
         self.close()
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -6,7 +6,7 @@
 import weakref
 from unittest import mock
 
-from swiftdeck.fault import is_fault
+from swiftdeck.fault import ROUTER_STOPPING, is_fault
 from swiftdeck.http.connection import (
     BACKLOG_LIMIT_BYTES,
     EVENTS_PER_TURN,
@@ -286,6 +286,23 @@
         self.world.run(30)
         self.assertEqual((len(server.open), server.stalled), (1, {}))
 
+    def test_a_server_that_stops_owes_nothing_to_a_client_that_does_not_read(self):
+        async def answer(exchange):
+            await exchange.send_response(200, [], b"x" * 4 * HIGH_WATER_BYTES)
+
+        server = self.serve(answer)
+        self.connect(lambda: SilentReader([GET]))
+        self.world.run(1)
+
+        async def stop():
+            server.stop()
+            await server.finish(1.0, ROUTER_STOPPING)
+
+        self.world.run_task("server", stop)
+        self.world.run(1)
+        cuts = {name: n for name, n in server.count.items() if "requestsCut" in name}
+        self.assertEqual((cuts, server.open), ({"requestsCut.clientStalled": 1}, {}))
+
     def test_tiny_chunks_leave_other_connections_their_turn(self):
         async def answer(exchange):
             await exchange.send_json(200, {"size": len(exchange.body)})
