HTTP: streams on which nothing happens give way to new connections

With the bound on connections, as many streams of decisions as there may be connections kept every caller of the own interface out: they count as worked on, for as long as their clients like.

Now a response that goes on without an end and waits for something to tell can be ended for a new connection, like a stream of changes that isn't continued. The new test with 400 such streams fails without this (no ordinary call is served within a minute) and passes now.

--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -138,9 +138,10 @@
         """Return whether no request is being worked on: none has come, or not the whole of it."""
         return self.task is None
 
-    def awaits_body(self) -> bool:
-        """Return whether a handler waits for more of a streamed body."""
-        return self.exchange is not None and self.exchange.awaits_body
+    def is_waiting_stream(self) -> bool:
+        """Return whether a handler waits for more of a streamed body, or for events to send."""
+        exchange = self.exchange
+        return exchange is not None and (exchange.awaits_body or exchange.awaits_events)
 
     def abort_stalled(self):
         """Abort the connection of a client that doesn't read its response."""
@@ -160,8 +161,10 @@
         elif self.task is None:
             self.reject(TOO_MANY_CONNECTIONS)
             self.close()
-        elif self.awaits_body():
+        elif self.body_queue is not None:
             self.end_body()
+        elif self.is_waiting_stream():
+            self.abort(CutReason.CLIENT_FAULT)
         else:
             self.close()
 
--- a/swiftdeck/http/exchange.py
+++ b/swiftdeck/http/exchange.py
@@ -1,6 +1,7 @@
 """A request of an HTTP connection and its response."""
 
 import asyncio
+import contextlib
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
@@ -44,7 +45,8 @@
         }
         self.body = body
         self.begun = self.finished = False
-        self.body_queue, self.awaits_body, self.body_fault = None, False, None
+        self.body_queue, self.body_fault = None, None
+        self.awaits_body = self.awaits_events = False
         self.name = ""
         self.on_client_end = None
 
@@ -68,6 +70,15 @@
         if not self.begun and not self.conversation.is_ending():
             self.conversation.send(h11.InformationalResponse(status_code=PROCESSING, headers=[]))
 
+    @contextlib.contextmanager
+    def waiting_for_events(self):
+        """Mark the response as one that goes on without an end, and waits for something to tell."""
+        self.awaits_events = True
+        try:
+            yield
+        finally:
+            self.awaits_events = False
+
     async def _next_piece(self, until_s: float | None):
         """Return the next piece of a streamed body, or None at its end.
 
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -56,8 +56,8 @@
     def register(self, connection):
         """Add a new connection; where there are too many, end the one that has waited longest.
 
-        That is one without a request that is being worked on. Otherwise it is a streamed body, or
-        else a response, that its client doesn't continue. Without any of these it is the new one.
+        That is one without a request that is being worked on. Otherwise it is a stream on which
+        nothing happens, or else a response that isn't read. Without any of these it is the new one.
         """
         self.open[connection] = None
         if len(self.open) <= self.limits.connections:
@@ -65,7 +65,7 @@
         others = [other for other in self.open if other is not connection]
         for is_candidate in (
             HttpConnection.awaits_request,
-            HttpConnection.awaits_body,
+            HttpConnection.is_waiting_stream,
             HttpConnection.is_stalled,
         ):
             candidates = list(filter(is_candidate, others))
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -524,7 +524,8 @@
             last_number = items[-1]["n"] if items else last_number
             if exchange.query.get("follow", "1") == "0":
                 break
-            await self.decisions.wait_for_more(5.0)
+            with exchange.waiting_for_events():
+                await self.decisions.wait_for_more(5.0)
             if not self.decisions.since(last_number)[1]:
                 await exchange.send_chunk(b"\n")
         exchange.finish()
--- a/tests/crowds/test_own_interface.py
+++ b/tests/crowds/test_own_interface.py
@@ -103,6 +103,10 @@
         request = payloads.request_head(ROUTE, method="HEAD")
         self.crowd(lambda: payloads.requests_ahead(request, 100000), reads=False)
 
+    def test_streams_of_decisions_that_stay_open(self):
+        request = payloads.request_head("/v1/decisions", method="GET")
+        self.crowd(lambda: [request], CrowdSize(400, rounds=1))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -349,6 +349,25 @@
         closed = [client.is_closed for client in (running, first, second, third)]
         self.assertEqual(closed, [False, True, False, False])
 
+    def test_a_new_connection_takes_the_place_of_a_stream_on_which_nothing_happens(self):
+        async def stream(exchange):
+            if exchange.path == "/a":
+                return await exchange.send_response(200, [], b"")
+            exchange.begin(200, [("transfer-encoding", "chunked")])
+            await exchange.send_chunk(b"begun")
+            with exchange.waiting_for_events():
+                await asyncio.Future()
+
+        server = self.serve(stream, limits=ServerLimits(connections=2))
+        follow = [GET.replace(b"/a", b"/events")]
+        first, second = self.record(follow, follow)
+        self.world.run(0.1)
+        (served,) = self.record([GET])
+        self.world.run(0.1)
+        self.assertTrue(served.received.startswith(b"HTTP/1.1 200 "), served.received)
+        self.assertEqual([first.is_closed, second.is_closed], [True, False])
+        self.assertEqual(server.count["invariant.requestsCut"], 0)
+
     def test_a_new_connection_is_closed_while_all_others_are_worked_on(self):
         async def never_answer(exchange):
             await asyncio.Future()
