--- a/swiftdeck/soak/crowd_kinds.py
+++ b/swiftdeck/soak/crowd_kinds.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from swiftdeck.bench.platform_api.operator import CONFIG
+from swiftdeck.bench.platform_api.site_forms import READY_PATH
 from swiftdeck.soak import payloads
 from swiftdeck.soak.crowd import Crowd, CrowdSize, Payload
 from swiftdeck.wire.mesh import HEAD
@@ -13,8 +15,7 @@
 BODY_BYTES, REQUESTS_AHEAD = 4 << 20, 20000
 ROUNDS = 1000
 """Members of a crowd open a connection again as often as it is closed while the crowd stays."""
-PUBLIC_PATH, CONFIG_PATH, CHANGES_PATH = "/public/1", "/swiftdeck/config", "/v1/changes"
-STALE_BASE = "If-Match: 999999999"
+PUBLIC_PATH, CHANGES_PATH = "/public/1", "/v1/changes"
 OUTCOME_ASK_BYTES, OUTCOME_WAIT_MS = 3000, 30000
 
 
@@ -83,22 +84,18 @@
         "heads-ahead": CrowdKind(Door.HTTP, _request(PUBLIC_PATH, "HEAD"), reads=False),
         "silent-connections": CrowdKind(Door.HTTP, payloads.nothing, 200),
         "partial-heads": CrowdKind(Door.HTTP, payloads.partial_head, 200),
-        "readiness-ahead": CrowdKind(
-            Door.OPERATIONS, _request("/swiftdeck/ready", "HEAD"), reads=False
-        ),
+        "readiness-ahead": CrowdKind(Door.OPERATIONS, _request(READY_PATH, "HEAD"), reads=False),
     },
     "core": NODE_KINDS
     | {
         "unfinished-changes": CrowdKind(
             Door.HTTP,
-            lambda: payloads.body_short_of_its_end(
-                CONFIG_PATH, BODY_BYTES, STALE_BASE, method="PUT"
-            ),
+            lambda: payloads.body_short_of_its_end(CONFIG, BODY_BYTES, method="PUT"),
         ),
         "unfinished-lines": CrowdKind(
             Door.HTTP, lambda: payloads.chunked_body_without_end(CHANGES_PATH, BODY_BYTES, 5000)
         ),
-        "reads-ahead": CrowdKind(Door.HTTP, _request(CONFIG_PATH), reads=False),
+        "reads-ahead": CrowdKind(Door.HTTP, _request(CONFIG), reads=False),
         "silent-operators": CrowdKind(Door.HTTP, payloads.nothing, 200),
     },
 }
