HTTP: a single body at the configured limit has room, whatever that limit is

Now the memory for bodies grows to the two copies of the largest one, up to half of the memory. A new link counts the others only where there may be too many.

--- a/swiftdeck/config/settings.py
+++ b/swiftdeck/config/settings.py
@@ -12,7 +12,7 @@
 
 from swiftdeck.config.policy import ALL_ON, Policy
 from swiftdeck.fault import BAD_SETTING
-from swiftdeck.http.limits import BODY_COPIES, ServerLimits
+from swiftdeck.http.limits import ServerLimits
 
 Ms = Annotated[int, msgspec.Meta(ge=10, le=600000)]
 
@@ -116,8 +116,7 @@
             yield "grantMs: must be below holdLicenceMs"
         if self.leaveMs >= self.stopMs:
             yield "leaveMs: must be below stopMs"
-        body_memory_bytes = self.server_limits().body_memory_bytes
-        if BODY_COPIES * self.bodyBytes > body_memory_bytes:
+        if self.bodyBytes > self.server_limits().largest_body_bytes:
             yield "bodyBytes: memoryMb leaves no room for a body of this size"
         if self.inner == self.http:
             yield "http: is the same as inner"
--- a/swiftdeck/control/core.py
+++ b/swiftdeck/control/core.py
@@ -81,13 +81,12 @@
             else None
         )
         self.operators = OperatorHttpApi(self)
-        limits = settings.server_limits()
         self.http = HttpServer(
             self.operators.handle,
-            min(settings.bodyBytes * OPERATOR_BODY_FACTOR, limits.largest_body_bytes()),
+            settings.bodyBytes * OPERATOR_BODY_FACTOR,
             note=self.telemetry.log_event,
             streams=(b"/v1/changes",),
-            limits=limits,
+            limits=settings.server_limits(),
         )
         self.agreement.watchers.append(self.on_view)
 
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -204,7 +204,7 @@
         limits = document.limits.get(CLIENT_LIMITS)
         if limits:
             self.http.head_limit = limits.head_bytes
-            self.http.body_limit = min(limits.body_bytes, self.http.limits.largest_body_bytes())
+            self.http.allow_bodies(limits.body_bytes)
             self.http.slow_ms, self.http.idleMs = limits.head_wait_ms, limits.idle_ms
         self.placing.follow(document.services)
         self.cache_followers.stores = list(self.placing.stores)
--- a/swiftdeck/http/limits.py
+++ b/swiftdeck/http/limits.py
@@ -5,6 +5,8 @@
 MEBIBYTE = 1 << 20
 BODY_MEMORY_SHARE = 0.2
 """The share of the memory of a process that large request bodies may take."""
+LARGEST_BODY_SHARE = 0.5
+"""The share of the memory that a single body may take with its copies, where it is allowed to."""
 BODY_COPIES = 2
 """How often a body is in memory while it is passed on."""
 CONNECTIONS_PER_MB = 1
@@ -26,17 +28,19 @@
     """Limits of one server, for all of its clients together.
 
     `body_memory_bytes` is the memory for large request bodies, counted with the copies that are
-    made of them. `stalled_connections` is how many clients may leave their responses unread at the
+    made of them; it grows for a single body that takes more, of `largest_body_bytes` at the most.
+    `stalled_connections` is how many clients may leave their responses unread at the
     same time.
     """
 
     body_memory_bytes: int = 256 * MEBIBYTE
+    largest_body_bytes: int = 128 * MEBIBYTE
     connections: int = 4096
     stalled_connections: int = 1024
 
-    def largest_body_bytes(self) -> int:
-        """Return the size of the largest body that there is memory for."""
-        return self.body_memory_bytes // BODY_COPIES
+    def memory_for_bodies_of(self, size: int) -> int:
+        """Return the memory for bodies of up to a size: the usual, or as much as one of them takes."""
+        return max(self.body_memory_bytes, BODY_COPIES * size)
 
     @classmethod
     def within(cls, memory_mb: int, file_handles: int):
@@ -45,6 +49,7 @@
         connections = min(memory_mb * CONNECTIONS_PER_MB, handles)
         return cls(
             body_memory_bytes=int(memory_mb * BODY_MEMORY_SHARE * MEBIBYTE),
+            largest_body_bytes=int(memory_mb * LARGEST_BODY_SHARE * MEBIBYTE) // BODY_COPIES,
             connections=connections,
             stalled_connections=max(1, int(connections * STALLED_SHARE)),
         )
@@ -56,6 +61,7 @@
         connections = min(OPERATIONS_CONNECTIONS, handles)
         return cls(
             body_memory_bytes=OPERATIONS_MEMORY_BYTES,
+            largest_body_bytes=OPERATIONS_BODY_BYTES,
             connections=connections,
             stalled_connections=max(1, int(connections * STALLED_SHARE)),
         )
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -37,7 +37,7 @@
         drain=None,
         limits=None,
     ):
-        self.handler, self.body_limit, self.note, self.streams = handler, body_limit, note, streams
+        self.handler, self.note, self.streams = handler, note, streams
         self.idleMs, self.slow_ms, self.slow_write_ms = idleMs, slow_ms, slow_write_ms
         self.open, self.is_stopped, self.server = {}, False, None
         self.stalled = {}
@@ -45,6 +45,7 @@
         self.head_limit = HEAD_LIMIT_BYTES
         self.limits = limits or ServerLimits()
         self.body_memory = MemoryPool(self.limits.body_memory_bytes)
+        self.allow_bodies(body_limit)
         self.count = Counter()
 
     async def start(self, ip, port):
@@ -53,6 +54,11 @@
         self.server = await self.loop.create_server(lambda: HttpConnection(self), ip, port)
         limit_receive_buffers(self.server, RECEIVE_BUFFER_BYTES)
 
+    def allow_bodies(self, size: int):
+        """Take bodies of up to a size, as far as there is memory for one of them."""
+        self.body_limit = min(size, self.limits.largest_body_bytes)
+        self.body_memory.limit_bytes = self.limits.memory_for_bodies_of(self.body_limit)
+
     def register(self, connection):
         """Add a new connection; where there are too many, end the one that has waited longest.
 
--- a/swiftdeck/wire/mesh.py
+++ b/swiftdeck/wire/mesh.py
@@ -145,8 +145,10 @@
         valid frame if there are any.
         """
         self.links[link] = None
+        if link.addr is not None or len(self.links) <= self.limits.links:
+            return
         opened_by_others = [other for other in self.links if other.addr is None]
-        if link.addr is None and len(opened_by_others) > self.limits.links:
+        if len(opened_by_others) > self.limits.links:
             others = [other for other in opened_by_others if other is not link]
             idle = min(others or [link], key=lambda other: (other.has_received, other.received_s))
             self.count["linksDropped"] += 1
