Mesh: many frames of many links leave the loop its other work

Traced: no view from 13.6 s to 38.6 s though all three cores ran. 24 strangers at a core ask for lists of members without end; each turn of the loop handled 32 frames of each link, and went on with thousands after the strangers had gone, so votes and leases came too late again and again.

Now the first 8 frames of a link are handled as they come, and the others in turns of 32 that one link at a time gets, with the loop's other work between two turns. A request whose link is gone is dropped unread, and a question for an outcome ends with its link.

The new tests fail without it.

--- a/swiftdeck/chain/tail_queries.py
+++ b/swiftdeck/chain/tail_queries.py
@@ -22,7 +22,7 @@
 
     def __init__(self, chain):
         self.chain, self.leases = chain, chain.leases
-        chain.mesh.register(OutcomeAsk, self.on_outcome_ask, size_limit=OUTCOME_ASK_BYTES)
+        chain.mesh.register(OutcomeAsk, self.on_outcome_ask, True, OUTCOME_ASK_BYTES)
         for kind, handler in (
             (ConfigAsk, self.on_config_ask),
             (DurableConfigAsk, self.on_durable_config_ask),
--- a/swiftdeck/wire/link.py
+++ b/swiftdeck/wire/link.py
@@ -8,8 +8,8 @@
 from swiftdeck.fault import BAD_FRAME, PEER_TIMEOUT
 
 FRAME_LIMIT_BYTES = 64 << 20
-FRAMES_PER_TURN = 32
-"""How many frames of a link are handled before other links get a turn."""
+FRAMES_AT_ONCE, FRAMES_PER_TURN = 8, 32
+"""How many frames of a link are handled as they arrive, and how many in a turn of its own."""
 READ_BYTES = 65536
 """How many bytes are read from a link at a time; asyncio's own default is four times that."""
 LENGTH = struct.Struct(">I")
@@ -40,7 +40,7 @@
         self.transport, self.buffer = None, bytearray()
         self.running: dict[int, RunningHandler] = {}
         self.received_s = asyncio.get_running_loop().time()
-        self.gone = self.is_continuing = self.has_received = False
+        self.gone = self.is_queued = self.has_received = False
         self.partial_since_s = None
 
     def connection_made(self, transport):
@@ -66,15 +66,21 @@
         return False
 
     def data_received(self, data):
-        """Handle the frames that are complete; a malformed one closes the link."""
+        """Handle the first frames that are complete; a malformed one closes the link."""
         self.received_s = asyncio.get_running_loop().time()
         self.buffer += data
-        self.handle_frames()
+        if not self.is_queued:
+            self.handle_frames(FRAMES_AT_ONCE)
 
-    def handle_frames(self):
-        """Handle some of the frames that are complete, and the others after other links' turn."""
+    def take_turn(self):
+        """Handle further frames, in a turn that the mesh gives to one link at a time."""
+        self.is_queued = False
+        self.handle_frames(FRAMES_PER_TURN)
+
+    def handle_frames(self, count):
+        """Handle some of the frames that are complete, and the others when the turn comes."""
         offset = 0
-        for _ in range(FRAMES_PER_TURN):
+        for _ in range(count):
             frame = self._next_frame(offset)
             if frame is None:
                 break
@@ -85,7 +91,7 @@
         if offset:
             del self.buffer[:offset]
             self.partial_since_s = None
-        self.adjust_reading()
+        self._await_turn()
         self._note_partial_frame()
 
     def _next_frame(self, offset) -> bytes | None:
@@ -102,14 +108,13 @@
     def _holds(self, size) -> bool:
         return len(self.buffer) >= size
 
-    def adjust_reading(self):
-        """Read nothing more while complete frames wait for their turn."""
-        has_frame = self._has_frame()
-        if has_frame and not self.is_continuing:
-            self.is_continuing = True
+    def _await_turn(self):
+        """Wait for a turn, and read nothing more, while complete frames are left."""
+        if self._has_frame():
+            self.is_queued = True
             self.transport.pause_reading()
-            asyncio.get_running_loop().call_soon(self._continue)
-        elif not has_frame and not self.transport.is_reading():
+            self.mesh.queue_turn(self)
+        elif not self.transport.is_reading():
             self.transport.resume_reading()
 
     def _has_frame(self) -> bool:
@@ -118,11 +123,6 @@
             return False
         return self._holds(LENGTH.size + LENGTH.unpack_from(self.buffer)[0])
 
-    def _continue(self):
-        """Handle further frames, which may have come before the end of the link."""
-        self.is_continuing = False
-        self.handle_frames()
-
     def _note_partial_frame(self):
         """Tell the mesh how much of a frame is waiting for the rest of it."""
         if self.gone or not self.buffer:
--- a/swiftdeck/wire/mesh.py
+++ b/swiftdeck/wire/mesh.py
@@ -4,7 +4,7 @@
 import functools
 import inspect
 import struct
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 
 import attrs
@@ -88,6 +88,14 @@
         return cls(number, exchange, bool(is_return), sender, message)
 
 
+def is_request(frame: bytes) -> bool:
+    """Return whether a frame has a message that awaits a response."""
+    if len(frame) < HEAD.size:
+        return False
+    _, exchange, is_return, _ = HEAD.unpack_from(frame)
+    return exchange != 0 and not is_return
+
+
 @functools.lru_cache(4096)
 def split_addr(addr: str) -> tuple[str, int]:
     """Split "ip:port" into IP and port; raise ValueError when there is no port."""
@@ -102,7 +110,7 @@
     handlers. `outgoing` has the links that this process opened and `connecting` those being opened,
     by address; `pending` has the requests that await a response, by exchange number. `congested`
     has the links whose peers read too slowly, `waiting_bytes` counts one-way messages that wait for
-    a link.
+    a link, `queued_links` has the links with frames that wait for their turn.
     """
 
     def __init__(self, addr, note=lambda *_, **__: None, limits=None):
@@ -113,6 +121,8 @@
         self.handler_count = self.waiting_bytes = 0
         self.links: dict[Link, None] = {}
         self.congested: dict[Link, None] = {}
+        self.queued_links: deque[Link] = deque()
+        self.is_turn_scheduled = False
         self.outgoing: dict[str, Link] = {}
         self.connecting: dict[str, asyncio.Task] = {}
         self.pending: dict[int, PendingRequest] = {}
@@ -155,6 +165,27 @@
             self.links.pop(idle)
             idle.drop()
 
+    def queue_turn(self, link):
+        """Let a link handle more of its frames once its turn comes.
+
+        One link at a time has one, and timers and other connections theirs between two of them, so
+        that no number of links with many frames keeps the loop busy for long.
+        """
+        self.queued_links.append(link)
+        self._schedule_turn()
+
+    def _schedule_turn(self):
+        if self.queued_links and not self.is_turn_scheduled:
+            self.is_turn_scheduled = True
+            asyncio.get_running_loop().call_soon(self._give_turn)
+
+    def _give_turn(self):
+        self.is_turn_scheduled = False
+        try:
+            self.queued_links.popleft().take_turn()
+        finally:
+            self._schedule_turn()
+
     def has_room_to_send(self, link, size) -> bool:
         """Return whether a message may wait until the peer of a link reads.
 
@@ -331,8 +362,10 @@
     def receive(self, frame, link):
         """Handle a received frame; return False when it is malformed.
 
-        `link` is None for a datagram.
+        `link` is None for a datagram. A request is dropped whose link is gone.
         """
+        if link and link.gone and is_request(frame):
+            return True
         envelope = Envelope.parse(frame)
         if envelope is None:
             return False
--- a/tests/wire/test_crowds.py
+++ b/tests/wire/test_crowds.py
@@ -6,7 +6,7 @@
 
 from swiftdeck.sim.world import World
 from swiftdeck.wire.limits import MeshLimits
-from swiftdeck.wire.link import FRAMES_PER_TURN, LENGTH, Link
+from swiftdeck.wire.link import FRAMES_AT_ONCE, FRAMES_PER_TURN, LENGTH, Link
 from swiftdeck.wire.mesh import HEAD, Mesh
 from swiftdeck.wire.messages import NUMBERS, ListAsk, ListReturn
 
@@ -19,6 +19,11 @@
     return LENGTH.pack(len(data)) + data
 
 
+async def make_link(mesh):
+    """Return a link, which needs a running loop."""
+    return Link(mesh)
+
+
 class Stranger(asyncio.Protocol):
     """A process that writes pieces to a node and keeps its connection."""
 
@@ -159,19 +164,36 @@
         self.assertEqual(closed, [False, True, True, False, False])
         self.assertEqual(len(mesh.links), 3)
 
-    def test_many_frames_leave_other_links_their_turn(self):
-        received, in_turn, handle_frames = [], [], Link.handle_frames
+    def test_many_frames_of_many_links_leave_others_their_turn(self):
+        received, at_once, in_turn = [], [], []
 
-        def counted(link):
-            before = len(received)
-            handle_frames(link)
-            in_turn.append(len(received) - before)
+        def counting(counts, original):
+            def counted(owner, *args):
+                before = len(received)
+                original(owner, *args)
+                counts.append(len(received) - before)
+
+            return counted
 
         self.serve({ListReturn: lambda message, sender: received.append(message)})
-        count = 10 * FRAMES_PER_TURN
-        with mock.patch.object(Link, "handle_frames", counted):
-            self.connect(Stranger(b"".join(frame(ListReturn(age_ms=1)) for _ in range(count))))
-        self.assertEqual((len(received), max(in_turn)), (count, FRAMES_PER_TURN))
+        count, links = 10 * FRAMES_PER_TURN, 5
+        many = b"".join(frame(ListReturn(age_ms=1)) for _ in range(count))
+        with (
+            mock.patch.object(Link, "data_received", counting(at_once, Link.data_received)),
+            mock.patch.object(Mesh, "_give_turn", counting(in_turn, Mesh._give_turn)),
+        ):
+            self.connect(*(Stranger(many) for _ in range(links)))
+        self.assertEqual(len(received), count * links)
+        self.assertEqual((max(at_once), max(in_turn)), (FRAMES_AT_ONCE, FRAMES_PER_TURN))
+
+    def test_requests_are_dropped_once_their_link_is_gone(self):
+        received = []
+        mesh = self.serve({ListAsk: lambda *_: received.append(1)})
+        link = self.world.run_task("node", lambda: make_link(mesh))
+        link.transport, link.gone = mock.Mock(), True
+        for exchange, handled in ((1, 0), (0, 1)):
+            mesh.receive(frame(ListAsk(), exchange)[LENGTH.size :], link)
+            self.assertEqual(len(received), handled)
 
     def test_a_node_gets_its_answer_while_strangers_wait(self):
         self.serve({ListAsk: lambda message, sender: ListReturn(age_ms=5)})
