HTTP: an answer that finds no memory promises nothing

Found by reading: an answer of over 64 KiB that found no memory became 503 with notRun, though its request may have run, as a whole answer of the own interface has by then. Now it is 500 (code 405), which promises nothing; the test holds that.

--- a/swiftdeck/fault.py
+++ b/swiftdeck/fault.py
@@ -130,6 +130,7 @@
 BAD_FRAME = _define_fault(402, "frame is malformed", 400)
 UNKNOWN_KIND = _define_fault(403, "message kind is unknown", 400)
 HANDLER_FAILED = _define_fault(404, "internal fault", 500)
+NO_RESPONSE_MEMORY = _define_fault(405, "no memory is left for the response", 500)
 STALE_TERM = _define_fault(500, "term is not the newest", 409)
 NOT_COORDINATOR = _define_fault(501, "not the keeper of the model", 409, retry_ms=200)
 COORDINATOR_RECOVERING = _define_fault(
--- a/swiftdeck/http/exchange.py
+++ b/swiftdeck/http/exchange.py
@@ -7,7 +7,7 @@
 import h11
 import msgspec
 
-from swiftdeck.fault import BAD_REQUEST, NO_BODY_MEMORY, SLOW_REQUEST, Fault
+from swiftdeck.fault import BAD_REQUEST, NO_RESPONSE_MEMORY, SLOW_REQUEST, Fault
 from swiftdeck.http.cuts import CutReason
 
 PROCESSING = 102
@@ -154,9 +154,12 @@
             await self._send_whole(status, headers, body)
 
     async def _send_whole(self, status, headers, body: bytes):
-        """Send a whole response; a large one in pieces, and a fault where no memory is left for it."""
+        """Send a whole response, a large one in pieces.
+
+        Where no memory is left for it, a fault is sent that doesn't say whether the request has run.
+        """
         if len(body) > PIECE_BYTES and not self.conversation.reserve_response(len(body)):
-            return await self.give_fault(NO_BODY_MEMORY)
+            return await self.give_fault(NO_RESPONSE_MEMORY)
         self.begin(status, [*headers, ("content-length", str(len(body)))])
         if status != NO_CONTENT and self.method != HEAD:
             pieces = memoryview(body)
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -264,7 +264,8 @@
         self.serve(answer, body_limit=1000, limits=limits)
         (reader,) = self.record([GET])
         self.world.run(1)
-        self.assertTrue(reader.received.startswith(b"HTTP/1.1 503 "), reader.received)
+        self.assertTrue(reader.received.startswith(b"HTTP/1.1 500 "), reader.received)
+        self.assertNotIn(b"notRun", reader.received)
 
     def test_json_is_decoded_only_into_memory_that_there_is_for_it(self):
         async def answer(exchange):
