HTTP: a request whose handler has not started is refused when its server ends

Traced: clients with requests sent ahead had the next one between its creation and its handler's first step when the router's work ended; the connection was aborted, and the request, read whole, counted as cut without an answer. An ordinary client that sends two requests ahead could meet the same.

The new test failed before (nothing was received).

--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -475,12 +475,17 @@
     async def end_handler(self, fault):
         """Send a fault in place of a handler that has not ended, and cancel it.
 
-        Where its response has begun, the connection can only be aborted.
+        Where its response has begun, the connection can only be aborted. A handler that was not yet
+        started never is, and its request has not run.
         """
         if self.task is None:
             return
         exchange, task = self.exchange, self.task
-        if exchange is None or exchange.begun:
+        if exchange is None:
+            task.cancel()
+            self.task = None
+            return self.reject(ROUTER_STOPPING)
+        if exchange.begun:
             stalled = self.is_stalled()
             return self.abort(CutReason.CLIENT_STALLED if stalled else CutReason.UNANSWERED)
         await exchange.give_fault(fault)
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -6,7 +6,7 @@
 import weakref
 from unittest import mock
 
-from swiftdeck.fault import ROUTER_STOPPING, is_fault
+from swiftdeck.fault import ROUTER_STOPPING, WORKER_LOST, is_fault
 from swiftdeck.http.connection import (
     BACKLOG_LIMIT_BYTES,
     EVENTS_PER_TURN,
@@ -313,6 +313,27 @@
         cuts = {name: n for name, n in server.count.items() if "requestsCut" in name}
         self.assertEqual((cuts, server.open), ({"requestsCut.clientStalled": 1}, {}))
 
+    def test_a_request_whose_handler_has_not_started_is_answered_at_the_end(self):
+        started = []
+
+        async def answer(exchange):
+            started.append(exchange)
+
+        server = self.serve(answer)
+        (client,) = self.record([b""])
+        self.world.run(0.1)
+        (connection,) = server.open
+
+        async def receive_and_end():
+            connection.data_received(GET)
+            await connection.end_handler(WORKER_LOST)
+
+        self.world.run_task("server", receive_and_end)
+        self.world.run(1)
+        self.assertTrue(client.received.startswith(b"HTTP/1.1 503 "), client.received)
+        cuts = [name for name in server.count if "requestsCut" in name]
+        self.assertEqual((started, cuts, server.open), ([], [], {}))
+
     def test_tiny_chunks_leave_other_connections_their_turn(self):
         async def answer(exchange):
             await exchange.send_json(200, {"size": len(exchange.body)})
