HTTP: an answered request's body goes at once, not when the garbage collector runs

Now the connection forgets an exchange that has finished, or once it is lost, and the exchange what its handler left. The new test, without the collector, fails without this.

--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -395,10 +395,18 @@
                 await self.handle_failure(exchange, error)
         finally:
             self.task = self.body_queue = None
+            self._forget_exchange(exchange)
             self.release_body()
             self._note_late_end()
         self.next_request()
 
+    def _forget_exchange(self, exchange):
+        """Break the references that would keep a body until the garbage collector runs."""
+        if exchange is not None:
+            exchange.on_client_end = None
+            if exchange.finished:
+                self.exchange = None
+
     def _note_client_end(self, how: str):
         """Count a client that ends its side or the connection during its request, and tell the handler.
 
@@ -578,6 +586,7 @@
             self._note_client_end("lost")
         if self.exchange is not None and not self.exchange.finished:
             self.server.note_cut(self.exchange, self.cut_reason or CutReason.CLIENT_LEFT)
+        self.exchange = None
         self.server.open.pop(self, None)
         self.release_body()
         self.resume_writing()
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -188,24 +188,36 @@
         self.world.run(5)
         self.assertEqual(server.open, {})
 
-    def test_a_kept_connection_holds_no_body(self):
+    def test_no_connection_holds_the_body_of_a_request_that_was_answered(self):
         bodies = []
 
         class Body:
             """Stands for bytes, to which no weak reference can be made."""
 
+        class Work:
+            """What a handler does for an exchange, each of which refers to the other."""
+
+            def __init__(self, exchange):
+                self.exchange, self.body = exchange, exchange.body
+                exchange.watch_client(self.end)
+
+            def end(self):
+                """Do nothing."""
+
         async def answer(exchange):
             exchange.body = Body()
             bodies.append(weakref.ref(exchange.body))
-            exchange.watch_client(lambda body=exchange.body: body)
+            Work(exchange)
             await exchange.send_response(200, [], b"")
 
         server = self.serve(answer)
-        self.record([post(5) + b"small"])
+        gc.disable()
+        self.addCleanup(gc.enable)
+        closing = post(5).replace(b"Host: x", b"Host: x\r\nConnection: close") + b"small"
+        self.record([post(5) + b"small"], [closing])
         self.world.run(1)
         self.assertEqual(len(server.open), 1)
-        gc.collect()
-        self.assertEqual([body() for body in bodies], [None])
+        self.assertEqual([body() for body in bodies], [None, None])
 
     def test_streamed_lines_wait_in_no_more_memory_than_there_is_for_them(self):
         async def echo_sizes(exchange):
