HTTP: a connection with requests sent ahead gives way to a new one

Callers saw a router or a core close every new connection without a byte for as long as a crowd sent requests ahead and read no answer: with 400 descriptors a process keeps 50 connections, the crowd had 64, and the next request of each of them begins in the turn in which the last one ends. So all of them counted as worked on, and none could end for the newcomer.

Such a connection now ends after its current answer, which says so; the requests behind it never run. It does so before connections that have come within the last second, since an ordinary caller's request is on its way there and callers that come together would otherwise end each other. Those that gave way count apart, are a quarter of the connections at the most, and one of them with nothing left to answer is aborted for the next. They stay among the open ones, so that the end of the process answers them; a stream that gave way was out of its sight before.

--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -68,7 +68,8 @@
     """A connection of a client.
 
     `task` runs the handler of the current request, and `idle_timer` ends a connection that is too
-    slow. `rejecting` is set once a request that can't be served was answered by a fault.
+    slow. `rejecting` is set once nothing more is answered, such as after a request that can't be
+    served; what still comes is dropped. `is_last_request` ends the connection after the current one.
     `previous_tail` and `latest_data` are the last bytes received, to check the end of chunks.
     """
 
@@ -81,6 +82,7 @@
         self.task = self.idle_timer = self.transport = None
         self.write_resumed = self.body_queue = self.exchange = self.cut_reason = None
         self.gone = self.rejecting = self.is_chunked = self.is_continuing = False
+        self.is_last_request = False
         self.client_ended_s = None
         self.previous_tail = self.latest_data = b""
 
@@ -143,6 +145,11 @@
         exchange = self.exchange
         return exchange is not None and (exchange.awaits_body or exchange.awaits_events)
 
+    def sends_ahead(self) -> bool:
+        """Return whether further requests have come behind the one that is being worked on."""
+        is_whole = self.task is not None and self.conn.their_state is h11.DONE
+        return is_whole and bool(self.conn.trailing_data[0])
+
     def abort_stalled(self):
         """Abort the connection of a client that doesn't read its response."""
         self.server.count["slowCallers"] += 1
@@ -153,7 +160,10 @@
         return self.write_resumed is not None
 
     def evict(self):
-        """End the connection in favour of another one, with a fault for a request not yet run."""
+        """End the connection in favour of another one, with a fault for a request not yet run.
+
+        A request that is being worked on is still answered; those behind it never run.
+        """
         if self.is_stalled() or self.rejecting or self.transport.is_closing():
             self.abort(CutReason.CLIENT_STALLED)
         elif self.is_idle():
@@ -165,6 +175,8 @@
             self.end_body()
         elif self.is_waiting_stream():
             self.abort(CutReason.CLIENT_FAULT)
+        elif self.sends_ahead():
+            self.is_last_request = True
         else:
             self.close()
 
@@ -177,8 +189,11 @@
     def closes_after_response(self) -> bool:
         """Return whether the response that begins now is the last.
 
-        It is when the server stops and no byte of a further request has been received.
+        It is when the server stops and no byte of a further request has been received, or when the
+        connection gives way to another one.
         """
+        if self.is_last_request:
+            return True
         is_stopping = self.server.is_stopped or self.server.drain.has_begun()
         return is_stopping and not self.conn.trailing_data[0]
 
@@ -448,7 +463,10 @@
         """Continue with the next request, or close a connection that isn't kept."""
         if self.gone or self.rejecting:
             return
-        if (
+        if self.is_last_request:
+            self.cut_reason = self.cut_reason or CutReason.CLIENT_FAULT
+            self.close_discarding()
+        elif (
             self.conn.our_state is h11.DONE
             and self.conn.their_state is h11.DONE
             and (self.server.keeps_connections() or self.conn.trailing_data[0])
@@ -501,11 +519,7 @@
         self.close()
 
     def reject(self, fault, status=None):
-        """Answer a request that can't be served by a fault, and close the connection.
-
-        The rest of a body is read and dropped for a while, because a connection that is closed with
-        unread bytes is reset, and its client may lose the answer.
-        """
+        """Answer a request that can't be served by a fault, and close the connection."""
         self.rejecting = True
         self.body = bytearray()
         self.release_body()
@@ -528,12 +542,22 @@
                 self.send(h11.Data(data=data))
             self.send(h11.EndOfMessage())
         if self.conn.their_state is h11.SEND_BODY and not self.transport.is_closing():
-            self.transport.write_eof()
-            self.set_idle_timer(DISCARD_S)
-            self.transport.resume_reading()
+            self.close_discarding()
         else:
             self.close()
 
+    def close_discarding(self):
+        """Close the connection after what still comes was read and dropped for a while.
+
+        A connection that is closed with unread bytes is reset, and its client may lose the answer.
+        """
+        self.rejecting = True
+        if self.transport.is_closing():
+            return
+        self.transport.write_eof()
+        self.set_idle_timer(DISCARD_S)
+        self.transport.resume_reading()
+
     def send(self, event):
         if self.gone:
             raise ConnectionResetError("client is gone")
@@ -587,7 +611,7 @@
         if self.exchange is not None and not self.exchange.finished:
             self.server.note_cut(self.exchange, self.cut_reason or CutReason.CLIENT_LEFT)
         self.exchange = None
-        self.server.open.pop(self, None)
+        self.server.forget(self)
         self.release_body()
         self.resume_writing()
         if self.idle_timer:
--- a/swiftdeck/http/limits.py
+++ b/swiftdeck/http/limits.py
@@ -16,6 +16,8 @@
 """The share of the other descriptors that the connections of clients may take."""
 STALLED_SHARE = 0.25
 """The share of the connections whose clients may leave their responses unread at the same time."""
+ENDING_SHARE = 0.25
+"""How many connections may end at the same time in favour of others, as a share of the connections."""
 RECEIVE_BUFFER_BYTES = 65536
 """How much the kernel keeps of what a client has sent and was not read yet."""
 OPERATIONS_BODY_BYTES, OPERATIONS_CONNECTIONS = 65536, 32
@@ -29,14 +31,15 @@
 
     `body_memory_bytes` is the memory for large request bodies, counted with the copies that are
     made of them; it grows for a single body that takes more, of `largest_body_bytes` at the most.
-    `stalled_connections` is how many clients may leave their responses unread at the
-    same time.
+    `stalled_connections` is how many clients may leave their responses unread at the same time.
+    `ending_connections` is how many may stay open beyond `connections` until they have ended.
     """
 
     body_memory_bytes: int = 256 * MEBIBYTE
     largest_body_bytes: int = 128 * MEBIBYTE
     connections: int = 4096
     stalled_connections: int = 1024
+    ending_connections: int = 1024
 
     def memory_for_bodies_of(self, size: int) -> int:
         """Return the memory for bodies of up to a size: the usual, or as much as one of them takes."""
@@ -52,6 +55,7 @@
             largest_body_bytes=int(memory_mb * LARGEST_BODY_SHARE * MEBIBYTE) // BODY_COPIES,
             connections=connections,
             stalled_connections=max(1, int(connections * STALLED_SHARE)),
+            ending_connections=max(1, int(connections * ENDING_SHARE)),
         )
 
     @classmethod
@@ -64,4 +68,5 @@
             largest_body_bytes=OPERATIONS_BODY_BYTES,
             connections=connections,
             stalled_connections=max(1, int(connections * STALLED_SHARE)),
+            ending_connections=max(1, int(connections * ENDING_SHARE)),
         )
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -15,6 +15,8 @@
 from swiftdeck.runtime.receive_buffer import limit_receive_buffers
 
 POLL_INTERVAL_S = 0.01
+SILENT_S = 1.0
+"""How long a connection without a request stays, even if there are others that can give way."""
 UNLIMITED = DrainTimes(math.inf, math.inf)
 
 
@@ -22,7 +24,8 @@
     """Listens for clients and passes each exchange to one handler.
 
     `streams` has the paths whose handlers read the body as it arrives. `open` has the connections,
-    and `stalled` those whose clients don't read what was written, longest stalled first.
+    and `stalled` those whose clients don't read what was written, longest stalled first. `ending` has
+    those that gave way to others, and are open only until they have ended.
     """
 
     def __init__(
@@ -40,7 +43,7 @@
         self.handler, self.note, self.streams = handler, note, streams
         self.idleMs, self.slow_ms, self.slow_write_ms = idleMs, slow_ms, slow_write_ms
         self.open, self.is_stopped, self.server = {}, False, None
-        self.stalled = {}
+        self.stalled, self.ending = {}, {}
         self.drain = drain or Drain(UNLIMITED)
         self.head_limit = HEAD_LIMIT_BYTES
         self.limits = limits or ServerLimits()
@@ -62,22 +65,49 @@
     def register(self, connection):
         """Add a new connection; where there are too many, end the one that has waited longest.
 
-        That is one without a request that is being worked on. Otherwise it is a stream on which
-        nothing happens, or else a response that isn't read. Without any of these it is the new one.
+        `_find_to_evict` says which one that is; if there is none, it is the new one.
         """
         self.open[connection] = None
-        if len(self.open) <= self.limits.connections:
+        if len(self.open) - len(self.ending) <= self.limits.connections:
             return
-        others = [other for other in self.open if other is not connection]
-        for is_candidate in (
+        self._evict(self._find_to_evict(connection) or connection)
+
+    def _find_to_evict(self, newest):
+        """Return the connection that gives way to the newest one, or None.
+
+        It is one that has been silent for a while. Otherwise it is one with requests sent ahead, one
+        that has just come, a stream on which nothing happens, or a response that isn't read.
+        """
+        others = [other for other in self.open if other is not newest and other not in self.ending]
+        others.sort(key=lambda other: other.idle_since_s)
+        conditions = [
+            self._is_silent,
             HttpConnection.awaits_request,
             HttpConnection.is_waiting_stream,
             HttpConnection.is_stalled,
-        ):
-            candidates = list(filter(is_candidate, others))
-            if candidates:
-                return self._evict(min(candidates, key=lambda other: other.idle_since_s))
-        self._evict(connection)
+        ]
+        if self._may_end_another():
+            conditions.insert(1, HttpConnection.sends_ahead)
+        for is_candidate in conditions:
+            if candidate := next(filter(is_candidate, others), None):
+                return candidate
+        return None
+
+    def _is_silent(self, connection) -> bool:
+        """Return whether a connection has long had the time to send a request."""
+        return connection.awaits_request() and self.loop.time() - connection.idle_since_s > SILENT_S
+
+    def _may_end_another(self) -> bool:
+        """Return whether one more connection may stay open until its answer is sent."""
+        are_few = len(self.ending) < self.limits.ending_connections
+        return are_few or any(map(HttpConnection.awaits_request, self.ending))
+
+    def _abort_ended(self):
+        """Abort the first of the ending connections that has nothing left to answer."""
+        answered = next(filter(HttpConnection.awaits_request, self.ending), None)
+        if answered is not None:
+            answered.abort(CutReason.CLIENT_STALLED)
+            self.forget(answered)
 
     def reserve(self, connection, size: int) -> bool:
         """Reserve memory for the body or the response of a connection; return whether there is any.
@@ -101,13 +131,20 @@
             next(iter(self.stalled)).abort_stalled()
 
     def _evict(self, connection):
-        """End a connection, which counts as open no more."""
+        """End a connection, which no longer counts as one of those that are open."""
         self.count["connectionsEvicted"] += 1
+        if len(self.ending) >= self.limits.ending_connections:
+            self._abort_ended()
+        self.ending[connection] = None
         try:
             connection.evict()
         except (ConnectionError, h11.LocalProtocolError) as error:
             self.close_failed(connection, error)
+
+    def forget(self, connection):
+        """Remove a connection that has ended."""
         self.open.pop(connection, None)
+        self.ending.pop(connection, None)
 
     def phase(self) -> Phase:
         """Return the phase, which decides about a request that is received now."""
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -4,6 +4,7 @@
 import gc
 import unittest
 import weakref
+from collections import Counter
 from unittest import mock
 
 from swiftdeck.fault import ROUTER_STOPPING, WORKER_LOST, is_fault
@@ -19,6 +20,8 @@
 from swiftdeck.sim.world import World
 
 GET, HEAD = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n", b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n"
+AHEAD = GET * 1000
+"""Requests that are sent without waiting for any answer."""
 LARGE_ANSWER_BYTES = 32 << 20
 """More than the kernel takes for a client that reads nothing."""
 BODY_BYTES = 1 << 18
@@ -55,6 +58,13 @@
         self.is_closed = True
 
 
+class LastingRecorder(Recorder):
+    """A recording client that stays open when its peer closes."""
+
+    def eof_received(self):
+        return True
+
+
 class SilentReader(asyncio.Protocol):
     """A client that writes and reads nothing."""
 
@@ -128,9 +138,9 @@
             connection.transport.get_write_buffer_size(), HIGH_WATER_BYTES + ANSWER_BYTES
         )
 
-    def record(self, *requests):
+    def record(self, *requests, make_protocol=Recorder):
         """Open a recording connection for each request, given by its pieces; return them."""
-        protocols = [Recorder(pieces) for pieces in requests]
+        protocols = [make_protocol(pieces) for pieces in requests]
 
         async def connect():
             for protocol in protocols:
@@ -424,6 +434,90 @@
         self.assertEqual([client.is_closed for client in running], [False, False])
         self.assertEqual(len(server.open), 2)
 
+    def test_a_new_connection_takes_the_place_of_one_with_requests_sent_ahead(self):
+        ran = Counter()
+
+        async def answer(exchange):
+            ran[exchange.path] += 1
+            await asyncio.sleep(0.05)
+            await exchange.send_response(200, [], b"")
+
+        server = self.serve(answer, limits=ServerLimits(connections=2))
+        first, second = self.record([AHEAD], [AHEAD.replace(b"/a", b"/b")])
+        self.world.run(0.22)
+        (served,) = self.record([GET.replace(b"/a", b"/c")])
+        self.world.run(0.2)
+        self.assertTrue(served.received.startswith(b"HTTP/1.1 200 "), served.received)
+        self.assertEqual([first.is_closed, second.is_closed], [True, False])
+        self.assertEqual(first.received.count(b"HTTP/1.1 200 "), ran["/a"])
+        self.assertIn(b"connection: close", first.received.lower().rpartition(b"http/1.1 ")[2])
+        cuts = [name for name in server.count if "requestsCut" in name]
+        self.assertEqual((cuts, len(server.open)), ([], 2))
+
+    def test_connections_that_come_together_take_places_of_those_with_requests_sent_ahead(self):
+        async def answer(exchange):
+            await asyncio.sleep(0.05)
+            await exchange.send_response(200, [], b"")
+
+        server = self.serve(answer, limits=ServerLimits(connections=4))
+        self.record(*[[AHEAD]] * 4)
+        self.world.run(0.22)
+        together = self.record(*[[GET]] * 3)
+        self.world.run(0.2)
+        for served in together:
+            self.assertTrue(served.received.startswith(b"HTTP/1.1 200 "), served.received)
+        self.assertEqual(server.count["connectionsEvicted"], 3)
+
+    def test_few_connections_with_requests_sent_ahead_give_way_at_the_same_time(self):
+        async def never_answer(exchange):
+            await asyncio.Future()
+
+        server = self.serve(never_answer, limits=ServerLimits(connections=4, ending_connections=1))
+        ahead = self.record(*[[AHEAD]] * 4)
+        self.world.run(0.1)
+        (served,) = self.record([GET])
+        self.world.run(0.1)
+        (refused,) = self.record([GET])
+        self.world.run(0.1)
+        self.assertEqual([served.is_closed, refused.is_closed], [False, True])
+        self.assertEqual([client.is_closed for client in ahead], [False] * 4)
+        self.assertEqual(len(server.open), 5)
+
+    def test_a_connection_that_gave_way_still_gets_its_answer_when_the_server_ends(self):
+        async def never_answer(exchange):
+            await asyncio.Future()
+
+        server = self.serve(never_answer, limits=ServerLimits(connections=1))
+        (ahead,) = self.record([AHEAD])
+        self.world.run(0.1)
+        self.record([])
+        self.world.run(0.1)
+
+        async def stop():
+            server.stop()
+            await server.finish(0.5, WORKER_LOST)
+
+        self.world.run_task("server", stop)
+        self.world.run(1)
+        self.assertTrue(ahead.received.startswith(b"HTTP/1.1 502 "), ahead.received)
+        self.assertEqual((server.count["invariant.requestsCut"], server.open), (0, {}))
+
+    def test_few_connections_that_gave_way_wait_for_their_clients(self):
+        async def answer(exchange):
+            await asyncio.sleep(0.01)
+            await exchange.send_response(200, [], b"")
+
+        limits, most = ServerLimits(connections=4, ending_connections=2), 0
+        server, clients = self.serve(answer, limits=limits), []
+        for _ in range(20):
+            clients += self.record([AHEAD], make_protocol=LastingRecorder)
+            self.world.run(0.05)
+            most = max(most, len(server.open))
+        self.assertEqual(most, 4 + 2)
+        for client in clients:
+            self.assertTrue(client.received.startswith(b"HTTP/1.1 200 "), client.received)
+        self.assertEqual(server.count["invariant.requestsCut"], 0)
+
     def test_a_connection_that_closes_does_not_wait_for_its_client_for_ever(self):
         async def answer(exchange):
             exchange.conversation.transport.set_write_buffer_limits(2 * LARGE_ANSWER_BYTES)
