HTTP: parsing and memory of a connection in modules of their own

RequestParser passes bytes to h11 and rejects what is ambiguous; ConnectionMemory reserves what bodies, decoded JSON and responses take. An exchange calls its connection `connection`, since a conversation is what a caller holds with a worker.

--- a/swiftdeck/bench/platform_api/worker.py
+++ b/swiftdeck/bench/platform_api/worker.py
@@ -283,11 +283,11 @@
             exchange.abort()
             return False
         if quirk == "garble":
-            exchange.conversation.transport.write(b"\x00\x17 not an answer\r\n\r\n")
-            exchange.conversation.transport.close()
+            exchange.connection.transport.write(b"\x00\x17 not an answer\r\n\r\n")
+            exchange.connection.transport.close()
             return False
         if quirk == "empty":
-            exchange.conversation.transport.close()
+            exchange.connection.transport.close()
             return False
         if quirk == "stray refusal":
             self._write_raw_response(
@@ -372,13 +372,13 @@
     def _write_raw_response(exchange, status, headers, body=b""):
         """Write a response straight to the connection, bypassing the state of its exchange."""
         header_lines = [f"HTTP/1.1 {status} Said", *(f"{name}: {value}" for name, value in headers)]
-        exchange.conversation.transport.write("\r\n".join([*header_lines, "", ""]).encode() + body)
+        exchange.connection.transport.write("\r\n".join([*header_lines, "", ""]).encode() + body)
 
     @staticmethod
     def _abort_on_next_data(exchange):
         """Abort the connection when the next data arrives on it, as after a silent loss of its state."""
-        conversation = exchange.conversation
-        conversation.data_received = lambda data: conversation.transport.abort()
+        connection = exchange.connection
+        connection.data_received = lambda data: connection.transport.abort()
 
     def _response_headers(self, status, request_id, seal, version, extra_headers, quirk=""):
         request_id = FOREIGN_REQUEST_ID if quirk == "swapped" else request_id
@@ -473,7 +473,7 @@
             if quirk == "stall" and event_number > (last_event_id + event_count) // 2:
                 await asyncio.sleep(max(0, end_s - asyncio.get_running_loop().time()) + 1)
             if quirk == "bad chunk" and event_number > (last_event_id + event_count) // 2:
-                exchange.conversation.transport.write(b"zz\r\nmore\r\n0\r\n\r\n")
+                exchange.connection.transport.write(b"zz\r\nmore\r\n0\r\n\r\n")
                 return False
             if quirk in ("cut", "back") and event_number > (last_event_id + event_count) // 2:
                 await exchange.send_chunk(f"id: {event_number}\nda".encode())
@@ -490,4 +490,4 @@
         await asyncio.sleep(self.random.choice([0, 0.002, 0.02]))
         body = b"more" * 5
         head = f"HTTP/1.1 200 OK\r\nSwiftdeck-Request-Id: {request_id}\r\nSwiftdeck-Server-Seal: more.{run_id}\r\nContent-Length: {len(body)}\r\n\r\n"
-        exchange.conversation.transport.write(head.encode() + body)
+        exchange.connection.transport.write(head.encode() + body)
--- a/swiftdeck/bench/worker.py
+++ b/swiftdeck/bench/worker.py
@@ -205,7 +205,7 @@
             await asyncio.sleep(0.01 * min(TOKENS_OF_A_PIECE, count) * self.speed)
             quirk = self.quirk if seq == pieces // 2 else ""
             if quirk == "die midway":
-                exchange.conversation.abort()
+                exchange.connection.abort()
                 return False
             if quirk == "malformed":
                 await exchange.send_chunk(b"data: {nonsense\n\n")
--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -1,7 +1,6 @@
 """A connection of an HTTP client, as an asyncio protocol over h11."""
 
 import asyncio
-import re
 
 import h11
 import msgspec
@@ -9,17 +8,15 @@
 from swiftdeck.fault import (
     BAD_REQUEST,
     HANDLER_FAILED,
-    NO_BODY_MEMORY,
     ROUTER_STOPPING,
     SLOW_REQUEST,
-    TOO_LARGE,
     TOO_MANY_CONNECTIONS,
-    Fault,
     is_fault,
 )
+from swiftdeck.http.connection_memory import ConnectionMemory
 from swiftdeck.http.cuts import CutReason
 from swiftdeck.http.exchange import HEAD, HttpExchange, retry_after_headers
-from swiftdeck.http.limits import BODY_COPIES
+from swiftdeck.http.request_parser import RequestParser, announced_length
 from swiftdeck.http.reset import reset
 
 HEAD_LIMIT_BYTES = 32768
@@ -29,39 +26,12 @@
 """Unprocessed bytes behind the current request above which reading pauses."""
 QUEUED_PIECES_LIMIT, QUEUED_BYTES_LIMIT = 64, 65536
 """Unprocessed pieces of a streamed body, and their bytes, above which reading pauses."""
-FREE_BODY_BYTES = 32768
-"""The size up to which a body needs no reservation of memory."""
-BODY_STEP_BYTES = 1 << 18
-"""The step in which the memory for a body of unknown length is reserved."""
-DECODED_ITEM_BYTES, DECODED_FIELD_BYTES, FREE_DECODED_BYTES = 64, 96, 65536
-"""What an item of JSON and a field of an object take once they are decoded, and up to which size that
-needs no reservation."""
 EVENTS_PER_TURN = 64
 """How many parts of requests, such as chunks, are processed before other connections get a turn."""
 DISCARD_S = 1.0
 """How long the rest of a refused request is still read, so that its client gets the answer."""
 LATE_END_S = 0.5
 """Work that continues for longer than this after its client has left counts as late."""
-HEAD_END, CHUNKS_END = re.compile(rb"\n\r?\n"), b"\r\n\r\n"
-
-
-def announced_length(request: h11.Request) -> int:
-    """Return the length of the body that the head of a request announces, 0 where it gives none."""
-    lengths = [int(value) for name, value in request.headers if name == b"content-length"]
-    return lengths[0] if lengths else 0
-
-
-def find_ambiguity(head: bytes):
-    """Return why two parsers may disagree on where the request of a complete head ends, or None.
-
-    h11 accepts bare line feeds and folded lines, as the standard permits. A proxy that doesn't
-    would see another request in the same bytes (request smuggling).
-    """
-    if head.count(b"\n") != head.count(b"\r\n"):
-        return "line ends without CR LF"
-    if b"\n " in head or b"\n\t" in head:
-        return "folded header line"
-    return None
 
 
 class HttpConnection(asyncio.Protocol):
@@ -70,21 +40,20 @@
     `task` runs the handler of the current request, and `idle_timer` ends a connection that is too
     slow. `rejecting` is set once nothing more is answered, such as after a request that can't be
     served; what still comes is dropped. `is_last_request` ends the connection after the current one.
-    `previous_tail` and `latest_data` are the last bytes received, to check the end of chunks.
     """
 
     def __init__(self, server):
         self.server = server
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=server.head_limit)
+        self.parser, self.memory = RequestParser(self.conn), ConnectionMemory(server, self)
         self.loop = asyncio.get_running_loop()
         self.request, self.body, self.method = None, bytearray(), b""
         self.discarded_bytes = self.queued_bytes = 0
         self.task = self.idle_timer = self.transport = None
         self.write_resumed = self.body_queue = self.exchange = self.cut_reason = None
-        self.gone = self.rejecting = self.is_chunked = self.is_continuing = False
+        self.gone = self.rejecting = self.is_continuing = False
         self.is_last_request = False
         self.client_ended_s = None
-        self.previous_tail = self.latest_data = b""
 
     def connection_made(self, transport):
         self.transport = transport
@@ -231,13 +200,8 @@
 
     def receive(self, data):
         """Pass received bytes, or none at the end of the stream, to h11 and process its events."""
-        if data:
-            self.previous_tail, self.latest_data = (
-                (self.previous_tail + self.latest_data[-len(CHUNKS_END) :])[-len(CHUNKS_END) :],
-                data,
-            )
         try:
-            self.conn.receive_data(data)
+            self.parser.receive(data)
             self.process_events()
         except h11.RemoteProtocolError as error:
             self.reject(BAD_REQUEST.with_reason(str(error)), error.error_status_hint)
@@ -250,7 +214,7 @@
         for _ in range(EVENTS_PER_TURN):
             if self.rejecting or self.task is not None and self.body_queue is None:
                 return
-            if not self.process_event(self.next_event()):
+            if not self.process_event(self.parser.next_event()):
                 return
         if not self.is_continuing:
             self.is_continuing = True
@@ -318,71 +282,11 @@
 
     def admit_body(self, size: int) -> bool:
         """Refuse the request if there is no room for a body of some size; return whether there is."""
-        fault = self.reserve_body(size)
+        fault = self.memory.reserve_body(size)
         if fault is not None:
             self.reject(fault)
         return fault is None
 
-    def reserve_body(self, size: int) -> Fault | None:
-        """Reserve the memory for a body of some size; return the fault that refuses it, or None.
-
-        What is reserved already for a larger size stands. A small body needs no reservation.
-        """
-        if size > self.server.body_limit:
-            return TOO_LARGE.with_reason(f"body is over {self.server.body_limit} bytes")
-        memory = self.server.body_memory
-        if size <= FREE_BODY_BYTES or BODY_COPIES * size <= memory.reserved.get(self, 0):
-            return None
-        steps = -(-size // BODY_STEP_BYTES)
-        if self.server.reserve(self, BODY_COPIES * steps * BODY_STEP_BYTES):
-            return None
-        return NO_BODY_MEMORY
-
-    def reserve_decoding(self, data: bytes) -> Fault | None:
-        """Reserve the memory for the objects that JSON text decodes to; return the fault, or None.
-
-        It is estimated from the number of items in the text, of which a few bytes decode to many.
-        """
-        items = data.count(b",") + data.count(b"[") + data.count(b"{")
-        decoded_bytes = items * DECODED_ITEM_BYTES + data.count(b":") * DECODED_FIELD_BYTES
-        if decoded_bytes <= FREE_DECODED_BYTES:
-            return None
-        memory, size = self.server.body_memory, len(data) + decoded_bytes
-        if size > memory.limit_bytes:
-            return TOO_LARGE.with_reason(f"body has {items} items")
-        if self.server.reserve(self, max(size, memory.reserved.get(self, 0))):
-            return None
-        return NO_BODY_MEMORY
-
-    def reserve_response(self, size: int) -> bool:
-        """Reserve the memory for a large response; return whether there is any."""
-        reserved_bytes = self.server.body_memory.reserved.get(self, 0)
-        return self.server.reserve(self, reserved_bytes + size)
-
-    def release_body(self):
-        """Give back the memory that is reserved for the body of a request."""
-        self.server.body_memory.release(self)
-
-    def next_event(self):
-        """Return the next event of h11; reject ambiguous ends of requests, which h11 accepts."""
-        raw = self.conn.trailing_data[0] if self.conn.their_state is h11.IDLE else b""
-        match = HEAD_END.search(raw)
-        head = raw[: match.end()] if match else b""
-        if ambiguity := find_ambiguity(head):
-            raise h11.RemoteProtocolError(ambiguity)
-        event = self.conn.next_event()
-        if head and b"transfer-encoding" in head.lower() and isinstance(event, h11.Request):
-            names = [name for name, _ in event.headers]
-            self.is_chunked = b"transfer-encoding" in names
-            if self.is_chunked and b"content-length" in names:
-                raise h11.RemoteProtocolError("both Content-Length and Transfer-Encoding")
-        elif self.is_chunked and isinstance(event, h11.EndOfMessage):
-            self.is_chunked = False
-            received = self.previous_tail + self.latest_data
-            if not received[: len(received) - len(self.conn.trailing_data[0])].endswith(CHUNKS_END):
-                raise h11.RemoteProtocolError("chunks end without CR LF")
-        return event
-
     async def serve(self, request, body, body_queue=None):
         """Run the handler on a request, then continue with the next one."""
         exchange = self.exchange = None
@@ -411,7 +315,7 @@
         finally:
             self.task = self.body_queue = None
             self._forget_exchange(exchange)
-            self.release_body()
+            self.memory.release()
             self._note_late_end()
         self.next_request()
 
@@ -471,9 +375,8 @@
             and self.conn.their_state is h11.DONE
             and (self.server.keeps_connections() or self.conn.trailing_data[0])
         ):
-            self.conn.start_next_cycle()
+            self.parser.start_next_request()
             self.method, self.exchange = b"", None
-            self.previous_tail, self.latest_data = b"", self.conn.trailing_data[0]
             self.start_idle_timer(self.server.idleMs)
             try:
                 self.process_events()
@@ -522,7 +425,7 @@
         """Answer a request that can't be served by a fault, and close the connection."""
         self.rejecting = True
         self.body = bytearray()
-        self.release_body()
+        self.memory.release()
         self.cut_reason = self.cut_reason or CutReason.CLIENT_FAULT
         self.server.count[f"faults.{fault.code}"] += 1
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -612,7 +515,7 @@
             self.server.note_cut(self.exchange, self.cut_reason or CutReason.CLIENT_LEFT)
         self.exchange = None
         self.server.forget(self)
-        self.release_body()
+        self.memory.release()
         self.resume_writing()
         if self.idle_timer:
             self.idle_timer.cancel()
--- a/swiftdeck/http/exchange.py
+++ b/swiftdeck/http/exchange.py
@@ -29,8 +29,8 @@
     `begun` and `finished` refer to the response. `body_queue` has the pieces of a streamed body.
     """
 
-    def __init__(self, conversation, request, body):
-        self.conversation = conversation
+    def __init__(self, connection, request, body):
+        self.connection = connection
         self.target, self.raw_method, self.raw_headers = (
             request.target,
             request.method,
@@ -58,17 +58,17 @@
         """
         self.on_client_end = on_client_end
         if self.has_client_ended():
-            self.conversation.loop.call_soon(on_client_end)
+            self.connection.loop.call_soon(on_client_end)
 
     def has_client_ended(self, for_s: float = 0.0) -> bool:
         """Return whether the client ended its side of the connection at least `for_s` seconds ago."""
-        ended_s = self.conversation.client_ended_s
-        return ended_s is not None and self.conversation.loop.time() - ended_s >= for_s
+        ended_s = self.connection.client_ended_s
+        return ended_s is not None and self.connection.loop.time() - ended_s >= for_s
 
     def show_life(self):
         """Send an informational response, which a client that closed the connection resets."""
-        if not self.begun and not self.conversation.is_ending():
-            self.conversation.send(h11.InformationalResponse(status_code=PROCESSING, headers=[]))
+        if not self.begun and not self.connection.is_ending():
+            self.connection.send(h11.InformationalResponse(status_code=PROCESSING, headers=[]))
 
     @contextlib.contextmanager
     def waiting_for_events(self):
@@ -85,13 +85,13 @@
         Raises TimeoutError at the loop time `until_s`, if it is given.
         """
         self.awaits_body = True
-        self.conversation.idle_since_s = self.conversation.loop.time()
+        self.connection.idle_since_s = self.connection.loop.time()
         try:
             async with asyncio.timeout_at(until_s):
                 piece = await self.body_queue.get()
         finally:
             self.awaits_body = False
-        self.conversation.queued_bytes -= len(piece or b"")
+        self.connection.queued_bytes -= len(piece or b"")
         return piece
 
     async def lines(self):
@@ -108,15 +108,13 @@
                     for line in lines:
                         yield line
                     rest, until_s = bytearray(tail), None
-                    self.conversation.release_body()
+                    self.connection.memory.release()
                 if rest and until_s is None:
-                    until_s = (
-                        self.conversation.loop.time() + self.conversation.server.slow_ms / 1000
-                    )
-                self.body_fault = self.conversation.reserve_body(len(rest))
+                    until_s = self.connection.loop.time() + self.connection.server.slow_ms / 1000
+                self.body_fault = self.connection.memory.reserve_body(len(rest))
                 if self.body_fault is not None:
                     return
-                self.conversation.adjust_reading()
+                self.connection.adjust_reading()
         except TimeoutError:
             self.body_fault = SLOW_REQUEST
             return
@@ -125,11 +123,11 @@
 
     def reserve_decoding(self, data: bytes) -> Fault | None:
         """Reserve the memory for the objects that JSON text decodes to; return the fault, or None."""
-        return self.conversation.reserve_decoding(data)
+        return self.connection.memory.reserve_decoding(data)
 
     def hand_over_memory(self, owner):
         """Make the memory that is reserved for this request that of an owner that outlasts it."""
-        self.conversation.server.body_memory.hand_over(self.conversation, owner)
+        self.connection.memory.hand_over(owner)
 
     def json(self):
         """Return the body decoded from JSON, or a fault."""
@@ -158,7 +156,7 @@
 
         Where no memory is left for it, a fault is sent that doesn't say whether the request has run.
         """
-        if len(body) > PIECE_BYTES and not self.conversation.reserve_response(len(body)):
+        if len(body) > PIECE_BYTES and not self.connection.memory.reserve_response(len(body)):
             return await self.give_fault(NO_RESPONSE_MEMORY)
         self.begin(status, [*headers, ("content-length", str(len(body)))])
         if status != NO_CONTENT and self.method != HEAD:
@@ -169,7 +167,7 @@
 
     def abort(self, reason=CutReason.HANDLER_FAILED):
         """Abort the connection, so that a partial response can't look complete."""
-        self.conversation.abort(reason)
+        self.connection.abort(reason)
 
     async def give_fault(self, fault: Fault, headers=(), **more):
         """Send a fault as the response, with Retry-After where it has a retry time."""
@@ -180,16 +178,16 @@
     def begin(self, status, headers):
         """Send the head of a response; the pieces of its body follow."""
         self.begun = True
-        close = [("Connection", "close")] if self.conversation.closes_after_response() else []
-        self.conversation.send(h11.Response(status_code=status, headers=[*headers, *close]))
+        close = [("Connection", "close")] if self.connection.closes_after_response() else []
+        self.connection.send(h11.Response(status_code=status, headers=[*headers, *close]))
 
     async def send_chunk(self, data: bytes):
         """Send a piece of the body; wait while the client reads too slowly."""
-        self.conversation.send(h11.Data(data=data))
-        await self.conversation.writable()
+        self.connection.send(h11.Data(data=data))
+        await self.connection.writable()
 
     def finish(self):
         """End the response."""
         if not self.finished:
             self.finished = True
-            self.conversation.send(h11.EndOfMessage())
+            self.connection.send(h11.EndOfMessage())
--- a/tests/gateway/cases/answers.py
+++ b/tests/gateway/cases/answers.py
@@ -101,7 +101,7 @@
                 [("Swiftdeck-Request-Id", name), ("Swiftdeck-Server-Seal", seal)],
             )
             exchange.begun = exchange.finished = True
-            exchange.conversation.transport.pause_reading()
+            exchange.connection.transport.pause_reading()
             return True
 
         with mock.patch.object(PlatformWorker, "_answer", no_content):
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -520,7 +520,7 @@
 
     def test_a_connection_that_closes_does_not_wait_for_its_client_for_ever(self):
         async def answer(exchange):
-            exchange.conversation.transport.set_write_buffer_limits(2 * LARGE_ANSWER_BYTES)
+            exchange.connection.transport.set_write_buffer_limits(2 * LARGE_ANSWER_BYTES)
             await exchange.send_response(200, [], b"x" * LARGE_ANSWER_BYTES)
 
         async def serve_and_connect():
