Tests: the parser without its check of the raw bytes is planted where it is now

The split of connection.py moved next_event to RequestParser; two tests replace it by h11's own to show that their checks see it.

--- a/tests/gateway/cases/clients.py
+++ b/tests/gateway/cases/clients.py
@@ -3,7 +3,7 @@
 import random
 from unittest import mock
 
-from swiftdeck.http.connection import HttpConnection
+from swiftdeck.http.request_parser import RequestParser
 from tests.gateway.case import SiteCase
 from tests.gateway.platform_cluster import PlatformCluster
 from tests.gateway.raw import RawClient, request_bytes
@@ -100,7 +100,7 @@
         self.assertEqual([item for item in cluster.records if item["kind"] == "arrive"], [])
         self.assert_calm(cluster)
         self.assert_falls_without(
-            mock.patch.object(HttpConnection, "next_event", lambda self: self.conn.next_event()),
+            mock.patch.object(RequestParser, "next_event", lambda self: self.conn.next_event()),
             self.smuggle,
             "UNASKED",
         )
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -4,8 +4,8 @@
 import unittest
 from unittest import mock
 
-from swiftdeck.http.connection import HttpConnection
 from swiftdeck.http.drain import Drain, DrainTimes
+from swiftdeck.http.request_parser import RequestParser
 from swiftdeck.http.server import HttpServer
 from swiftdeck.sim.world import World
 
@@ -133,7 +133,7 @@
                     self.assertEqual(received.count(b"HTTP/1.1 "), 1)
 
     def test_h11_without_the_check_of_the_raw_bytes_lets_requests_be_smuggled(self):
-        with mock.patch.object(HttpConnection, "next_event", lambda self: self.conn.next_event()):
+        with mock.patch.object(RequestParser, "next_event", lambda self: self.conn.next_event()):
             smuggled = {
                 name
                 for name, data in AMBIGUOUS.items()
