HTTP: a lost connection drops what it had received, not the garbage collector

A crowd of 200 connections that send requests ahead, read the answers and come back whenever they are closed brought a router with 160 MB to 288 MB (257 MB of them resident). A connection, its transport, its h11 connection and the task of its request refer to each other, so each that ended kept up to 96 KB of requests and the last read of 64 KB until the collector came by, while the next ones took its place.

A connection that is lost now drops its body, its parser and the bytes in it.

--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -507,6 +507,12 @@
             else:
                 self.transport.abort()
 
+    def _drop_received(self):
+        """Drop what was received, which would otherwise stay until the garbage collector runs."""
+        self.request, self.body = None, bytearray()
+        self.conn = h11.Connection(h11.SERVER)
+        self.parser = RequestParser(self.conn)
+
     def connection_lost(self, error):
         self.gone = True
         if self.cut_reason is None:
@@ -515,6 +521,7 @@
             self.server.note_cut(self.exchange, self.cut_reason or CutReason.CLIENT_LEFT)
         self.exchange = None
         self.server.forget(self)
+        self._drop_received()
         self.memory.release()
         self.resume_writing()
         if self.idle_timer:
--- a/swiftdeck/soak/crowd.py
+++ b/swiftdeck/soak/crowd.py
@@ -22,22 +22,25 @@
     """How many connections a crowd keeps open, and how often each is opened at the most.
 
     A connection that its peer closes is opened again until it was opened `rounds` times. Between
-    the pieces of a payload it waits `pause_s`.
+    the pieces of a payload it waits `pause_s`. With `leaves` it closes once all is sent.
     """
 
     connections: int
     rounds: int = 2
     pause_s: float = 0.0
+    leaves: bool = False
 
 
 class CrowdConnection(asyncio.Protocol):
-    """One connection: it writes its payload as fast as the peer takes it, and never closes.
+    """One connection: it writes its payload as fast as the peer takes it, and then stays open.
 
-    What it receives is discarded, or with `reads` unset left unread.
+    With `leaves` it closes instead. What it receives is discarded, or with `reads` unset left
+    unread.
     """
 
-    def __init__(self, pieces, reads: bool, pause_s: float = 0.0):
+    def __init__(self, pieces, reads: bool, pause_s: float = 0.0, leaves: bool = False):
         self.pieces, self.reads, self.pause_s = iter(pieces), reads, pause_s
+        self.leaves = leaves
         self.loop = asyncio.get_running_loop()
         self.transport, self.is_paused = None, False
         self.is_sent = self.is_closed = False
@@ -58,6 +61,8 @@
         piece = next(self.pieces, None)
         if piece is None:
             self.is_sent = True
+            if self.leaves:
+                self.transport.close()
             return
         self.progress_s = self.loop.time()
         self.transport.write(piece)
@@ -116,7 +121,8 @@
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
     def _make_connection(self):
-        return CrowdConnection(self.payload(), self.reads, self.size.pause_s)
+        size = self.size
+        return CrowdConnection(self.payload(), self.reads, size.pause_s, size.leaves)
 
     async def _connect(self):
         """Return a new connection, or None if there is none in time."""
--- a/tests/crowds/case.py
+++ b/tests/crowds/case.py
@@ -35,9 +35,12 @@
     """Runs crowds against a site of three cores and one router.
 
     After each crowd, while its connections are still open: every process runs, each stayed within
-    the memory and the descriptors of its machine, and an ordinary request is served.
+    the memory and the descriptors of its machine, and an ordinary request is served. `crowd_wait_s`
+    is how long a crowd may take to send all it has.
     """
 
+    crowd_wait_s = PATIENCE_S
+
     def run_crowds(self, crowds, document=None):
         """Start a site, let the crowds come one after another, and check the site after each.
 
@@ -92,7 +95,7 @@
         """Let a crowd send all it has, and check the site while the crowd stays."""
         crowd.start()
         try:
-            await crowd.wait_sent(PATIENCE_S)
+            await crowd.wait_sent(self.crowd_wait_s)
             self.watch.sample()
             self.check_processes()
             await self.check_ordinary_request()
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -229,6 +229,32 @@
         self.assertEqual(len(server.open), 1)
         self.assertEqual([body() for body in bodies], [None, None])
 
+    def test_no_connection_holds_what_it_received_after_its_end(self):
+        async def never_answer(exchange):
+            await asyncio.Future()
+
+        server = self.serve(never_answer)
+        clients = self.record([AHEAD], [post(BODY_BYTES), b"x" * (BODY_BYTES - 1)])
+        self.world.run(0.5)
+        connections = list(server.open)
+        self.assertEqual([len(connection.body) for connection in connections], [0, BODY_BYTES - 1])
+        self.assertTrue(connections[0].sends_ahead())
+
+        async def leave():
+            for client in clients:
+                client.transport.abort()
+
+        self.world.run_task("clients", leave)
+        self.world.run(1)
+        self.assertEqual(server.open, {})
+        for connection in connections:
+            held = [
+                connection.body,
+                connection.conn.trailing_data[0],
+                connection.parser.latest_data,
+            ]
+            self.assertEqual([bytes(each) for each in held], [b"", b"", b""])
+
     def test_streamed_lines_wait_in_no_more_memory_than_there_is_for_them(self):
         async def echo_sizes(exchange):
             exchange.begin(200, [("transfer-encoding", "chunked")])
