Servers accept few connections in a turn where there are few descriptors

Crowds of 300 connections at each of a router's three addresses, which send nothing or half a head and come back whenever they are closed, brought a router with 400 descriptors to 408 and 417 of them. asyncio accepts up to 100 connections of a listening socket in one turn of the loop; those that end for them are closed in the next turn, so up to 200 an address are open beyond all limits, and what a request needs towards its worker isn't there.

A server now accepts a sixteenth of the shared descriptors in a turn, 8 at the least. The kernel still keeps 100 for the next turns: its backlog is set apart, as asyncio gives it the same figure (with 4 for both, a test's 20 callers had not all come within 20 s). From 1,800 descriptors on nothing changes; the default is 4,096. Descriptors that aren't for strangers stand in runtime/descriptors.py, where http and wire had one figure each.

Two unit tests are new; the one that counts accepted connections in a turn fails with 100 for the limit.

--- a/swiftdeck/http/limits.py
+++ b/swiftdeck/http/limits.py
@@ -2,6 +2,12 @@
 
 import attrs
 
+from swiftdeck.runtime.descriptors import (
+    MOST_ACCEPTS_PER_TURN,
+    accepts_per_turn,
+    shared_handles,
+)
+
 MEBIBYTE = 1 << 20
 BODY_MEMORY_SHARE = 0.2
 """The share of the memory of a process that large request bodies may take."""
@@ -10,10 +16,8 @@
 BODY_COPIES = 2
 """How often a body is in memory while it is passed on."""
 CONNECTIONS_PER_MB = 1
-RESERVED_HANDLES = 200
-"""Descriptors of a process that are not for connections."""
 CONNECTIONS_SHARE = 0.25
-"""The share of the other descriptors that the connections of clients may take."""
+"""The share of the shared descriptors that the connections of clients may take."""
 STALLED_SHARE = 0.25
 """The share of the connections whose clients may leave their responses unread at the same time."""
 ENDING_SHARE = 0.25
@@ -33,6 +37,7 @@
     made of them; it grows for a single body that takes more, of `largest_body_bytes` at the most.
     `stalled_connections` is how many clients may leave their responses unread at the same time.
     `ending_connections` is how many may stay open beyond `connections` until they have ended.
+    `accepts_per_turn` is how many new ones are accepted in one turn of the loop.
     """
 
     body_memory_bytes: int = 256 * MEBIBYTE
@@ -40,6 +45,7 @@
     connections: int = 4096
     stalled_connections: int = 1024
     ending_connections: int = 1024
+    accepts_per_turn: int = MOST_ACCEPTS_PER_TURN
 
     def memory_for_bodies_of(self, size: int) -> int:
         """Return the memory for bodies of up to a size: the usual, or as much as one of them takes."""
@@ -48,7 +54,7 @@
     @classmethod
     def within(cls, memory_mb: int, file_handles: int):
         """Return the limits of a process that may use so much memory and so many descriptors."""
-        handles = int((file_handles - RESERVED_HANDLES) * CONNECTIONS_SHARE)
+        handles = int(shared_handles(file_handles) * CONNECTIONS_SHARE)
         connections = min(memory_mb * CONNECTIONS_PER_MB, handles)
         return cls(
             body_memory_bytes=int(memory_mb * BODY_MEMORY_SHARE * MEBIBYTE),
@@ -56,12 +62,13 @@
             connections=connections,
             stalled_connections=max(1, int(connections * STALLED_SHARE)),
             ending_connections=max(1, int(connections * ENDING_SHARE)),
+            accepts_per_turn=accepts_per_turn(file_handles),
         )
 
     @classmethod
     def of_operations(cls, file_handles: int):
         """Return the limits of a server for readiness and status alone."""
-        handles = int((file_handles - RESERVED_HANDLES) * CONNECTIONS_SHARE)
+        handles = int(shared_handles(file_handles) * CONNECTIONS_SHARE)
         connections = min(OPERATIONS_CONNECTIONS, handles)
         return cls(
             body_memory_bytes=OPERATIONS_MEMORY_BYTES,
@@ -69,4 +76,5 @@
             connections=connections,
             stalled_connections=max(1, int(connections * STALLED_SHARE)),
             ending_connections=max(1, int(connections * ENDING_SHARE)),
+            accepts_per_turn=accepts_per_turn(file_handles),
         )
--- a/swiftdeck/wire/limits.py
+++ b/swiftdeck/wire/limits.py
@@ -2,6 +2,12 @@
 
 import attrs
 
+from swiftdeck.runtime.descriptors import (
+    MOST_ACCEPTS_PER_TURN,
+    accepts_per_turn,
+    shared_handles,
+)
+
 MEBIBYTE = 1 << 20
 PARTIAL_FRAMES_SHARE = 0.1
 """The share of the memory of a process that frames may take which have not arrived whole."""
@@ -12,10 +18,8 @@
 """The share of the memory that sent messages may take which their receivers have not read."""
 FREE_MESSAGE_BYTES = 4096
 """The size up to which a message needs no reservation while its handler waits."""
-RESERVED_HANDLES = 200
-"""Descriptors of a process that are not for links."""
 LINKS_PER_MB, LINKS_SHARE = 6, 0.5
-"""How many links others may open, by memory and as a share of the other descriptors."""
+"""How many links others may open, by memory and as a share of the shared descriptors."""
 
 
 @attrs.frozen
@@ -26,7 +30,8 @@
     larger than that. `handled_message_bytes` is the memory for received messages whose handlers
     wait, `unread_message_bytes` that for sent ones which their receivers have not read. `handlers`
     is how many handlers may wait, `link_handlers` how many for the messages of one link; of each
-    link a few may always. `links` is how many links others may open.
+    link a few may always. `links` is how many links others may open, `accepts_per_turn` how many of
+    them are accepted in one turn of the loop.
     """
 
     partial_frame_bytes: int = 64 * MEBIBYTE
@@ -36,14 +41,16 @@
     link_handlers: int = 1024
     link_handlers_kept: int = 4
     links: int = 4096
+    accepts_per_turn: int = MOST_ACCEPTS_PER_TURN
 
     @classmethod
     def within(cls, memory_mb: int, file_handles: int):
         """Return the limits of a process that may use so much memory and so many descriptors."""
-        handles = int((file_handles - RESERVED_HANDLES) * LINKS_SHARE)
+        handles = int(shared_handles(file_handles) * LINKS_SHARE)
         return cls(
             partial_frame_bytes=int(memory_mb * PARTIAL_FRAMES_SHARE * MEBIBYTE),
             handled_message_bytes=int(memory_mb * HANDLED_MESSAGES_SHARE * MEBIBYTE),
             unread_message_bytes=int(memory_mb * UNREAD_MESSAGES_SHARE * MEBIBYTE),
             links=min(memory_mb * LINKS_PER_MB, handles),
+            accepts_per_turn=accepts_per_turn(file_handles),
         )
--- a/swiftdeck/wire/mesh.py
+++ b/swiftdeck/wire/mesh.py
@@ -20,8 +20,8 @@
     fault_from_code,
     is_fault,
 )
+from swiftdeck.runtime.listeners import BACKLOG, limit_receive_buffers, set_backlog
 from swiftdeck.runtime.memory_pool import MemoryPool
-from swiftdeck.runtime.receive_buffer import limit_receive_buffers
 from swiftdeck.wire.limits import FREE_MESSAGE_BYTES, MeshLimits
 from swiftdeck.wire.link import (
     FRAME_LIMIT_BYTES,
@@ -135,8 +135,12 @@
         """Listen on the TCP and the UDP port of the address."""
         loop = asyncio.get_running_loop()
         ip, port = split_addr(self.addr)
-        self.server = await loop.create_server(lambda: Link(self), ip, port)
+        self.server = await loop.create_server(
+            lambda: Link(self), ip, port, backlog=self.limits.accepts_per_turn
+        )
         limit_receive_buffers(self.server, RECEIVE_BUFFER_BYTES)
+        if self.limits.accepts_per_turn < BACKLOG:
+            set_backlog(self.server)
         self.datagrams, _ = await loop.create_datagram_endpoint(
             lambda: Datagrams(self), local_addr=(ip, port)
         )
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import socket
 import unittest
 import weakref
 from collections import Counter
@@ -18,6 +19,7 @@
 from swiftdeck.http.server import HttpServer
 from swiftdeck.sim.transport import HIGH_WATER_BYTES
 from swiftdeck.sim.world import World
+from swiftdeck.wire.limits import MeshLimits
 
 GET, HEAD = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n", b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n"
 AHEAD = GET * 1000
@@ -544,6 +546,35 @@
             self.assertTrue(client.received.startswith(b"HTTP/1.1 200 "), client.received)
         self.assertEqual(server.count["invariant.requestsCut"], 0)
 
+    def test_few_connections_are_accepted_in_one_turn(self):
+        async def serve_and_connect():
+            server = HttpServer(None, limits=ServerLimits(accepts_per_turn=4))
+            await server.start("127.0.0.1", 0)
+            address, in_turns = server.server.sockets[0].getsockname(), []
+            clients = [asyncio.to_thread(socket.create_connection, address) for _ in range(20)]
+            connected = asyncio.gather(*clients)
+            async with asyncio.timeout(20):
+                while len(server.open) < len(clients):
+                    before = len(server.open)
+                    await asyncio.sleep(0)
+                    in_turns.append(len(server.open) - before)
+                for client in await connected:
+                    client.close()
+            server.stop()
+            return in_turns
+
+        self.assertLessEqual(max(asyncio.run(serve_and_connect())), 4)
+
+    def test_few_connections_are_accepted_in_one_turn_where_there_are_few_descriptors(self):
+        accepted = [
+            ServerLimits.within(300, 4096).accepts_per_turn,
+            ServerLimits.within(300, 400).accepts_per_turn,
+            ServerLimits.of_operations(300).accepts_per_turn,
+            MeshLimits.within(300, 4096).accepts_per_turn,
+            MeshLimits.within(300, 400).accepts_per_turn,
+        ]
+        self.assertEqual(accepted, [100, 12, 8, 100, 12])
+
     def test_a_connection_that_closes_does_not_wait_for_its_client_for_ever(self):
         async def answer(exchange):
             exchange.connection.transport.set_write_buffer_limits(2 * LARGE_ANSWER_BYTES)
