HTTP: the account of a connection's memory doesn't refer to the connection

The account itself is the owner now. A connection that has ended is freed at once: a new test on real sockets without the collector fails with the reference planted again. That a lost connection drops what it received stays, since a handler that is being cancelled may still hold it.

New, and passed before as well: a crowd that leaves in the midst of frames between nodes, at a router and at a core.

--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -45,7 +45,7 @@
     def __init__(self, server):
         self.server = server
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=server.head_limit)
-        self.parser, self.memory = RequestParser(self.conn), ConnectionMemory(server, self)
+        self.parser, self.memory = RequestParser(self.conn), ConnectionMemory(server)
         self.loop = asyncio.get_running_loop()
         self.request, self.body, self.method = None, bytearray(), b""
         self.discarded_bytes = self.queued_bytes = 0
--- a/swiftdeck/http/connection_memory.py
+++ b/swiftdeck/http/connection_memory.py
@@ -13,13 +13,16 @@
 
 
 class ConnectionMemory:
-    """The part of a server's memory for bodies that one of its connections has reserved."""
+    """The part of a server's memory for bodies that one of its connections has reserved.
 
-    def __init__(self, server, owner):
-        self.server, self.owner = server, owner
+    It doesn't refer to its connection, which is freed at once when it ends.
+    """
+
+    def __init__(self, server):
+        self.server = server
 
     def _reserved_bytes(self) -> int:
-        return self.server.body_memory.reserved.get(self.owner, 0)
+        return self.server.body_memory.reserved.get(self, 0)
 
     def reserve_body(self, size: int) -> Fault | None:
         """Reserve the memory for a body of some size; return the fault that refuses it, or None.
@@ -31,7 +34,7 @@
         if size <= FREE_BODY_BYTES or BODY_COPIES * size <= self._reserved_bytes():
             return None
         steps = -(-size // BODY_STEP_BYTES)
-        if self.server.reserve(self.owner, BODY_COPIES * steps * BODY_STEP_BYTES):
+        if self.server.reserve(self, BODY_COPIES * steps * BODY_STEP_BYTES):
             return None
         return NO_BODY_MEMORY
 
@@ -47,18 +50,18 @@
         size = len(data) + decoded_bytes
         if size > self.server.body_memory.limit_bytes:
             return TOO_LARGE.with_reason(f"body has {items} items")
-        if self.server.reserve(self.owner, max(size, self._reserved_bytes())):
+        if self.server.reserve(self, max(size, self._reserved_bytes())):
             return None
         return NO_BODY_MEMORY
 
     def reserve_response(self, size: int) -> bool:
         """Reserve the memory for a large response; return whether there is any."""
-        return self.server.reserve(self.owner, self._reserved_bytes() + size)
+        return self.server.reserve(self, self._reserved_bytes() + size)
 
     def hand_over(self, new_owner):
         """Make what is reserved that of an owner that outlasts the request."""
-        self.server.body_memory.hand_over(self.owner, new_owner)
+        self.server.body_memory.hand_over(self, new_owner)
 
     def release(self):
         """Give back what is reserved."""
-        self.server.body_memory.release(self.owner)
+        self.server.body_memory.release(self)
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -8,6 +8,7 @@
 
 from swiftdeck.fault import HANDLER_FAILED, Fault
 from swiftdeck.http.connection import HEAD_LIMIT_BYTES, HttpConnection
+from swiftdeck.http.connection_memory import ConnectionMemory
 from swiftdeck.http.cuts import CutReason
 from swiftdeck.http.drain import Drain, DrainTimes, Phase
 from swiftdeck.http.limits import RECEIVE_BUFFER_BYTES, ServerLimits
@@ -113,19 +114,19 @@
             answered.abort(CutReason.CLIENT_STALLED)
             self.forget(answered)
 
-    def reserve(self, connection, size: int) -> bool:
+    def reserve(self, owner: ConnectionMemory, size: int) -> bool:
         """Reserve memory for the body or the response of a connection; return whether there is any.
 
         Clients that don't read their responses lose what is reserved for them to those that do.
         """
         memory = self.body_memory
-        while not memory.reserve(connection, size):
-            holders = (other for other in self.stalled if other in memory.reserved)
-            holder = next((other for other in holders if other is not connection), None)
+        while not memory.reserve(owner, size):
+            holders = (other for other in self.stalled if other.memory in memory.reserved)
+            holder = next((other for other in holders if other.memory is not owner), None)
             if holder is None:
                 return False
             holder.abort_stalled()
-            memory.release(holder)
+            holder.memory.release()
         return True
 
     def note_stalled(self, connection):
--- a/tests/crowds/test_reconnecting.py
+++ b/tests/crowds/test_reconnecting.py
@@ -11,6 +11,7 @@
 ENDLESS_ROUNDS = 1000000
 MANY = CrowdSize(200, rounds=ENDLESS_ROUNDS)
 LEAVING = CrowdSize(64, rounds=ENDLESS_ROUNDS, leaves=True)
+FRAME_BYTES = 6 * MEBIBYTE
 BODY_BYTES, OPERATORS_BODY_BYTES = 4 * MEBIBYTE, 16 * MEBIBYTE - 1
 
 
@@ -57,6 +58,17 @@
 
         self.run_crowds(lambda site: [Crowd(site.cores[0].http, payload, LEAVING)])
 
+    def test_frames_whose_senders_leave_before_their_end(self):
+        def payload():
+            return payloads.frame_short_of_its_end(FRAME_BYTES, FRAME_BYTES - 1)
+
+        self.run_crowds(
+            lambda site: [
+                Crowd(site.routers[0].inner, payload, LEAVING),
+                Crowd(site.cores[0].inner, payload, LEAVING),
+            ]
+        )
+
     def test_all_addresses_of_a_router(self):
         def addresses(site):
             router = site.routers[0]
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -257,6 +257,34 @@
             ]
             self.assertEqual([bytes(each) for each in held], [b"", b"", b""])
 
+    def test_a_connection_that_has_ended_is_freed_without_the_garbage_collector(self):
+        async def answer(exchange):
+            await exchange.send_response(200, [], b"")
+
+        async def serve_and_connect():
+            server = HttpServer(answer)
+            await server.start("127.0.0.1", 0)
+            _, port = server.server.sockets[0].getsockname()
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            async with asyncio.timeout(20):
+                writer.write(GET + post(BODY_BYTES) + b"x" * (BODY_BYTES // 2))
+                await reader.readuntil(b"\r\n\r\n")
+                (connection,) = server.open
+                while len(connection.body) < BODY_BYTES // 2:
+                    await asyncio.sleep(0.01)
+                ended = weakref.ref(connection)
+                del connection
+                writer.close()
+                while server.open:
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0)
+            server.stop()
+            return ended()
+
+        gc.disable()
+        self.addCleanup(gc.enable)
+        self.assertIsNone(asyncio.run(serve_and_connect()))
+
     def test_streamed_lines_wait_in_no_more_memory_than_there_is_for_them(self):
         async def echo_sizes(exchange):
             exchange.begin(200, [("transfer-encoding", "chunked")])
