--- a/swiftdeck/soak/crowd.py
+++ b/swiftdeck/soak/crowd.py
@@ -88,6 +88,11 @@
         """Note that the peer closed the connection."""
         self.is_closed = True
 
+    def drop(self):
+        """Close the connection at once, unless it is closed."""
+        if not self.is_closed:
+            self.transport.abort()
+
     def is_waiting(self) -> bool:
         """Return whether nothing more will happen unless the peer acts."""
         is_blocked = self.is_paused and self.loop.time() - self.progress_s > BLOCKED_S
@@ -155,7 +160,7 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for connection in list(self.connections):
-            connection.transport.abort()
+            connection.drop()
 
 
 class CrowdGroup:
