Operators: a line of changes that is nested too deeply is answered again

A line of /v1/changes whose JSON could be decoded, but not be encoded a few calls deeper, ended the whole stream without an answer. Nothing was sent by then, as a change is encoded before it goes to the head.

--- a/swiftdeck/control/operators.py
+++ b/swiftdeck/control/operators.py
@@ -130,11 +130,11 @@
             return fault.as_body()
         try:
             change = msgspec.json.decode(line)
+            if isinstance(change, dict):
+                change = {"id": self._new_id()} | change
+            _, result, _ = await self.submit_change(change)
         except (msgspec.DecodeError, RecursionError) as error:
             return BAD_REQUEST.with_reason(f"line is not JSON: {error}").as_body()
-        _, result, _ = await self.submit_change(
-            ({"id": self._new_id()} | change) if isinstance(change, dict) else change
-        )
         return result
 
     async def _handle_outcome(self, exchange, change_id):
--- a/tests/cases/config.py
+++ b/tests/cases/config.py
@@ -53,6 +53,21 @@
 
         self.assertEqual(cluster.world.run_task("operator", send), [0, 100, 200, 100])
 
+    def test_lines_of_any_depth_have_an_answer_each(self):
+        cluster, depths = self.cluster(), range(900, 1010)
+        start = b'{"op":"patch","base":1,"document":{"deep":'
+        lines = [start + b"[" * depth + b"]" * depth + b"}}" for depth in depths]
+
+        async def send():
+            ip, _, port = cluster.site.cores[0]["http"].rpartition(":")
+            link = await connect(ip, int(port))
+            got = await link.exchange("POST", "/v1/changes", body=b"\n".join(lines))
+            return [msgspec.json.decode(line)["code"] async for line in got.lines()]
+
+        codes = cluster.world.run_task("operator", send, limit_s=60)
+        self.assertEqual(len(codes), len(lines))
+        self.assertEqual(codes[-1], 100)
+
     def test_changes_go_in_and_answers_come_out_of_one_open_stream(self):
         cluster, got = self.cluster(), bytearray()
 
