HTTP: a missing answer counts as ours on a connection that gave way too

A connection that ended in favour of another one gave its client as the reason, whatever its last request came to. A handler that had ended without an answer was so excused from invariant.requestsCut, by which the soak and the tests find it. Such a connection now ends like any other that isn't kept, and only drops what still comes beforehand. close_discarding closes a connection that is closing already, so that its two callers need not look.

The new test counted no unanswered request before.

--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -367,14 +367,7 @@
         """Continue with the next request, or close a connection that isn't kept."""
         if self.gone or self.rejecting:
             return
-        if self.is_last_request:
-            self.cut_reason = self.cut_reason or CutReason.CLIENT_FAULT
-            self.close_discarding()
-        elif (
-            self.conn.our_state is h11.DONE
-            and self.conn.their_state is h11.DONE
-            and (self.server.keeps_connections() or self.conn.trailing_data[0])
-        ):
+        if self._may_continue():
             self.parser.start_next_request()
             self.method, self.exchange = b"", None
             self.start_idle_timer(self.server.idleMs)
@@ -385,10 +378,20 @@
             self.adjust_reading()
             if self.server.is_stopped and not self.rejecting:
                 self.stop()
+            return
+        self.cut_reason = self.cut_reason or CutReason.UNANSWERED
+        if self.is_last_request:
+            self.close_discarding()
         else:
-            self.cut_reason = self.cut_reason or CutReason.UNANSWERED
             self.close()
 
+    def _may_continue(self) -> bool:
+        """Return whether a further request may follow the one that has ended."""
+        is_complete = self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE
+        if self.is_last_request or not is_complete:
+            return False
+        return self.server.keeps_connections() or bool(self.conn.trailing_data[0])
+
     def stop(self):
         """Close the connection unless a request is being handled.
 
@@ -444,7 +447,7 @@
             if self.method != HEAD.encode():
                 self.send(h11.Data(data=data))
             self.send(h11.EndOfMessage())
-        if self.conn.their_state is h11.SEND_BODY and not self.transport.is_closing():
+        if self.conn.their_state is h11.SEND_BODY:
             self.close_discarding()
         else:
             self.close()
@@ -456,7 +459,7 @@
         """
         self.rejecting = True
         if self.transport.is_closing():
-            return
+            return self.close()
         self.transport.write_eof()
         self.set_idle_timer(DISCARD_S)
         self.transport.resume_reading()
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -558,6 +558,18 @@
         self.assertTrue(ahead.received.startswith(b"HTTP/1.1 502 "), ahead.received)
         self.assertEqual((server.count["invariant.requestsCut"], server.open), (0, {}))
 
+    def test_an_answer_that_is_missing_counts_on_a_connection_that_gave_way_too(self):
+        async def forget_to_answer(exchange):
+            await asyncio.sleep(0.5)
+
+        server = self.serve(forget_to_answer, limits=ServerLimits(connections=1))
+        self.record([AHEAD])
+        self.world.run(0.1)
+        self.record([])
+        self.world.run(3)
+        self.assertEqual(server.count["connectionsEvicted"], 1)
+        self.assertEqual(server.count["requestsCut.unanswered"], 1)
+
     def test_few_connections_that_gave_way_wait_for_their_clients(self):
         async def answer(exchange):
             await asyncio.sleep(0.01)
