--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -200,17 +200,20 @@
 
     def receive(self, data):
         """Pass received bytes, or none at the end of the stream, to h11 and process its events."""
-        try:
-            self.parser.receive(data)
-            self.process_events()
-        except h11.RemoteProtocolError as error:
-            self.reject(BAD_REQUEST.with_reason(str(error)), error.error_status_hint)
+        self.parser.receive(data)
+        self.process_events()
 
     def process_events(self):
-        """Process the events that h11 has, until a request is being handled.
+        """Process the events that h11 has, until a request is being handled; reject a malformed one.
 
         After EVENTS_PER_TURN of them other connections get their turn.
         """
+        try:
+            self._process_turn()
+        except h11.RemoteProtocolError as error:
+            self.reject(BAD_REQUEST.with_reason(str(error)), error.error_status_hint)
+
+    def _process_turn(self):
         for _ in range(EVENTS_PER_TURN):
             if self.rejecting or self.task is not None and self.body_queue is None:
                 return
@@ -225,10 +228,7 @@
         self.is_continuing = False
         if self.is_ending():
             return
-        try:
-            self.process_events()
-        except h11.RemoteProtocolError as error:
-            self.reject(BAD_REQUEST.with_reason(str(error)), error.error_status_hint)
+        self.process_events()
         self.adjust_reading()
 
     def process_event(self, event) -> bool:
@@ -368,17 +368,7 @@
         if self.gone or self.rejecting:
             return
         if self._may_continue():
-            self.parser.start_next_request()
-            self.method, self.exchange = b"", None
-            self.start_idle_timer(self.server.idleMs)
-            try:
-                self.process_events()
-            except h11.RemoteProtocolError as error:
-                self.reject(BAD_REQUEST.with_reason(str(error)), error.error_status_hint)
-            self.adjust_reading()
-            if self.server.is_stopped and not self.rejecting:
-                self.stop()
-            return
+            return self._start_next_request()
         self.cut_reason = self.cut_reason or CutReason.UNANSWERED
         if self.is_last_request:
             self.close_discarding()
@@ -392,6 +382,15 @@
             return False
         return self.server.keeps_connections() or bool(self.conn.trailing_data[0])
 
+    def _start_next_request(self):
+        self.parser.start_next_request()
+        self.method, self.exchange = b"", None
+        self.start_idle_timer(self.server.idleMs)
+        self.process_events()
+        self.adjust_reading()
+        if self.server.is_stopped and not self.rejecting:
+            self.stop()
+
     def stop(self):
         """Close the connection unless a request is being handled.
 
