One set-up for listening sockets, and one bound on reads

HTTP servers and the mesh each had the same three calls to listen; runtime/listeners.listen makes them. The bound on how much is read at a time stood in three files; it is in runtime/transports.

--- a/swiftdeck/http/client.py
+++ b/swiftdeck/http/client.py
@@ -14,9 +14,10 @@
     is_fault,
 )
 from swiftdeck.http.reset import give_up
+from swiftdeck.runtime.transports import limit_reads
 
-READ_AHEAD_BYTES, READ_BYTES = 65536, 65536
-"""How many bytes may wait for their reader, and how many are read from a connection at a time."""
+READ_AHEAD_BYTES = 65536
+"""How many bytes may wait for their reader."""
 LINE_LIMIT_BYTES = 262144
 
 
@@ -35,7 +36,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
-        transport.max_size = READ_BYTES
+        limit_reads(transport)
 
     def data_received(self, data):
         try:
--- a/swiftdeck/http/connection.py
+++ b/swiftdeck/http/connection.py
@@ -18,10 +18,9 @@
 from swiftdeck.http.exchange import HEAD, HttpExchange, retry_after_headers
 from swiftdeck.http.request_parser import RequestParser, announced_length
 from swiftdeck.http.reset import reset
+from swiftdeck.runtime.transports import limit_reads
 
 HEAD_LIMIT_BYTES = 32768
-READ_BYTES = 65536
-"""How many bytes are read from a connection at a time; asyncio's own default is four times that."""
 BACKLOG_LIMIT_BYTES = HEAD_LIMIT_BYTES
 """Unprocessed bytes behind the current request above which reading pauses."""
 QUEUED_PIECES_LIMIT, QUEUED_BYTES_LIMIT = 64, 65536
@@ -57,7 +56,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
-        transport.max_size = READ_BYTES
+        limit_reads(transport)
         self.start_idle_timer(self.server.idleMs)
         self.server.register(self)
 
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -12,7 +12,7 @@
 from swiftdeck.http.cuts import CutReason
 from swiftdeck.http.drain import Drain, DrainTimes, Phase
 from swiftdeck.http.limits import RECEIVE_BUFFER_BYTES, ServerLimits
-from swiftdeck.runtime.listeners import BACKLOG, limit_receive_buffers, set_backlog
+from swiftdeck.runtime.listeners import listen
 from swiftdeck.runtime.memory_pool import MemoryPool
 
 POLL_INTERVAL_S = 0.01
@@ -55,12 +55,13 @@
     async def start(self, ip, port):
         """Listen on an address."""
         self.loop = asyncio.get_running_loop()
-        self.server = await self.loop.create_server(
-            lambda: HttpConnection(self), ip, port, backlog=self.limits.accepts_per_turn
+        self.server = await listen(
+            lambda: HttpConnection(self),
+            ip,
+            port,
+            self.limits.accepts_per_turn,
+            RECEIVE_BUFFER_BYTES,
         )
-        limit_receive_buffers(self.server, RECEIVE_BUFFER_BYTES)
-        if self.limits.accepts_per_turn < BACKLOG:
-            set_backlog(self.server)
 
     def allow_bodies(self, size: int):
         """Take bodies of up to a size, as far as there is memory for one of them."""
--- a/swiftdeck/runtime/listeners.py
+++ b/swiftdeck/runtime/listeners.py
@@ -1,5 +1,6 @@
-"""Sets what the kernel keeps for listening sockets and for the connections that they accept."""
+"""Listens, with bounds on what the kernel keeps for a listener and for what it accepts."""
 
+import asyncio
 import contextlib
 import os
 import socket
@@ -8,23 +9,32 @@
 """How many connections the kernel keeps for a listening socket until they are accepted."""
 
 
-def limit_receive_buffers(server, size: int):
-    """Set the size in bytes of the receive buffers of connections that a server accepts.
+async def listen(make_protocol, ip: str, port, accepts_per_turn: int, receive_buffer_bytes: int):
+    """Listen on an address, and return the server.
 
-    They inherit it from the listening socket, and no longer grow with what a client sends. A
-    platform that refuses the option has buffers of its own size.
+    It accepts up to `accepts_per_turn` connections in one turn of the loop. asyncio passes that on
+    as the kernel's backlog, which is set apart where it is smaller than BACKLOG.
     """
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(make_protocol, ip, port, backlog=accepts_per_turn)
     for listener in getattr(server, "sockets", ()):
-        with contextlib.suppress(OSError):
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        _limit_receive_buffers(listener, receive_buffer_bytes)
+        if accepts_per_turn < BACKLOG:
+            _set_backlog(listener)
+    return server
 
 
-def set_backlog(server, size: int = BACKLOG):
-    """Set how many connections the kernel keeps until a server accepts them.
+def _limit_receive_buffers(listener, size: int):
+    """Set the size in bytes of the receive buffers of the connections that are accepted.
 
-    asyncio accepts as many in one turn of the loop as the `backlog` that it was given, and passes
-    that on to the kernel. This sets the kernel's alone.
+    They inherit it from the listening socket, and no longer grow with what a client sends. A
+    platform that refuses the option has buffers of its own size.
     """
-    for listener in getattr(server, "sockets", ()):
-        with contextlib.suppress(OSError), socket.socket(fileno=os.dup(listener.fileno())) as same:
-            same.listen(size)
+    with contextlib.suppress(OSError):
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
+def _set_backlog(listener):
+    """Let the kernel keep BACKLOG connections until they are accepted."""
+    with contextlib.suppress(OSError), socket.socket(fileno=os.dup(listener.fileno())) as same:
+        same.listen(BACKLOG)
--- a/swiftdeck/wire/link.py
+++ b/swiftdeck/wire/link.py
@@ -6,12 +6,11 @@
 import attrs
 
 from swiftdeck.fault import BAD_FRAME, PEER_TIMEOUT
+from swiftdeck.runtime.transports import limit_reads
 
 FRAME_LIMIT_BYTES = 64 << 20
 FRAMES_AT_ONCE, FRAMES_PER_TURN = 8, 32
 """How many frames of a link are handled as they arrive, and how many in a turn of its own."""
-READ_BYTES = 65536
-"""How many bytes are read from a link at a time; asyncio's own default is four times that."""
 LENGTH = struct.Struct(">I")
 """Prefix of a frame on a stream: its length in bytes."""
 PARTIAL_FRAME_S = 0.25
@@ -46,7 +45,7 @@
     def connection_made(self, transport):
         """Register the link with the mesh."""
         self.transport = transport
-        transport.max_size = READ_BYTES
+        limit_reads(transport)
         self.mesh.register_link(self)
 
     def pause_writing(self):
--- a/swiftdeck/wire/mesh.py
+++ b/swiftdeck/wire/mesh.py
@@ -20,7 +20,7 @@
     fault_from_code,
     is_fault,
 )
-from swiftdeck.runtime.listeners import BACKLOG, limit_receive_buffers, set_backlog
+from swiftdeck.runtime.listeners import listen
 from swiftdeck.runtime.memory_pool import MemoryPool
 from swiftdeck.wire.limits import FREE_MESSAGE_BYTES, MeshLimits
 from swiftdeck.wire.link import (
@@ -135,12 +135,9 @@
         """Listen on the TCP and the UDP port of the address."""
         loop = asyncio.get_running_loop()
         ip, port = split_addr(self.addr)
-        self.server = await loop.create_server(
-            lambda: Link(self), ip, port, backlog=self.limits.accepts_per_turn
+        self.server = await listen(
+            lambda: Link(self), ip, port, self.limits.accepts_per_turn, RECEIVE_BUFFER_BYTES
         )
-        limit_receive_buffers(self.server, RECEIVE_BUFFER_BYTES)
-        if self.limits.accepts_per_turn < BACKLOG:
-            set_backlog(self.server)
         self.datagrams, _ = await loop.create_datagram_endpoint(
             lambda: Datagrams(self), local_addr=(ip, port)
         )
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -12,11 +12,11 @@
 from swiftdeck.http.connection import (
     BACKLOG_LIMIT_BYTES,
     EVENTS_PER_TURN,
-    READ_BYTES,
     HttpConnection,
 )
 from swiftdeck.http.limits import ServerLimits
 from swiftdeck.http.server import HttpServer
+from swiftdeck.runtime.transports import READ_BYTES
 from swiftdeck.sim.transport import HIGH_WATER_BYTES
 from swiftdeck.sim.world import World
 from swiftdeck.wire.limits import MeshLimits
