HTTP limits: what both kinds of servers derive stands once

ServerLimits.within and of_operations derived four limits from the connections in the same lines; MEBIBYTE was defined for http and for wire; whether an ending connection can be aborted and which one was looked up by two expressions.

--- a/swiftdeck/http/limits.py
+++ b/swiftdeck/http/limits.py
@@ -7,8 +7,8 @@
     accepts_per_turn,
     shared_handles,
 )
+from swiftdeck.runtime.memory_pool import MEBIBYTE
 
-MEBIBYTE = 1 << 20
 BODY_MEMORY_SHARE = 0.2
 """The share of the memory of a process that large request bodies may take."""
 LARGEST_BODY_SHARE = 0.5
@@ -54,27 +54,28 @@
     @classmethod
     def within(cls, memory_mb: int, file_handles: int):
         """Return the limits of a process that may use so much memory and so many descriptors."""
-        handles = int(shared_handles(file_handles) * CONNECTIONS_SHARE)
-        connections = min(memory_mb * CONNECTIONS_PER_MB, handles)
         return cls(
             body_memory_bytes=int(memory_mb * BODY_MEMORY_SHARE * MEBIBYTE),
             largest_body_bytes=int(memory_mb * LARGEST_BODY_SHARE * MEBIBYTE) // BODY_COPIES,
-            connections=connections,
-            stalled_connections=max(1, int(connections * STALLED_SHARE)),
-            ending_connections=max(1, int(connections * ENDING_SHARE)),
-            accepts_per_turn=accepts_per_turn(file_handles),
+            **_connection_limits(memory_mb * CONNECTIONS_PER_MB, file_handles),
         )
 
     @classmethod
     def of_operations(cls, file_handles: int):
         """Return the limits of a server for readiness and status alone."""
-        handles = int(shared_handles(file_handles) * CONNECTIONS_SHARE)
-        connections = min(OPERATIONS_CONNECTIONS, handles)
         return cls(
             body_memory_bytes=OPERATIONS_MEMORY_BYTES,
             largest_body_bytes=OPERATIONS_BODY_BYTES,
-            connections=connections,
-            stalled_connections=max(1, int(connections * STALLED_SHARE)),
-            ending_connections=max(1, int(connections * ENDING_SHARE)),
-            accepts_per_turn=accepts_per_turn(file_handles),
+            **_connection_limits(OPERATIONS_CONNECTIONS, file_handles),
         )
+
+
+def _connection_limits(most: int, file_handles: int) -> dict[str, int]:
+    """Return the limits on connections by name, with `most` of them at the most."""
+    connections = min(most, int(shared_handles(file_handles) * CONNECTIONS_SHARE))
+    return {
+        "connections": connections,
+        "stalled_connections": max(1, int(connections * STALLED_SHARE)),
+        "ending_connections": max(1, int(connections * ENDING_SHARE)),
+        "accepts_per_turn": accepts_per_turn(file_handles),
+    }
--- a/swiftdeck/http/server.py
+++ b/swiftdeck/http/server.py
@@ -106,14 +106,11 @@
     def _may_end_another(self) -> bool:
         """Return whether one more connection may stay open until its answer is sent."""
         are_few = len(self.ending) < self.limits.ending_connections
-        return are_few or any(map(HttpConnection.awaits_request, self.ending))
+        return are_few or self._find_answered() is not None
 
-    def _abort_ended(self):
-        """Abort the first of the ending connections that has nothing left to answer."""
-        answered = next(filter(HttpConnection.awaits_request, self.ending), None)
-        if answered is not None:
-            answered.abort(CutReason.CLIENT_STALLED)
-            self.forget(answered)
+    def _find_answered(self):
+        """Return the first of the ending connections that has nothing left to answer, or None."""
+        return next(filter(HttpConnection.awaits_request, self.ending), None)
 
     def reserve(self, owner: ConnectionMemory, size: int) -> bool:
         """Reserve memory for the body or the response of a connection; return whether there is any.
@@ -140,13 +137,20 @@
         """End a connection, which no longer counts as one of those that are open."""
         self.count["connectionsEvicted"] += 1
         if len(self.ending) >= self.limits.ending_connections:
-            self._abort_ended()
+            self._abort_answered()
         self.ending[connection] = None
         try:
             connection.evict()
         except (ConnectionError, h11.LocalProtocolError) as error:
             self.close_failed(connection, error)
 
+    def _abort_answered(self):
+        """Abort an ending connection that has nothing left to answer, if there is one."""
+        answered = self._find_answered()
+        if answered is not None:
+            answered.abort(CutReason.CLIENT_STALLED)
+            self.forget(answered)
+
     def forget(self, connection):
         """Remove a connection that has ended."""
         self.open.pop(connection, None)
--- a/swiftdeck/runtime/memory_pool.py
+++ b/swiftdeck/runtime/memory_pool.py
@@ -1,5 +1,7 @@
 """A bounded amount of memory of which owners reserve parts."""
 
+MEBIBYTE = 1 << 20
+
 
 class MemoryPool:
     """Keeps account of bytes that are reserved; it allocates nothing itself.
--- a/swiftdeck/wire/limits.py
+++ b/swiftdeck/wire/limits.py
@@ -7,11 +7,10 @@
     accepts_per_turn,
     shared_handles,
 )
+from swiftdeck.runtime.memory_pool import MEBIBYTE
 
-MEBIBYTE = 1 << 20
 PARTIAL_FRAMES_SHARE = 0.1
 """The share of the memory of a process that frames may take which have not arrived whole."""
-
 HANDLED_MESSAGES_SHARE = 0.1
 """The share of the memory that messages may take whose handlers wait."""
 UNREAD_MESSAGES_SHARE = 0.15
