--- a/swiftdeck/soak/crowd.py
+++ b/swiftdeck/soak/crowd.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from swiftdeck.wire.mesh import split_addr
+
 HIGH_WATER_BYTES = 65536
 CONNECT_TIMEOUT_S = 5.0
 RECONNECT_PAUSE_S = 0.02
@@ -103,8 +105,7 @@
     """Keeps a number of misbehaving connections open to one address."""
 
     def __init__(self, address: str, payload: Payload, size: CrowdSize, reads: bool = True):
-        ip, _, port = address.rpartition(":")
-        self.peer = ip, int(port)
+        self.peer = split_addr(address)
         self.payload, self.size, self.reads = payload, size, reads
         self.tasks: list[asyncio.Task] = []
         self.connections: set[CrowdConnection] = set()
--- a/tests/crowds/case.py
+++ b/tests/crowds/case.py
@@ -9,6 +9,7 @@
 from swiftdeck.bench.platform_api.site_forms import MachineLimits
 from swiftdeck.http.client import fetch_json
 from swiftdeck.programs.loop import BootLoop
+from swiftdeck.runtime.memory_pool import MEBIBYTE
 from swiftdeck.soak.addresses import LoopbackBlock
 from swiftdeck.soak.operators import Operators
 from swiftdeck.soak.processes import SiteProcesses
@@ -16,7 +17,6 @@
 from swiftdeck.soak.site import HOST, Site, generated_route
 from swiftdeck.soak.stand_ins import StandIns
 
-MEBIBYTE = 1 << 20
 ROUTER_LIMITS = MachineLimits(memory_mb=160, file_handles=400)
 CORE_LIMITS = MachineLimits(memory_mb=296, file_handles=400)
 PATIENCE_S = 60.0
--- a/tests/crowds/test_reconnecting.py
+++ b/tests/crowds/test_reconnecting.py
@@ -5,14 +5,14 @@
 from swiftdeck.soak import payloads
 from swiftdeck.soak.crowd import Crowd, CrowdGroup, CrowdSize
 from tests.crowds.case import MEBIBYTE, CrowdCase
-from tests.crowds.test_clients import KEYED, PUBLIC, REQUESTS_AHEAD, USUAL
+from tests.crowds.test_clients import BODY_BYTES, KEYED, PUBLIC, REQUESTS_AHEAD, USUAL
+from tests.crowds.test_cores import BODY_BYTES as OPERATORS_BODY_BYTES
 from tests.crowds.test_cores import CONFIG, STALE_BASE
 
 ENDLESS_ROUNDS = 1000000
 MANY = CrowdSize(200, rounds=ENDLESS_ROUNDS)
 LEAVING = CrowdSize(64, rounds=ENDLESS_ROUNDS, leaves=True)
 FRAME_BYTES = 6 * MEBIBYTE
-BODY_BYTES, OPERATORS_BODY_BYTES = 4 * MEBIBYTE, 16 * MEBIBYTE - 1
 
 
 class ReconnectingTest(CrowdCase):
--- a/tests/http/test_crowds.py
+++ b/tests/http/test_crowds.py
@@ -94,6 +94,16 @@
         self.world.run(1)
         return self.servers[0]
 
+    def stop(self, server, limit_s, fault):
+        """Stop a server; after some seconds it answers what still runs by a fault."""
+
+        async def stop():
+            server.stop()
+            await server.finish(limit_s, fault)
+
+        self.world.run_task("server", stop)
+        self.world.run(1)
+
     def connect(self, make_protocol, count=1):
         """Open connections from a process of its own."""
 
@@ -381,13 +391,7 @@
         server = self.serve(answer)
         self.connect(lambda: SilentReader([GET]))
         self.world.run(1)
-
-        async def stop():
-            server.stop()
-            await server.finish(1.0, ROUTER_STOPPING)
-
-        self.world.run_task("server", stop)
-        self.world.run(1)
+        self.stop(server, 1.0, ROUTER_STOPPING)
         cuts = {name: n for name, n in server.count.items() if "requestsCut" in name}
         self.assertEqual((cuts, server.open), ({"requestsCut.clientStalled": 1}, {}))
 
@@ -548,13 +552,7 @@
         self.world.run(0.1)
         self.record([])
         self.world.run(0.1)
-
-        async def stop():
-            server.stop()
-            await server.finish(0.5, WORKER_LOST)
-
-        self.world.run_task("server", stop)
-        self.world.run(1)
+        self.stop(server, 0.5, WORKER_LOST)
         self.assertTrue(ahead.received.startswith(b"HTTP/1.1 502 "), ahead.received)
         self.assertEqual((server.count["invariant.requestsCut"], server.open), (0, {}))
 
