--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -19,6 +19,7 @@
 )
 from swiftdeck.gateway.admission import Admission
 from swiftdeck.gateway.broadcast import Broadcast
+from swiftdeck.gateway.cache_salt import cache_salt, is_isolated
 from swiftdeck.gateway.following import CacheFollowers
 from swiftdeck.gateway.health import Judge
 from swiftdeck.gateway.kept import KeptTable
@@ -316,11 +317,13 @@
                 "old weights", what=stage, model=model, version=version, lateMs=int(late_s * 1000)
             )
 
-    def salt(self, model: str, worker, tenant: str) -> str:
-        """Return the cache salt of a request's prefixes: the version of the weights, and the tenant where it is isolated."""
-        entry, edition = self.document.tenants.get(tenant), self.document.edition.get(OPERATOR)
-        shared = f".{edition.walls}" if edition and edition.walls else ""
-        return f"{self.version(model, worker)}{'/' + tenant if entry and entry.apart else shared}"
+    def isolates(self, tenant: str) -> bool:
+        """Return whether the newest configuration keeps a tenant's cached parts from all others."""
+        return is_isolated(self.document, tenant)
+
+    def salt(self, model: str, worker, isolated_tenant: str) -> str:
+        """Return the cache salt of a request that is sent now to a worker."""
+        return cache_salt(self.document, self.version(model, worker), isolated_tenant)
 
     def urgency(self, route, tenant: str, is_long: bool) -> int:
         """Return the rank of a request, lower ones first: its tenant's if set, else its route's.
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -78,6 +78,7 @@
         )
         self.aim_s = (path.target_ms or 1000) / 1000
         self.salt, self.version = "", 0
+        self.is_isolated = gateway.isolates(tenant)
         self.is_sending_to_client, self.first_event_ms, self.reading_ms = False, 0, 0.0
         self.trace = self._new_trace() if gateway.draws_call_trace(self.is_long) else None
 
@@ -194,7 +195,7 @@
         untried = [each for each in workers if each.name not in self.avoid] or (
             workers if self.ledger.repeatable else []
         )
-        salts = {each.name: gateway.salt(request.model, each, self.tenant) for each in untried}
+        salts = {each.name: self._salt_at(each) for each in untried}
         if self.is_long:
             return await self._find_placement(attempt, untried, salts)
         candidates = gateway.placing.order_short(
@@ -357,7 +358,7 @@
     def _upstream_request(self, worker):
         gateway, request = self.gateway, self.request
         version = gateway.version(request.model, worker)
-        self.version, self.salt = version, gateway.salt(request.model, worker, self.tenant)
+        self.version, self.salt = version, self._salt_at(worker)
         source = gateway.placing.source(request, worker, self.salt)
         target = gateway.placing.target(request, self.salt)
         gateway.telemetry.count["fetches"] += bool(source)
@@ -375,6 +376,17 @@
             self.last_event,
         )
 
+    def _salt_at(self, worker):
+        """Return the cache salt of this request at a worker, if it is sent now.
+
+        While the request waits, or between two attempts, its tenant may be removed, become isolated
+        or cease to be. The request stays isolated once it was, as other routers may still obey the
+        configuration in which it is. A shared salt always follows the newest configuration.
+        """
+        self.is_isolated = self.is_isolated or self.gateway.isolates(self.tenant)
+        isolated_tenant = self.tenant if self.is_isolated else ""
+        return self.gateway.salt(self.request.model, worker, isolated_tenant)
+
     def _trace_attempt(self, worker, source, target):
         """Record in the trace what the router assumes about caches when it sends the request."""
         trace, kept, shared = self.trace, self.gateway.kept, self.request.shared()
