Chain: a removed tenant that comes back isolated leaves nothing shared

Cause: the generation of the shared salt rose only where a change isolates a tenant of the present configuration. One that comes back was new to the head, whatever it had left.

Fix: the state of the chain remembers tenants that shared and were removed until the generation rises, in each member alike from the entries, in copies and over restarts. `chain/cache_isolation.py` compares the configuration before and after each change, whoever sent it and in which form; the generation never falls.

Cost: no cache is dropped until a removed tenant comes back isolated; then all shared prefixes get new names once, as for a tenant that turns. State: a name a removed tenant, 4,096 at most (57 KB at 12 characters a name, 532 KB at the longest); one more drops the shared caches once in place of growing. A state of the earlier format doesn't tell who was removed: there the first tenant that is new and isolated raises the generation.

`Edition.walls` is `shared_cache_generation` now; its stored name stays.

--- a/swiftdeck/chain/state.py
+++ b/swiftdeck/chain/state.py
@@ -4,9 +4,15 @@
 
 import msgspec
 
+from swiftdeck.chain.cache_isolation import CacheIsolation
 from swiftdeck.chain.outcomes import DIGEST_CHARS, Outcomes
 from swiftdeck.config.configuration import Configuration
-from swiftdeck.config.document import EDITION, merge
+from swiftdeck.config.document import (
+    EDITION,
+    GENERATION_FIELD,
+    merge,
+    shared_cache_generation,
+)
 from swiftdeck.fault import (
     BASE_VERSION_AHEAD,
     CHANGE_FORGOTTEN,
@@ -34,6 +40,7 @@
     batches: dict[str, list] = {}
     claims: dict[str, list] = {}
     freed: dict[str, list] = {}
+    departedTenants: dict[str, bool] | None = None
 
 
 def invalid_by_itself(change: dict):
@@ -58,8 +65,9 @@
     """
 
     def __init__(self, keepMs=86400000, claimsMost=200000):
-        self.stored = Stored()
+        self.stored = Stored(departedTenants={})
         self.outcomes = Outcomes(self.stored)
+        self.isolation = CacheIsolation(self.stored)
         self.keepMs, self.claimsMost = keepMs, claimsMost
         self.on_config = lambda entry: None
         self.config, self.deltas, self.is_consistent = Configuration.empty(), {}, True
@@ -76,7 +84,7 @@
         if is_fault(config):
             raise msgspec.DecodeError(config.reason)
         self.stored, self.config, self.deltas, self.is_consistent = stored, config, {}, True
-        self.outcomes = Outcomes(stored)
+        self.outcomes, self.isolation = Outcomes(stored), CacheIsolation(stored)
 
     def deltas_since(self, version: int, digest: bytes, newest: int | None = None):
         """Return the encoded deltas from a version with this digest to `newest`, or None if they are not all kept."""
@@ -131,6 +139,11 @@
         """Return the new values of the entries that a change touches, None where nothing changes, or a fault."""
         if change["op"] == "raise":
             return self._raise_weights(change["model"], change["weights"])
+        delta = self._requested_delta(change)
+        return delta if is_fault(delta) else self._with_generation(delta)
+
+    def _requested_delta(self, change):
+        """Return the new values of the entries that an operator's change asks for, or a fault."""
         fault = self._check_base(change)
         if is_fault(fault):
             return fault
@@ -146,6 +159,22 @@
             tables, change.get("ensure", {})
         )
 
+    def _with_generation(self, delta):
+        """Return a checked change that keeps or raises the generation of shared prefixes.
+
+        Whatever an operator sends, the generation never falls.
+        """
+        config, changed_config = self.config, self.config.apply(delta)
+        generation = self.isolation.required_generation(
+            config.document, changed_config.document, config.changed_names(delta, "tenants")
+        )
+        if generation == shared_cache_generation(changed_config.document):
+            return delta
+        edition = changed_config.raws.get("edition", {}).get(EDITION, {"number": 0})
+        return config.with_entry(
+            delta, "edition", EDITION, edition | {GENERATION_FIELD: generation}
+        )
+
     def _check_base(self, change):
         """Return a fault if a change is based on another version or edition than the current one."""
         if "edition" in change:
@@ -180,25 +209,15 @@
         )
 
     def _edition_table(self, change):
-        """Return the edition table after a change: replaced where `op` is `replace` and gives one, else merged.
-
-        `walls` counts the changes that set an existing tenant apart.
-        """
+        """Return the edition table after a change: replaced where `op` is `replace` and gives one, else merged."""
         given, current = (
             change["document"].get("edition", {}).get(EDITION),
             self.config.raws.get("edition", {}).get(EDITION, {}),
         )
         is_replaced = given is not None and change["op"] == "replace"
-        tenants = self.config.document.tenants
-        separates_tenant = any(
-            entry and entry.get("apart") and name in tenants and not tenants[name].apart
-            for name, entry in change["document"].get("tenants", {}).items()
-        )
-        walls = current.get("walls", 0) + separates_tenant
         return {
             EDITION: (given if is_replaced else merge(current, given or {}))
             | {"number": change["edition"]}
-            | ({"walls": walls} if walls else {})
         }
 
     def _raise_weights(self, model, weights):
@@ -246,14 +265,17 @@
 
     def _apply_config(self, entry):
         """Set the next configuration from its delta, or from the whole document that an earlier log format has."""
-        base_digest = self.config.digest()
+        previous, base_digest = self.config, self.config.digest()
         if "delta" in entry:
-            self.config = self.config.apply(entry["delta"])
+            tenants = previous.changed_names(entry["delta"], "tenants")
+            self.config = previous.apply(entry["delta"])
             self.is_consistent = self.is_consistent and self.config.digest() == entry["mark"]
             self.deltas[entry["version"]] = (base_digest, msgspec.msgpack.encode(entry["delta"]))
             self._trim(self.deltas, DELTAS_KEPT)
         else:
             self.config, self.deltas = Configuration.read(bytes(entry["document"])), {}
+            tenants = list(previous.document.tenants)
+        self.isolation.record(previous.document, self.config.document, tenants)
         self.stored.version = entry["version"]
 
     def _claim(self, max_claims, key, run, digest, op):
--- a/swiftdeck/config/configuration.py
+++ b/swiftdeck/config/configuration.py
@@ -42,7 +42,7 @@
     ), len(data) + len(name) + 4
 
 
-def _entry_changes(entries, table_change):
+def entry_changes(entries, table_change):
     """Return the entries that a change to one table touches, by name; None removes an entry.
 
     The change is a dictionary of entries, None when the whole table is removed, or a pair of
@@ -210,6 +210,19 @@
             {table: entry_changes for table, entry_changes in delta.items() if entry_changes}
         )
 
+    def changed_names(self, delta: dict, table: str) -> list[str]:
+        """Return the names of the entries of a table that a checked change touches."""
+        return list(entry_changes(self.raws.get(table, {}), delta.get(table, {})))
+
+    def with_entry(self, delta: dict, table: str, name: str, entry: dict) -> dict:
+        """Return a checked change that puts one more valid entry."""
+        table_change = delta.get(table, {})
+        put = entry_changes(self.raws.get(table, {}), table_change) | {name: entry}
+        if not isinstance(table_change, (list, tuple)):
+            return delta | {table: put}
+        order = table_change[1]
+        return delta | {table: (put, order if name in order else [*order, name])}
+
     def _missing_entries(self, ensure, excluded_tables):
         return {
             table: missing
@@ -228,7 +241,7 @@
                 return INVALID_CONFIG.with_reason(f"$: unknown table `{table}`")
             if table_change is not None and not isinstance(table_change, (dict, tuple)):
                 return INVALID_CONFIG.with_reason(f"$.{table}: expected an object")
-            for name, entry in _entry_changes({}, table_change).items():
+            for name, entry in entry_changes({}, table_change).items():
                 try:
                     msgspec.convert(name, Name)
                     if entry is not None:
@@ -249,9 +262,9 @@
         raws, typed_tables, digest_sum, size = dict(self.raws), {}, self.digest_sum, self.size
         for table, table_change in delta.items():
             entries = raws.get(table, {})
-            entry_changes = _entry_changes(entries, table_change)
+            changed_entries = entry_changes(entries, table_change)
             raw_entries, typed_entries = dict(entries), dict(getattr(self.document, table))
-            for name, entry in entry_changes.items():
+            for name, entry in changed_entries.items():
                 if name in raw_entries:
                     old_digest, old_size = _entry_digest(table, name, raw_entries[name])
                     digest_sum, size = digest_sum - old_digest, size - old_size
--- a/swiftdeck/config/document.py
+++ b/swiftdeck/config/document.py
@@ -13,6 +13,8 @@
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 # Names of the entries that are read from the tables `edition` and `limits`, one each.
 EDITION, LIMITS = "operator", "callers"
+GENERATION_FIELD = "walls"
+"""The field of an edition that has the generation of shared cached prefixes."""
 
 
 class Model(msgspec.Struct, forbid_unknown_fields=True, rename=None):
@@ -114,14 +116,14 @@
 class Edition(msgspec.Struct, forbid_unknown_fields=True, rename="camel"):
     """The operator's own number of the configuration, and settings for all callers.
 
-    `keyed` says whether callers need a tenant's key. `walls` counts how often a tenant was set
-    apart. Prefixes that a tenant cached before that are among the shared ones, so each increment
-    of `walls` changes the names of cached prefixes for all tenants.
+    `keyed` says whether callers need a tenant's key. The names of the cached prefixes that tenants
+    share include `shared_cache_generation`, which the cores raise whenever nobody may find the
+    prefixes made so far any more.
     """
 
     number: NonNegativeInt
     keyed: bool = True
-    walls: NonNegativeInt = 0
+    shared_cache_generation: NonNegativeInt = msgspec.field(default=0, name=GENERATION_FIELD)
     told: dict = {}
 
 
@@ -185,6 +187,12 @@
                 yield f"$.paths.{name}.prefix: host and prefix are also of path `{other_path}`"
 
 
+def shared_cache_generation(document: Document) -> int:
+    """Return the generation that the names of shared cached prefixes include."""
+    edition = document.edition.get(EDITION)
+    return edition.shared_cache_generation if edition else 0
+
+
 def told(error, path):
     """Return the text of a validation error, preceded by the JSON path of the field."""
     text = str(error)
--- a/swiftdeck/gateway/cache_salt.py
+++ b/swiftdeck/gateway/cache_salt.py
@@ -4,7 +4,7 @@
 weights, and isolated tenants from all others.
 """
 
-from swiftdeck.config.document import EDITION, Document
+from swiftdeck.config.document import Document, shared_cache_generation
 
 
 def is_isolated(document: Document, tenant: str) -> bool:
@@ -28,6 +28,5 @@
     """
     if isolated_tenant:
         return f"{weights_version}/{isolated_tenant}"
-    edition = document.edition.get(EDITION)
-    generation = edition.walls if edition else 0
+    generation = shared_cache_generation(document)
     return f"{weights_version}.{generation}" if generation else str(weights_version)
--- a/tests/gateway/test_isolation.py
+++ b/tests/gateway/test_isolation.py
@@ -173,6 +173,70 @@
         self.assertEqual(self.runs("walled"), [[], ["walled"]])
         self.assertEqual(self.site.breaches(), {})
 
+    # Guards against a request that outlasts the removal of its tenant and leaves parts in the next generation.
+    def test_a_request_that_waits_past_the_removal_of_its_tenant_and_an_isolation_leaves_nothing(
+        self,
+    ):
+        self.start_with_waiting("later")
+        self.change([customer("open", True)], remove=["later"], applied_s=0.1)
+        self.assertEqual(self.runs("later"), [])
+        self.end_requests()
+        self.assertEqual(self.runs("later"), [[]])
+        self.change([customer("later", True), customer("new", False)])
+        self.ask("new", "after")
+        self.assertEqual(self.runs("new"), [[]])
+
+
+class ReturningTenantTest(IsolationCase):
+    """A tenant leaves parts among the shared ones, goes, and comes back isolated."""
+
+    def start_with_parts(self):
+        """Let a tenant that is not isolated make the part that all use."""
+        self.start()
+        self.change([customer("open", False), customer("later", False)])
+        self.ask("later", "before")
+
+    def assert_isolated(self):
+        """Nobody uses parts of the tenant any more, and it uses none of others."""
+        self.ask("open", "after")
+        self.ask("later", "after")
+        self.assertEqual(self.runs("open"), [[]])
+        self.assertEqual(self.site.breaches(), {})
+
+    # Guards against a tenant that comes back isolated and leaves its earlier parts to others.
+    def test_a_tenant_that_is_removed_and_comes_back_isolated_by_changes_of_items(self):
+        self.start_with_parts()
+        self.change(remove=["later"])
+        self.change([customer("later", True)])
+        self.assert_isolated()
+
+    # Guards against the same by whole configurations.
+    def test_a_tenant_that_is_removed_and_comes_back_isolated_by_whole_configurations(self):
+        self.start_with_parts()
+        self.replace([customer("open", False)])
+        self.replace([customer("open", False), customer("later", True)])
+        self.assert_isolated()
+
+    # Guards against cores that forget who was removed when they are restarted one after another.
+    def test_a_tenant_that_comes_back_isolated_after_all_cores_were_restarted_in_turn(self):
+        self.start_with_parts()
+        self.change(remove=["later"])
+        for name in self.site.cores():
+            self.site.kill(name, back_s=0.5)
+            self.site.world.run(6)
+        self.change([customer("later", True)])
+        self.assert_isolated()
+
+    # Guards against cores that forget who was removed when all lose power at once.
+    def test_a_tenant_that_comes_back_isolated_after_all_cores_were_killed_at_once(self):
+        self.start_with_parts()
+        self.change(remove=["later"])
+        for name in self.site.cores():
+            self.site.kill(name, back_s=0.5)
+        self.site.world.run(8)
+        self.replace([customer("open", False), customer("later", True)])
+        self.assert_isolated()
+
 
 if __name__ == "__main__":
     unittest.main()
