Own interface: isolated tenants share no prefix they left, nor by a waiting call

A call that waited for its grant while its tenant was isolated ran on shared prefixes.

Cause: `swiftdeck/traffic` named prefixes by weights, group and parts, without the generation that the gateway's salt has; and right before a leg a call looked at its weights and key again, but not at its group.

Fix: the shared group has the generation in the names of cached prefixes, and a call's whole scope (weights, group, cached group) is compared with the newest configuration right before the first byte. The digests that find an open conversation have no generation, so it keeps its admission.

Cost: as on the platform, all shared prefixes get new names when a tenant is isolated; a granted call whose scope changed hands its slot back and asks anew.

--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -4,8 +4,10 @@
 import hashlib
 from typing import Annotated
 
+import attrs
 import msgspec
 
+from swiftdeck.config.document import shared_cache_generation
 from swiftdeck.fault import (
     BAD_API_KEY,
     BAD_BACKEND_RESPONSE,
@@ -29,7 +31,7 @@
 )
 from swiftdeck.http.client import connect, fetch_json
 from swiftdeck.traffic.ledger import Attempt, Ledger, NextAction, next_action
-from swiftdeck.traffic.prefix import chain_of, group_of
+from swiftdeck.traffic.prefix import cache_group_of, chain_of, group_of
 from swiftdeck.wire.messages import GrantAsk, GrantDrop
 
 WAIT_SLICE_MS = 700
@@ -48,6 +50,18 @@
     maxTokens: Annotated[int, msgspec.Meta(ge=1, le=100000)] = 256
 
 
+@attrs.frozen
+class PrefixScope:
+    """What the digests of a prompt's prefixes depend on besides the prompt.
+
+    `group` tells conversations apart, and `cache_group` the cached prefixes.
+    """
+
+    weights: str
+    group: str
+    cache_group: str
+
+
 class Call:
     """Serves one request of a client up to its final response."""
 
@@ -69,7 +83,7 @@
         self.is_last = exchange.headers.get("conversation-end", "") not in ("", "0", "false")
         self.conversation, self.avoid, self.pieces, self.begun = "", [], [], False
         self.was_granted, self.claim_result, self.release_result = False, None, None
-        self.chain, self.talk, self.weights, self.link = [], [], "", None
+        self.chain, self.talk, self.scope, self.link = [], [], None, None
 
     def now_ms(self):
         return self.loop.time() * 1000
@@ -184,26 +198,44 @@
         if not await self._wait_for_claim():
             attempt.fault = NO_CLAIM
             return
-        model = self.held.document.models.get(self.route.model)
-        tenant = self.held.document.tenants.get(self.tenant)
+        scope = self._prefix_scope(self.held.document)
         if self.held.tenant_by_key.get(self.key_digest) != self.tenant:
             attempt.fault = BAD_API_KEY
             return
-        if model is None or tenant is None or self.body.model not in self.held.document.routes:
+        if scope is None or self.body.model not in self.held.document.routes:
             attempt.fault = NO_ROUTE.with_reason(self.body.model)
             return
         if not self.router.workers.is_fresh():
             attempt.fault = STALE_WORKER_LIST
             return
-        group = group_of(self.tenant, tenant.apart)
-        if (self.weights, group) != (model.weights, getattr(self, "group", None)):
-            self.weights, self.group = model.weights, group
-            self.chain, self.talk = (
-                chain_of(model.weights, group, self.body.parts),
-                chain_of("", group, self.body.parts),
-            )
+        self._name_prefixes(scope)
         attempt.fault = await self._ask_coordinator(attempt)
 
+    def _prefix_scope(self, document):
+        """Return the scope of this call's prefixes under a configuration; None if it allows no call."""
+        model, tenant = (
+            document.models.get(self.route.model),
+            document.tenants.get(self.tenant),
+        )
+        if model is None or tenant is None:
+            return None
+        group = group_of(self.tenant, tenant.apart)
+        cache_group = cache_group_of(group, shared_cache_generation(document))
+        return PrefixScope(model.weights, group, cache_group)
+
+    def _name_prefixes(self, scope):
+        """Compute the digests of the prompt's prefixes if their scope has changed.
+
+        Those of the conversation don't depend on what renames cached prefixes, so that it keeps its
+        admission.
+        """
+        if scope == self.scope:
+            return
+        if self.scope is None or scope.group != self.scope.group:
+            self.talk = chain_of("", scope.group, self.body.parts)
+        self.scope = scope
+        self.chain = chain_of(scope.weights, scope.cache_group, self.body.parts)
+
     async def _ask_coordinator(self, attempt):
         """Ask the model's coordinator for a grant; return a fault, or None if it was granted."""
         coordinator = self.router.coordinator_of(self.route.model)
@@ -216,10 +248,10 @@
             attempt=attempt.number,
             tenant=self.tenant,
             model=self.route.model,
-            group=self.group,
+            group=self.scope.group,
             chain=self.chain,
             talk=self.talk,
-            weights=self.weights,
+            weights=self.scope.weights,
             wait_ms=slice_ms,
             avoid=self.avoid,
             conversation=self.conversation,
@@ -241,14 +273,13 @@
         Called right before the first byte is sent: it checks all that may have expired while the
         process was frozen.
         """
-        router, model = self.router, None
+        router = self.router
         if not router.lease.is_held():
             return NO_LEASE
-        model = router.lease.held.document.models.get(self.route.model)
+        held = router.lease.held
         if (
-            model is None
-            or model.weights != self.weights
-            or router.lease.held.tenant_by_key.get(self.key_digest) != self.tenant
+            self._prefix_scope(held.document) != self.scope
+            or held.tenant_by_key.get(self.key_digest) != self.tenant
         ):
             return NO_LEASE.with_reason("configuration changed meanwhile", 200)
         if not router.workers.may_take(attempt.grant.worker):
@@ -305,8 +336,8 @@
             {
                 "from": attempt.grant.fetch_from,
                 "chain": [link.hex() for link in self.chain],
-                "weights": self.weights,
-                "group": self.group,
+                "weights": self.scope.weights,
+                "group": self.scope.cache_group,
                 "withinMs": bound_ms,
                 "call": self.name,
             },
@@ -333,7 +364,7 @@
             took_ms=took_ms,
         )
 
-    slow_from, key_digest, group = "", "", None
+    slow_from, key_digest = "", ""
 
     async def _run_at_worker(self, attempt):
         """Send the call to the worker and relay its output; return a fault, or None if complete.
@@ -345,8 +376,8 @@
             {
                 "run": self.run_id(),
                 "call": self.name,
-                "weights": self.weights,
-                "group": self.group,
+                "weights": self.scope.weights,
+                "group": self.scope.cache_group,
                 "parts": self.body.parts,
                 "maxTokens": self.body.maxTokens,
                 "route": self.body.model,
--- a/swiftdeck/traffic/prefix.py
+++ b/swiftdeck/traffic/prefix.py
@@ -10,6 +10,11 @@
     return f"apart/{tenant}" if is_apart else SHARED_GROUP
 
 
+def cache_group_of(group: str, generation: int) -> str:
+    """Return the group in names of cached prefixes; a new generation renames the shared ones."""
+    return f"{group}/{generation}" if group == SHARED_GROUP and generation else group
+
+
 def chain_of(weights: str, group: str, parts) -> list[bytes]:
     """Return a digest for each part.
 
--- a/swiftdeck/traffic/router.py
+++ b/swiftdeck/traffic/router.py
@@ -227,12 +227,12 @@
         report = OpenConversation(
             conversation=grant.conversation,
             tenant=call.tenant,
-            group=call.group,
+            group=call.scope.group,
             worker=grant.worker,
             last=call.talk[-1],
             parts=len(call.chain),
             call=call.name,
-            weights=call.weights,
+            weights=call.scope.weights,
             attempt=attempt.number,
         )
         self.served[grant.conversation] = ServedConversation(
--- a/tests/cases/mutations.py
+++ b/tests/cases/mutations.py
@@ -70,6 +70,18 @@
         "test_a_tenant_kept_apart_shares_nothing",
         [("swiftdeck.traffic.call", "group_of", replacements.old_group)],
     ),
+    (
+        "generation in the names of shared prefixes",
+        weights.WeightsCase,
+        "test_prefixes_of_a_tenant_from_before_it_was_isolated_are_used_by_nobody",
+        [("swiftdeck.traffic.call", "cache_group_of", lambda group, generation: group)],
+    ),
+    (
+        "scope of prefixes looked at right before a leg",
+        weights.WeightsCase,
+        "test_a_call_whose_tenant_is_isolated_while_it_waits_uses_nothing_shared",
+        [(Call, "_prefix_scope", replacements.first_scope)],
+    ),
     (
         "lease before an attempt",
         config.ConfigCase,
--- a/tests/cases/replacements.py
+++ b/tests/cases/replacements.py
@@ -121,6 +121,10 @@
     return "shared"
 
 
+def first_scope(self, document, prefix_scope=Call._prefix_scope):
+    return self.scope or prefix_scope(self, document)
+
+
 def holds(self):
     return self.held is not None
 
--- a/tests/cases/weights.py
+++ b/tests/cases/weights.py
@@ -136,6 +136,59 @@
             check([item for item in cluster.records if item["kind"] != "change"], set()), {}
         )
 
+    def patch_tenant(self, cluster, name, entry):
+        self.assertEqual(cluster.change("PATCH", {"tenants": {name: entry}})[0], 200)
+
+    def hits(self, cluster, tenant, own_part):
+        """Send a call that begins with a part that all use; return how many parts were cached."""
+        parts = ["book " * 500, own_part]
+        return cluster.call(tenant, "check", parts, is_last=True)["usage"]["hitParts"]
+
+    # Guards against prefixes of a tenant that stay among the shared ones once it is isolated.
+    def test_prefixes_of_a_tenant_from_before_it_was_isolated_are_used_by_nobody(self):
+        cluster = SimCluster(3, routers=2, workers=1).start(cap=8)
+        maker, other, third = list(cluster.site.keys)[3:6]
+        self.assertEqual(self.hits(cluster, maker, "x"), 0)
+        self.patch_tenant(cluster, maker, {"apart": True})
+        self.assertEqual([self.hits(cluster, other, "y"), self.hits(cluster, third, "y")], [0, 1])
+        self.assertEqual([self.hits(cluster, maker, each) for each in ("y", "z")], [0, 1])
+
+    # Guards against the same where the tenant was removed in between.
+    def test_prefixes_of_a_tenant_that_went_and_came_back_isolated_are_used_by_nobody(self):
+        cluster = SimCluster(3, routers=2, workers=1).start(cap=8)
+        maker, other = list(cluster.site.keys)[3:5]
+        entry = cluster.site.document()["tenants"][maker]
+        self.assertEqual(self.hits(cluster, maker, "x"), 0)
+        self.patch_tenant(cluster, maker, None)
+        self.patch_tenant(cluster, maker, entry | {"apart": True})
+        self.assertEqual(self.hits(cluster, other, "y"), 0)
+        self.assertEqual([self.hits(cluster, maker, each) for each in ("y", "z")], [0, 1])
+
+    # Guards against a call that was granted before its tenant was isolated and is sent after it.
+    def test_a_call_whose_tenant_is_isolated_while_it_waits_uses_nothing_shared(self):
+        cluster = SimCluster(3, routers=2, workers=1).start(cap=1, idleMs=300, pauseMs=300)
+        holder, waiter = list(cluster.site.keys)[3:5]
+        box = cluster.spawn(lambda: cluster.caller.call(holder, "check", ["book " * 500, "x"]))
+        cluster.world.run(0.1)
+        waiting = cluster.spawn(lambda: cluster.caller.call(waiter, "check", ["book " * 500, "y"]))
+        cluster.world.run(0.1)
+        self.patch_tenant(cluster, waiter, {"apart": True})
+        cluster.world.run(until=lambda: box and waiting, limit_s=30)
+        self.assertEqual([each[0]["usage"]["hitParts"] for each in (box, waiting)], [0, 0])
+
+    # Guards against an open conversation that loses its place when shared prefixes get new names.
+    def test_an_open_conversation_keeps_its_admission_when_another_tenant_is_isolated(self):
+        cluster = SimCluster(1, routers=3, workers=1).start(cap=1, idleMs=60000, pauseMs=60000)
+        got = cluster.call("saga", "check", ["b", "mine"])
+        waiting = cluster.spawn(lambda: cluster.caller.call("oita", "check", ["b", "other"]))
+        self.patch_tenant(cluster, list(cluster.site.keys)[5], {"apart": True})
+        again = cluster.call("saga", "check", [*got["parts"], "said", "more"], is_last=True)
+        self.assertEqual(
+            (again["whole"], again["waitedMs"], again["usage"]["hitParts"]), (True, 0, 0)
+        )
+        cluster.world.run(3)
+        self.assertTrue(waiting and waiting[0]["whole"])
+
     def test_a_worker_back_with_old_weights_gets_nothing_until_it_has_loaded(self):
         cluster = SimCluster(4, routers=2, workers=2).start(cap=4)
         self.assertEqual(
