Soak: tenants come, become isolated, cease to be and go

Each fourth change of the simulated operators concerns one of four guests, by its item or by a whole configuration, beside all other troubles; clients go on using the guests' keys. A run without such a change is no pass.

Planted: a router that isolates no tenant is found (WALL).

--- a/swiftdeck/soak/operators.py
+++ b/swiftdeck/soak/operators.py
@@ -4,15 +4,19 @@
 import itertools
 import random
 
-from swiftdeck.bench.platform_api.operator import CONFIG, Operator
+import attrs
+
+from swiftdeck.bench.platform_api.operator import CONFIG, Operator, patched
 from swiftdeck.bench.platform_api.site_forms import with_idle_ms
 from swiftdeck.bench.record import boot_ms
 from swiftdeck.http.client import fetch_json
-from swiftdeck.soak.site import MODEL, generated_route, is_generated_route
+from swiftdeck.soak.site import GUESTS, MODEL, generated_route, is_generated_route
 
 FIRST_VERSION, READ_TIMEOUT_MS, READ_PAUSE_S = 3, 1000, (0.1, 0.4)
 MAX_CHANGED_ROUTES, REMOVE_SHARE = 12, 0.45
 CHANGE_PAUSE_S, WEIGHTS_PAUSE_S = (0.05, 0.4), (1.0, 7.0)
+CHANGES_PER_TENANT_CHANGE, WHOLE_CONFIGURATION_SHARE = 4, 0.3
+"""Each how many changes concern a tenant, and the share of these sent as a whole configuration."""
 RECENT_ROUTES = 24
 LIMITS_CHANGE_SHARE, IDLE_TIMEOUTS_MS = 0.08, (300, 1500, 15000)
 LOST_ANSWER_TIMEOUTS_MS, RETRY_PAUSE_S = (5, 30, 1000), 0.1
@@ -27,7 +31,7 @@
     def __init__(self, record, doors, versions, random):
         super().__init__(record, doors)
         self.versions, self.random, self.lost_share, self.lost_answers = versions, random, 0.0, 0
-        self.acknowledged = 0
+        self.acknowledged, self.change_count, self.tenant_changes = 0, 0, 0
 
     async def _insist(self, method, path, body, headers=(), limit_s=40):
         while self.random.random() < self.lost_share:
@@ -66,13 +70,36 @@
             await asyncio.sleep(READ_PAUSE_S[1])
 
     async def change(self):
-        """Send one change of routes or of the idle timeout of connections; return its status."""
-        is_limits_change = self.random.random() < LIMITS_CHANGE_SHARE
-        status = await (self._change_limits() if is_limits_change else self._change_routes())
+        """Send a change of a tenant, of routes or of the idle timeout; return its status."""
+        self.change_count += 1
+        if self.change_count % CHANGES_PER_TENANT_CHANGE == 0:
+            status = await self._change_tenant()
+        elif self.random.random() < LIMITS_CHANGE_SHARE:
+            status = await self._change_limits()
+        else:
+            status = await self._change_routes()
         if status != 200:
             await self.catch_up()
         return status
 
+    async def _change_tenant(self):
+        """Add, isolate, cease to isolate or remove a guest, at times by a whole configuration."""
+        guest, version = self.random.choice(GUESTS), next(self.versions)
+        present = {tenant["name"]: tenant["isolated"] for tenant in self.document["customers"]}
+        isolation = self.random.choice(
+            [each for each in (None, False, True) if each != present.get(guest.name)]
+        )
+        if isolation is None:
+            change = {"remove": {"customers": [guest.name]}}
+        else:
+            change = {"put": {"customers": [attrs.evolve(guest, is_isolated=isolation).outward()]}}
+        if self.random.random() < WHOLE_CONFIGURATION_SHARE:
+            status = await self.put(patched(self.document, **change), version)
+        else:
+            status = await self.patch(version, **change)
+        self.tenant_changes += status == 200
+        return status
+
     async def _change_limits(self):
         """Send the whole configuration with another idle timeout of connections."""
         document = with_idle_ms(self.document, self.random.choice(IDLE_TIMEOUTS_MS))
--- a/swiftdeck/soak/site.py
+++ b/swiftdeck/soak/site.py
@@ -30,6 +30,8 @@
     Tenant("tenant-b", ("key-b1",)),
     Tenant("isolated", ("key-i1",), is_isolated=True),
 ]
+GUESTS = [Tenant(f"guest-{number}", (f"key-guest-{number}",)) for number in range(1, 5)]
+"""Tenants that the simulated operators add, isolate, cease to isolate and remove."""
 BOUNDS = SiteBounds()
 GRACE_S = BOUNDS.grace_s
 GENERATED_ROUTE_PREFIX = "change-"
--- a/swiftdeck/soak/traffic.py
+++ b/swiftdeck/soak/traffic.py
@@ -6,7 +6,7 @@
 import attrs
 
 from swiftdeck.bench.platform_api.client import Client
-from swiftdeck.soak.site import HOST, MODEL, MODEL_SERVICE, ROUTES, TENANTS
+from swiftdeck.soak.site import GUESTS, HOST, MODEL, MODEL_SERVICE, ROUTES, TENANTS
 
 SHORT_ANSWER_TOKENS, LONG_ANSWER_TOKENS, LONGEST_ROUTE_TIMEOUT_S = 6, (120, 220), 7.0
 SHARED_PREFIXES, SHARED_PREFIX_TOKENS, OWN_PROMPT_TOKENS, SHORT_PROMPT_TOKENS = 4, 13000, 1500, 300
@@ -49,6 +49,7 @@
         self.record, self.random, self.doors = record, random.Random(seed), doors
         self.recent_paths, self.size = recent_paths, size or TrafficSize()
         self.tasks, self.open_requests, self.count = [], set(), 0
+        self.tenants = [*TENANTS, *TENANTS, *GUESTS]
         self.is_ending = False
 
     def _child_random(self):
@@ -127,7 +128,7 @@
         self, client, name, parts=(), out=SHORT_ANSWER_TOKENS, path=None, keeps=True, leaves_s=None
     ):
         self.count += 1
-        route, tenant = ROUTES_BY_NAME[name], self.random.choice(TENANTS)
+        route, tenant = ROUTES_BY_NAME[name], self.random.choice(self.tenants)
         is_model = route.service == MODEL_SERVICE
         await client.ask(
             HOST,
--- a/swiftdeck/soak/verdict.py
+++ b/swiftdeck/soak/verdict.py
@@ -25,6 +25,7 @@
     served: int
     runs: int
     changes: int
+    tenant_changes: int
     weights: int
     orders: int
     planned: int
@@ -145,6 +146,7 @@
         ),
         runs=counts["run"],
         changes=soak.operators.statuses.count(200),
+        tenant_changes=sum(operator.tenant_changes for operator in soak.operators.all),
         weights=counts["named"],
         orders=sum(item["kind"] == "order" and item["status"] == 202 for item in soak.items),
         planned=counts["planned"],
@@ -199,6 +201,7 @@
         "requests": (sums.requests, MIN_REQUESTS_PER_S * seconds),
         "requests served": (sums.served, max(1.0, served_share * sums.requests)),
         "changes": (sums.changes, MIN_CHANGES_PER_S * seconds),
+        "changes of tenants": (sums.tenant_changes, 1),
         "weights named": (sums.weights, 1),
         "orders": (sums.orders, 1),
         "counters read": (sums.counters_read, 1),
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -3,6 +3,7 @@
 import os
 import sys
 
+from swiftdeck.gateway.gateway import Gateway
 from swiftdeck.http.exchange import HttpExchange
 from swiftdeck.soak import program
 from swiftdeck.soak.program import filtered_makers
@@ -13,6 +14,8 @@
 BROKEN_INVARIANT = "core counts a broken invariant"
 BLIND_TO_CLIENTS = "router does not see its clients leave"
 
+SHARES_ALL_PARTS = "router isolates no tenant"
+
 
 def ends_at_once(node):
     """Make a router exit on a planned stop without finishing its open requests."""
@@ -47,11 +50,17 @@
     HttpExchange.has_client_ended = lambda self, for_s=0.0: False
 
 
+def shares_all_parts(node):
+    """Make a router let all tenants share cached parts."""
+    Gateway.isolates = lambda self, tenant: False
+
+
 FAULTS = {
     ENDS_AT_ONCE: ("router", ends_at_once),
     OLD_CONFIGURATION: ("router", keeps_first_configuration),
     BROKEN_INVARIANT: ("core", counts_broken_invariant),
     BLIND_TO_CLIENTS: ("router", blind_to_clients),
+    SHARES_ALL_PARTS: ("router", shares_all_parts),
 }
 
 
--- a/tests/soak/test_soak_short.py
+++ b/tests/soak/test_soak_short.py
@@ -64,7 +64,12 @@
         self.assertTrue(verdict.is_clean(), self.details_of(verdict))
 
     def test_planted_faults_are_found(self):
-        faults = (planted.ENDS_AT_ONCE, planted.OLD_CONFIGURATION, planted.BROKEN_INVARIANT)
+        faults = (
+            planted.ENDS_AT_ONCE,
+            planted.OLD_CONFIGURATION,
+            planted.BROKEN_INVARIANT,
+            planted.SHARES_ALL_PARTS,
+        )
         environment = {planted.VARIABLE: planted.SEPARATOR.join(faults)}
         with mock.patch.dict(os.environ, environment):
             verdict = self.run_soak(BUSY_SIZE, PLANTED_PROGRAM, PLANNED_STOPS)
@@ -72,6 +77,7 @@
         self.assertFalse(verdict.is_clean(), details)
         self.assertIn("LOST", verdict.rules, details)
         self.assertIn("CONFIG", verdict.rules, details)
+        self.assertIn("WALL", verdict.rules, details)
         self.assertTrue(any("invariant.planted" in name for name in verdict.invariants), details)
 
     def test_work_for_departed_clients_is_found(self):
