Gateway: a router without a lease lets no tenant share cached parts

Cause: a request was isolated or not by the newest configuration that its router has, also where that router's lease has lapsed and a newer one may be in force.

Fix: without a lease each request runs under its tenant's own salt, or under one of its own kind without a tenant. With the lease it shares again; requests don't remember it.

Cost, in dropped caches: shared parts are read once a tenant while the lease is lapsed.

Test: CutRouterTest, which failed before with ['later'] != [].

--- a/swiftdeck/gateway/cache_salt.py
+++ b/swiftdeck/gateway/cache_salt.py
@@ -18,15 +18,16 @@
     return bool(tenant) and (entry is None or entry.apart)
 
 
-def cache_salt(document: Document, weights_version: int, isolated_tenant: str = "") -> str:
+def cache_salt(document: Document, weights_version: int, isolated_tenant: str | None = None) -> str:
     """Return the cache salt of a request that is sent under a configuration.
 
     Args:
         document: The newest configuration that this router has.
         weights_version: The version of the weights on which the request is to run.
-        isolated_tenant: The tenant of the request if that is isolated, else empty.
+        isolated_tenant: The tenant of a request that must share no parts, which is empty for a
+            request without one; None for a request that may share parts.
     """
-    if isolated_tenant:
+    if isolated_tenant is not None:
         return f"{weights_version}/{isolated_tenant}"
     generation = shared_cache_generation(document)
     return f"{weights_version}.{generation}" if generation else str(weights_version)
--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -321,7 +321,7 @@
         """Return whether the newest configuration keeps a tenant's cached parts from all others."""
         return is_isolated(self.document, tenant)
 
-    def salt(self, model: str, worker, isolated_tenant: str) -> str:
+    def salt(self, model: str, worker, isolated_tenant: str | None) -> str:
         """Return the cache salt of a request that is sent now to a worker."""
         return cache_salt(self.document, self.version(model, worker), isolated_tenant)
 
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -381,11 +381,13 @@
 
         While the request waits, or between two attempts, its tenant may be removed, become isolated
         or cease to be. The request stays isolated once it was, as other routers may still obey the
-        configuration in which it is. A shared salt always follows the newest configuration.
+        configuration in which it is. A shared salt always follows the newest configuration. Without
+        a lease there may be a newer one that isolates any tenant, so nothing is shared then.
         """
-        self.is_isolated = self.is_isolated or self.gateway.isolates(self.tenant)
-        isolated_tenant = self.tenant if self.is_isolated else ""
-        return self.gateway.salt(self.request.model, worker, isolated_tenant)
+        gateway = self.gateway
+        self.is_isolated = self.is_isolated or gateway.isolates(self.tenant)
+        may_share = not self.is_isolated and gateway.lease.is_held()
+        return gateway.salt(self.request.model, worker, None if may_share else self.tenant)
 
     def _trace_attempt(self, worker, source, target):
         """Record in the trace what the router assumes about caches when it sends the request."""
--- a/tests/gateway/test_isolation.py
+++ b/tests/gateway/test_isolation.py
@@ -238,5 +238,40 @@
         self.assert_isolated()
 
 
+class CutRouterTest(IsolationCase):
+    """A router that reaches workers and clients is cut off from the cores and from other routers."""
+
+    def start_with_cut_router(self):
+        """Let `later` make the part that all use, and cut off a router."""
+        self.start()
+        self.change([customer("open", False), customer("later", False)])
+        self.ask("later", "before")
+        ip = self.site.machines["router1"]
+        others = [each for name, each in self.site.machines.items() if name != "router1"]
+        self.site.trouble("router1", lambda: self.site.world.net.cut([ip], others), 30.0)
+
+    def ask_cut_router(self, own_part):
+        """Send a request of `open` to the router that is cut off; return what it used."""
+        self.ask("open", own_part, door="router1")
+        return self.runs("open")[-1]
+
+    # Guards against a router whose lease has lapsed and that shares what an isolated tenant left.
+    def test_a_router_without_a_lease_shares_no_parts(self):
+        self.start_with_cut_router()
+        self.change([customer("later", True)], applied_s=4.0)
+        self.assertEqual(self.ask_cut_router("after"), [])
+        self.site.world.net.heal()
+        self.site.world.run(3.0)
+        used = [self.ask_cut_router(f"healed{number}") for number in range(6)]
+        self.assertIn(["open"], used)
+        self.assertEqual(self.site.breaches(), {})
+
+    def test_other_changes_are_acknowledged_without_a_router_that_is_cut_off(self):
+        self.start_with_cut_router()
+        begin_s = self.site.world.now
+        self.change([customer("new", False)], applied_s=0.0)
+        self.assertLess(self.site.world.now - begin_s, 1.0)
+
+
 if __name__ == "__main__":
     unittest.main()
