Chain: an isolation is acknowledged once no router shares by an older version

Cause: where `ackWaitMs` is set, as on the platform (0.4 s), a change counts as in force although a router with a lease has not confirmed it.

Fix: after the generation of shared prefixes has risen, that shortcut is closed until leases of earlier configurations have run out; a tail that is new to the generation waits for those of the previous tail. Together with routers that share nothing without a lease: from the acknowledgement on no request is sent on shared parts by a configuration from before it. What was sent before it and still waits in its worker's queue is not taken back.

Cost: the acknowledgement of an isolation, and of changes right behind it, waits up to one lease (2.5 s) where a router is silent; 0.4 s else as before. A new tail, where a tenant was ever isolated late, waits one lease once. In memory two numbers at the tail.

--- a/swiftdeck/chain/chain.py
+++ b/swiftdeck/chain/chain.py
@@ -13,6 +13,7 @@
 from swiftdeck.chain.state_transfer import StateTransfer
 from swiftdeck.chain.tail_queries import TailQueries
 from swiftdeck.chain.weight_ages import WeightAges
+from swiftdeck.config.document import shared_cache_generation
 from swiftdeck.disk.journal import Journal
 from swiftdeck.fault import (
     BAD_FRAME,
@@ -201,8 +202,9 @@
     def _record_durable_version(self):
         """On the tail, record when the newest version and its models' weights were first on its disk."""
         if self.is_last():
-            self.weight_ages.note(self.durable.config.document.models, self.loop.time())
-            self.leases.record_version(self.durable.version)
+            document = self.durable.config.document
+            self.weight_ages.note(document.models, self.loop.time())
+            self.leases.record_version(self.durable.version, shared_cache_generation(document))
 
     def lacks_entries(self):
         """Return whether this member may lack committed entries; a view of such members only would lose them.
--- a/swiftdeck/chain/router_leases.py
+++ b/swiftdeck/chain/router_leases.py
@@ -1,6 +1,7 @@
 """The leases that a tail granted to routers, and which versions all their holders have confirmed."""
 
 import asyncio
+import math
 
 import attrs
 
@@ -29,6 +30,8 @@
         holders: The routers, by name and incarnation.
         first_synced_s: When this tail first had a version on its disk, for the newest versions.
         serving_since_s: Since when this tail grants leases; those of the previous tail may outlast that.
+        generation: The generation of shared cached prefixes in the newest version that was recorded.
+        generation_since_s: When this tail first recorded it.
     """
 
     def __init__(self, lease_ms: int, ack_wait_ms: int):
@@ -36,6 +39,7 @@
         self.holders: dict[str, LeaseHolder] = {}
         self.first_synced_s: dict[int, float] = {}
         self.serving_since_s = 0.0
+        self.generation, self.generation_since_s = 0, -math.inf
 
     def start(self) -> None:
         """Use the clock of the running event loop."""
@@ -45,8 +49,10 @@
         """Reset for a new tail, which does not know the leases of the previous one."""
         self.serving_since_s, self.holders, self.first_synced_s = serving_since_s, {}, {}
 
-    def record_version(self, version: int) -> None:
-        """Record when a version was first synced to this tail's disk."""
+    def record_version(self, version: int, generation: int) -> None:
+        """Record when a version, and its generation of shared prefixes, were first synced to this tail's disk."""
+        if generation != self.generation:
+            self.generation, self.generation_since_s = generation, self.loop.time()
         if version in self.first_synced_s:
             return
         self.first_synced_s[version] = self.loop.time()
@@ -57,11 +63,15 @@
         """Return whether every router that may hold a lease has confirmed a version.
 
         During the first `lease_ms` of this tail, unknown routers may hold leases of the previous one. If `ack_wait_ms`
-        is set, a version that this tail has had on disk for that long counts as confirmed.
+        is set, a version that this tail has had on disk for that long counts as confirmed, unless a tenant was isolated
+        of late: a router that doesn't know of that shares cached prefixes with it as long as its lease lasts.
         """
         now_s = self.loop.time()
         first_synced_s = self._first_synced(version) if self.ack_wait_ms else None
-        if first_synced_s is not None and now_s >= first_synced_s + self.ack_wait_ms / 1000:
+        is_waited_out = (
+            first_synced_s is not None and now_s >= first_synced_s + self.ack_wait_ms / 1000
+        )
+        if is_waited_out and now_s >= self._confirmations_needed_until_s():
             return True
         if now_s < self.serving_since_s + self.lease_ms / 1000:
             return False
@@ -69,12 +79,22 @@
             holder.held >= version or holder.until_s <= now_s for holder in self.holders.values()
         )
 
+    def _confirmations_needed_until_s(self) -> float:
+        """Return until when a lease may last that was granted before shared prefixes got new names."""
+        lease_s = self.lease_ms / 1000
+        until_s = self.generation_since_s + lease_s
+        is_known_by_previous_tail = until_s <= self.serving_since_s
+        return (
+            until_s if is_known_by_previous_tail else max(until_s, self.serving_since_s + lease_s)
+        )
+
     def confirmation_deadline_s(self, version: int) -> float:
         """Return when a version counts as confirmed at the latest, or 1 s from now if that is not known."""
         first_synced_s = self._first_synced(version)
         if first_synced_s is None or not self.ack_wait_ms:
             return self.loop.time() + 1
-        return first_synced_s + self.ack_wait_ms / 1000
+        waited_out_s = first_synced_s + self.ack_wait_ms / 1000
+        return max(waited_out_s, self._confirmations_needed_until_s())
 
     def _first_synced(self, version: int) -> float | None:
         times_s = (
--- a/tests/gateway/test_isolation.py
+++ b/tests/gateway/test_isolation.py
@@ -266,6 +266,13 @@
         self.assertIn(["open"], used)
         self.assertEqual(self.site.breaches(), {})
 
+    # Guards against an acknowledgement of an isolation before each router with a lease obeys it.
+    def test_an_isolation_is_acknowledged_once_no_router_may_share_any_more(self):
+        self.start_with_cut_router()
+        self.change([customer("later", True)], applied_s=0.0)
+        self.assertEqual(self.ask_cut_router("after"), [])
+        self.assertEqual(self.site.breaches(), {})
+
     def test_other_changes_are_acknowledged_without_a_router_that_is_cut_off(self):
         self.start_with_cut_router()
         begin_s = self.site.world.now
