Stand-ins' WALL check goes by the begin of a run, not by its reading of parts

Trace: the request arrived at its worker and its run began at 789048 ms, the change that isolates guest-2 was acknowledged at 789058, and the stand-in read the parts at 789063, after it had asked another worker for them. When the run began, every configuration that was acknowledged let the two share; nobody can take back a request that runs. A run that begins after the acknowledgement is a breach as before, however long the request waited for it.

--- a/swiftdeck/bench/platform_api/rules/workers.py
+++ b/swiftdeck/bench/platform_api/rules/workers.py
@@ -31,14 +31,17 @@
 
 
 def wall(records, bounds):
-    """Find runs that used cached parts of another tenant where one of the two was isolated then."""
+    """Find runs that used cached parts of another tenant where one of the two was isolated.
+
+    What counts is the begin of the run: nobody can take back a request that runs.
+    """
     runs = {item["run"]: item for item in records.of("run")}
     for item in records.of("read"):
         run = runs[item["run"]]
         for origin_tenant, _ in item["origins"]:
             is_foreign = origin_tenant != run["tenant"]
             if is_foreign and any(
-                records.is_isolated(tenant, item["atMs"])
+                records.is_isolated(tenant, run["atMs"])
                 for tenant in (origin_tenant, run["tenant"])
             ):
                 yield f"{run['id']} of {run['tenant']} used parts of {origin_tenant}"
