Own interface: an open conversation keeps its admission when its tenant turns

What callers would see: a tenant with an open conversation is isolated, or ceases to be.

Cause: the digests that find an open conversation had the isolation group in them, and the slot table compared the group once more. They are kept by tenant anyway, so the group told nothing but that the tenant had turned.

Fix: these digests depend on the prompt alone. Cached prefixes have the group in their names as before; the conversation goes on without them, as under new weights. Cost: a coordinator of an earlier version doesn't know a conversation by the new digests, so open ones start anew once where versions are mixed.

--- a/swiftdeck/traffic/call.py
+++ b/swiftdeck/traffic/call.py
@@ -54,7 +54,8 @@
 class PrefixScope:
     """What the digests of a prompt's prefixes depend on besides the prompt.
 
-    `group` tells conversations apart, and `cache_group` the cached prefixes.
+    `group` is the isolation group of the tenant. `cache_group` is the one in the names of cached
+    prefixes, which has the generation of the shared ones.
     """
 
     weights: str
@@ -226,13 +227,13 @@
     def _name_prefixes(self, scope):
         """Compute the digests of the prompt's prefixes if their scope has changed.
 
-        Those of the conversation don't depend on what renames cached prefixes, so that it keeps its
-        admission.
+        Those of the conversation depend on the prompt alone, so that it keeps its admission when
+        cached prefixes get other names.
         """
         if scope == self.scope:
             return
-        if self.scope is None or scope.group != self.scope.group:
-            self.talk = chain_of("", scope.group, self.body.parts)
+        if self.scope is None:
+            self.talk = chain_of("", "", self.body.parts)
         self.scope = scope
         self.chain = chain_of(scope.weights, scope.cache_group, self.body.parts)
 
--- a/swiftdeck/traffic/slot_table.py
+++ b/swiftdeck/traffic/slot_table.py
@@ -198,18 +198,19 @@
         self.names_by_digest.setdefault((conversation.tenant, digest), set()).add(conversation.name)
 
     def find_conversation(self, ask) -> Conversation | None:
-        """Return the open conversation that a prompt extends, or None; its weights may differ.
+        """Return the open conversation of its tenant that a prompt extends, or None.
 
-        Longer prefixes of the prompt are matched first. A prompt that the conversation already had
-        matches only while no other call of the conversation runs: two equal prompts at the same
-        time are two conversations.
+        Its weights and its isolation group may differ from those of the prompt's call. Longer
+        prefixes of the prompt are matched first. A prompt that the conversation already had matches
+        only while no other call of the conversation runs: two equal prompts at the same time are
+        two conversations.
         """
         for digest in reversed(ask.talk):
             for name in sorted(self.names_by_digest.get((ask.tenant, digest), ())):
                 conversation = self.conversations[name]
                 is_repeated = digest == ask.talk[-1]
                 is_busy = conversation.running and ask.call not in conversation.running
-                if conversation.group == ask.group and not (is_repeated and is_busy):
+                if not (is_repeated and is_busy):
                     return conversation
         return None
 
--- a/tests/cases/weights.py
+++ b/tests/cases/weights.py
@@ -176,12 +176,13 @@
         cluster.world.run(until=lambda: box and waiting, limit_s=30)
         self.assertEqual([each[0]["usage"]["hitParts"] for each in (box, waiting)], [0, 0])
 
-    # Guards against an open conversation that loses its place when shared prefixes get new names.
-    def test_an_open_conversation_keeps_its_admission_when_another_tenant_is_isolated(self):
+    def assert_keeps_admission(self, isolated_tenant):
+        """Isolate a tenant while `saga` has the only slot; its next call must not wait."""
         cluster = SimCluster(1, routers=3, workers=1).start(cap=1, idleMs=60000, pauseMs=60000)
         got = cluster.call("saga", "check", ["b", "mine"])
         waiting = cluster.spawn(lambda: cluster.caller.call("oita", "check", ["b", "other"]))
-        self.patch_tenant(cluster, list(cluster.site.keys)[5], {"apart": True})
+        cluster.world.run(0.2)
+        self.patch_tenant(cluster, isolated_tenant, {"apart": True})
         again = cluster.call("saga", "check", [*got["parts"], "said", "more"], is_last=True)
         self.assertEqual(
             (again["whole"], again["waitedMs"], again["usage"]["hitParts"]), (True, 0, 0)
@@ -189,6 +190,14 @@
         cluster.world.run(3)
         self.assertTrue(waiting and waiting[0]["whole"])
 
+    # Guards against an open conversation that loses its place when shared prefixes get new names.
+    def test_an_open_conversation_keeps_its_admission_when_another_tenant_is_isolated(self):
+        self.assert_keeps_admission("nagasaki")
+
+    # Guards against an open conversation that loses its place when its own tenant turns.
+    def test_an_open_conversation_keeps_its_admission_when_its_tenant_is_isolated(self):
+        self.assert_keeps_admission("saga")
+
     def test_a_worker_back_with_old_weights_gets_nothing_until_it_has_loaded(self):
         cluster = SimCluster(4, routers=2, workers=2).start(cap=4)
         self.assertEqual(
