Chain: a generation of shared prefixes that leaves none above it is ignored

An own interface's operator may put any `walls`, also the highest number that the field takes. Isolating a tenant after that would need a higher one: no member could apply the entry.

Test: test_a_generation_that_leaves_none_above_it_is_ignored, which failed before (AssertionError: != 1).

--- a/tests/chain/test_cache_isolation.py
+++ b/tests/chain/test_cache_isolation.py
@@ -166,6 +166,15 @@
         self.own("patch", {"edition": {"operator": {"walls": 4}}})
         self.assertEqual(self.generation(), 4)
 
+    # Guards against an operator who leaves no generation to rise to.
+    def test_a_generation_that_leaves_none_above_it_is_ignored(self):
+        self.items(a=ISOLATED)
+        for given in ((1 << 53) - 1, (1 << 31) + 1):
+            self.own("patch", {"edition": {"operator": {"walls": given}}})
+            self.assertEqual(self.generation(), 1)
+        self.items(b=ISOLATED)
+        self.assertEqual(self.generation(), 2)
+
     # Guards against prefixes that stay shared when a tenant of the own interface is isolated.
     def test_changes_of_the_own_interface_raise_the_generation_too(self):
         self.state, self.entries = ChainState(), []
