Storms in which tenants come, become isolated, cease to be and go

`python -m tests.gateway.storm FIRST LAST tenants`: beside all other troubles three guests change, by items and by whole configurations, and their clients ask on for parts that all tenants use, some of which wait for a place.

--- a/tests/gateway/cases/storms.py
+++ b/tests/gateway/cases/storms.py
@@ -1,8 +1,18 @@
 """Cases of random troubles; `python -m tests.gateway.storm` runs more of them."""
 
+import math
 import unittest
+from unittest import mock
 
-from tests.gateway.storm import LateStorm, RollingStorm, Storm
+from swiftdeck.chain.cache_isolation import CacheIsolation
+from swiftdeck.chain.router_leases import RouterLeases
+from tests.gateway.storm import LateStorm, RollingStorm, Storm, TenantStorm
+
+
+def becomes_isolated_while_it_stands(self, before, after, name):
+    """Return whether a tenant of both configurations becomes isolated; removed ones are forgotten."""
+    stands = name in before.tenants and name in after.tenants
+    return stands and after.tenants[name].apart and not before.tenants[name].apart
 
 
 class StormsCase(unittest.TestCase):
@@ -30,3 +40,18 @@
                 served, count = storm.cluster.served()
                 self.assertGreater(served, 0.85 * count)
                 self.assertGreater(storm.cluster.late.count.total(), 50)
+
+    def test_after_a_storm_in_which_tenants_come_turn_and_go(self):
+        for seed in (34, 15):
+            with self.subTest(seed):
+                storm = TenantStorm(seed)
+                self.assertEqual(storm.calm_down(), [], storm.log)
+
+    # Shows that such storms find shared parts that an isolated tenant left.
+    def test_a_storm_of_tenants_finds_mechanisms_that_are_taken_out(self):
+        for owner, name, replacement in (
+            (CacheIsolation, "_becomes_isolated", becomes_isolated_while_it_stands),
+            (RouterLeases, "_confirmations_needed_until_s", lambda self: -math.inf),
+        ):
+            with self.subTest(name), mock.patch.object(owner, name, replacement):
+                self.assertIn("WALL", str(TenantStorm(34).calm_down()))
--- a/tests/gateway/storm.py
+++ b/tests/gateway/storm.py
@@ -1,16 +1,21 @@
 """Random troubles on a platform's site, and what must be true after them: `python -m tests.gateway.storm FIRST LAST [KIND]`.
 
-KIND is `rolling`, with routers that stop again and again, or `late`, with messages that come seconds late.
+KIND is `rolling`, with routers that stop again and again, `late`, with messages that come seconds late, or `tenants`, with tenants
+that come, turn and go.
 """
 
 import asyncio
+import itertools
 import random
 import sys
 
+from swiftdeck.bench.platform_api.operator import patched
 from swiftdeck.bench.platform_api.worker import QUIRKS
 from tests.gateway.platform_cluster import BOUNDS, MODEL, PlatformCluster, document, route
 
 PLANNED_SHARE, LONG_STREAMS_PER_S, LONG_EVENTS = 0.6, 3.0, (200, 1100)
+GUESTS, GUEST_REQUESTS_PER_S, PATIENT_TARGET_MS = ("guest1", "guest2", "guest3"), 8.0, 6000
+TENANT_CHANGE_SHARE, WHOLE_CONFIGURATION_SHARE = 0.7, 0.3
 
 
 class Storm:
@@ -283,7 +288,62 @@
     late_share, calm_s = 0.1, 20.0
 
 
-KINDS = {"": Storm, "rolling": RollingStorm, "late": LateStorm}
+class TenantStorm(Storm):
+    """A storm in which tenants come, become isolated, cease to be and go, while their clients ask on."""
+
+    def __init__(self, seed, seconds=30.0, mean_s=1.6):
+        self.guest_rng = random.Random(f"guests of {seed}")
+        super().__init__(seed, seconds, mean_s)
+
+    def begin_load(self):
+        operator = self.cluster.operator
+        patient = route("r-stream", **{"target-ms": PATIENT_TARGET_MS})
+        self.cluster.operate(lambda: operator.patch(4, put={"routes": [patient]}))
+        super().begin_load()
+        self.cluster.load.append(self.cluster.beside(self._ask_as_guests, "clients"))
+
+    async def _ask_as_guests(self):
+        """Ask with keys of guests, whether they are there or not, for parts that all tenants use."""
+        for number in itertools.count():
+            await asyncio.sleep(self.guest_rng.expovariate(GUEST_REQUESTS_PER_S))
+            parts = [
+                (f"book{self.guest_rng.randrange(3)}", 13000),
+                (f"guest{number}", self.guest_rng.choice((300, 3000, 60000))),
+            ]
+            asking = self.cluster._asking(
+                self.guest_rng.choice(("r-stream", "r-resume")),
+                f"g{number}",
+                None,
+                key=f"key-{self.guest_rng.choice(GUESTS)}",
+                parts=parts,
+            )
+            self.cluster.running.append(asyncio.ensure_future(asking))
+
+    def _act(self):
+        if not self.has_end and self.guest_rng.random() < TENANT_CHANGE_SHARE:
+            self.log.append((round(self.cluster.world.now, 2), "tenant", self.change_tenant()))
+        super()._act()
+
+    def change_tenant(self):
+        """Add, isolate, cease to isolate or remove a guest, by its item or a whole configuration."""
+        operator, guest = self.cluster.operator, self.guest_rng.choice(GUESTS)
+        version, self.version = self.version, self.version + 2
+        customers = operator.document["customers"]
+        present = {each["name"]: each["isolated"] for each in customers}
+        isolation = self.guest_rng.choice(
+            [each for each in (None, False, True) if each != present.get(guest)]
+        )
+        item = {"name": guest, "api-keys": [f"key-{guest}"], "urgency": 1, "isolated": isolation}
+        put = None if isolation is None else {"customers": [item]}
+        remove = {"customers": [guest]} if isolation is None else None
+        if self.guest_rng.random() < WHOLE_CONFIGURATION_SHARE:
+            self._operate(lambda: operator.put(patched(operator.document, put, remove), version))
+        else:
+            self._operate(lambda: operator.patch(version, put=put, remove=remove))
+        return guest, isolation
+
+
+KINDS = {"": Storm, "rolling": RollingStorm, "late": LateStorm, "tenants": TenantStorm}
 
 
 def main():
