--- a/swiftdeck/gateway/gateway.py
+++ b/swiftdeck/gateway/gateway.py
@@ -322,7 +322,10 @@
         return is_isolated(self.document, tenant)
 
     def salt(self, model: str, worker, isolated_tenant: str | None) -> str:
-        """Return the cache salt of a request that is sent now to a worker."""
+        """Return the cache salt of a request that is sent now to a worker.
+
+        Shared salts follow the newest configuration, however long the request has waited.
+        """
         return cache_salt(self.document, self.version(model, worker), isolated_tenant)
 
     def urgency(self, route, tenant: str, is_long: bool) -> int:
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -195,7 +195,8 @@
         untried = [each for each in workers if each.name not in self.avoid] or (
             workers if self.ledger.repeatable else []
         )
-        salts = {each.name: self._salt_at(each) for each in untried}
+        isolated_tenant = self._isolated_tenant()
+        salts = {each.name: gateway.salt(request.model, each, isolated_tenant) for each in untried}
         if self.is_long:
             return await self._find_placement(attempt, untried, salts)
         candidates = gateway.placing.order_short(
@@ -358,7 +359,8 @@
     def _upstream_request(self, worker):
         gateway, request = self.gateway, self.request
         version = gateway.version(request.model, worker)
-        self.version, self.salt = version, self._salt_at(worker)
+        self.version = version
+        self.salt = gateway.salt(request.model, worker, self._isolated_tenant())
         source = gateway.placing.source(request, worker, self.salt)
         target = gateway.placing.target(request, self.salt)
         gateway.telemetry.count["fetches"] += bool(source)
@@ -376,18 +378,17 @@
             self.last_event,
         )
 
-    def _salt_at(self, worker):
-        """Return the cache salt of this request at a worker, if it is sent now.
+    def _isolated_tenant(self) -> str | None:
+        """Return the tenant whose parts alone this request may use if it is sent now; None if it may share.
 
         While the request waits, or between two attempts, its tenant may be removed, become isolated
         or cease to be. The request stays isolated once it was, as other routers may still obey the
-        configuration in which it is. A shared salt always follows the newest configuration. Without
-        a lease there may be a newer one that isolates any tenant, so nothing is shared then.
+        configuration in which it is. Without a lease there may be a newer configuration that isolates
+        any tenant, so nothing is shared then.
         """
-        gateway = self.gateway
-        self.is_isolated = self.is_isolated or gateway.isolates(self.tenant)
-        may_share = not self.is_isolated and gateway.lease.is_held()
-        return gateway.salt(self.request.model, worker, None if may_share else self.tenant)
+        self.is_isolated = self.is_isolated or self.gateway.isolates(self.tenant)
+        may_share = not self.is_isolated and self.gateway.lease.is_held()
+        return None if may_share else self.tenant
 
     def _trace_attempt(self, worker, source, target):
         """Record in the trace what the router assumes about caches when it sends the request."""
