Own interface: a configuration is read back as its operator sent it

Cause: the cores kept the generation in the operator's own entry there.

Fix: for changes of the own interface it stands in an entry of the cores, which reads and the archive leave out, and a change that gives it is refused (422), so that nobody can put it back or leave it nowhere to rise to. On the platform it stays where it was, in a field that reads there never showed.

Tests: test_operators_of_the_own_interface_read_back_what_they_sent, test_what_the_cores_keep_can_not_be_sent.

--- a/swiftdeck/chain/cache_isolation.py
+++ b/swiftdeck/chain/cache_isolation.py
@@ -4,8 +4,6 @@
 
 MAX_DEPARTED_TENANTS = 4096
 """How many removed tenants are remembered before shared prefixes get new names instead."""
-MAX_GIVEN_GENERATION = 1 << 31
-"""The highest generation that a change may give; a higher one would leave too few above it."""
 
 
 class CacheIsolation:
@@ -24,20 +22,14 @@
     def required_generation(self, before: Document, after: Document, names) -> int:
         """Return the generation that a change requires; it never falls.
 
-        A configuration that is restored brings its generation along, so a higher one is taken over.
-
         Args:
             before: The configuration before the change.
-            after: The configuration after it, with the generation that the change itself gives.
+            after: The configuration after it.
             names: All tenants that the change touches.
         """
         is_raised = any(self._becomes_isolated(before, after, name) for name in names)
         is_raised = is_raised or self._exceeds_memory(before, after, names)
-        required, given = (
-            shared_cache_generation(before) + is_raised,
-            shared_cache_generation(after),
-        )
-        return max(required, given) if given <= MAX_GIVEN_GENERATION else required
+        return shared_cache_generation(before) + is_raised
 
     def record(self, before: Document, after: Document, names):
         """Update the memory of removed tenants after a change that touches tenants of some names."""
--- a/swiftdeck/chain/state.py
+++ b/swiftdeck/chain/state.py
@@ -8,6 +8,7 @@
 from swiftdeck.chain.outcomes import DIGEST_CHARS, Outcomes
 from swiftdeck.config.configuration import Configuration
 from swiftdeck.config.document import (
+    CORES,
     EDITION,
     GENERATION_FIELD,
     merge,
@@ -56,6 +57,15 @@
     return config if is_fault(config) else None
 
 
+def _reserved_field_fault(document: dict):
+    """Return the fault of a document of the own interface that gives what the cores keep, else None."""
+    edition = document.get("edition")
+    for name, entry in edition.items() if isinstance(edition, dict) else ():
+        if name == CORES or isinstance(entry, dict) and GENERATION_FIELD in entry:
+            return INVALID_CONFIG.with_reason(f"$.edition.{name}: is kept by the cores")
+    return None
+
+
 class ChainState:
     """A deterministic state machine: the same entries in the same order give the same state at each member.
 
@@ -140,7 +150,9 @@
         if change["op"] == "raise":
             return self._raise_weights(change["model"], change["weights"])
         delta = self._requested_delta(change)
-        return delta if is_fault(delta) else self._with_generation(delta)
+        if is_fault(delta):
+            return delta
+        return self._with_generation(delta, EDITION if "edition" in change else CORES)
 
     def _requested_delta(self, change):
         """Return the new values of the entries that an operator's change asks for, or a fault."""
@@ -149,6 +161,9 @@
             return fault
         op, document = change["op"], change["document"]
         if op in ("put", "patch"):
+            fault = _reserved_field_fault(document)
+            if fault is not None:
+                return fault
             return self.config.put(document) if op == "put" else self.config.patch(document)
         if op not in ("replace", "items"):
             return INVALID_CONFIG.with_reason(f"op `{op}` is not known")
@@ -159,10 +174,10 @@
             tables, change.get("ensure", {})
         )
 
-    def _with_generation(self, delta):
+    def _with_generation(self, delta, edition_name):
         """Return a checked change that keeps or raises the generation of shared prefixes.
 
-        Whatever an operator sends, the generation never falls.
+        It is kept in the entry `edition_name`. Whatever an operator sends, it never falls.
         """
         config, changed_config = self.config, self.config.apply(delta)
         generation = self.isolation.required_generation(
@@ -170,9 +185,9 @@
         )
         if generation == shared_cache_generation(changed_config.document):
             return delta
-        edition = changed_config.raws.get("edition", {}).get(EDITION, {"number": 0})
+        edition = changed_config.raws.get("edition", {}).get(edition_name, {"number": 0})
         return config.with_entry(
-            delta, "edition", EDITION, edition | {GENERATION_FIELD: generation}
+            delta, "edition", edition_name, edition | {GENERATION_FIELD: generation}
         )
 
     def _check_base(self, change):
--- a/swiftdeck/chain/tail_queries.py
+++ b/swiftdeck/chain/tail_queries.py
@@ -82,11 +82,11 @@
         )
 
     def on_config_ask(self, ask, sender):
-        """Return the configuration in force."""
+        """Return the configuration in force, as operators sent it."""
         if not self.chain.may_tell():
             return NOT_TAIL
         durable = self.chain.durable
-        return ConfigReturn(version=durable.version, document=durable.config.bytes())
+        return ConfigReturn(version=durable.version, document=durable.config.operators_bytes())
 
     def on_lease_ask(self, ask, sender):
         """Grant a router a lease, with the configuration update that it lacks, or take one back."""
--- a/swiftdeck/config/configuration.py
+++ b/swiftdeck/config/configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from swiftdeck.config.document import (
+    CORES,
     Document,
     Edition,
     Limits,
@@ -117,6 +118,15 @@
             self._bytes = msgspec.json.encode(self.raws)
         return self._bytes
 
+    def operators_bytes(self) -> bytes:
+        """Return the configuration as JSON as operators sent it, without the entry of the cores."""
+        edition = self.raws.get("edition", {})
+        if CORES not in edition:
+            return self.bytes()
+        own_entries = {name: entry for name, entry in edition.items() if name != CORES}
+        tables = {name: entries for name, entries in self.raws.items() if name != "edition"}
+        return msgspec.json.encode(tables | ({"edition": own_entries} if own_entries else {}))
+
     def digest(self) -> bytes:
         """Return a 16-byte digest that is equal only where all entries are equal."""
         return self.digest_sum.to_bytes(16, "big")
--- a/swiftdeck/config/document.py
+++ b/swiftdeck/config/document.py
@@ -13,6 +13,8 @@
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 # Names of the entries that are read from the tables `edition` and `limits`, one each.
 EDITION, LIMITS = "operator", "callers"
+CORES = "cores"
+"""The entry of the table `edition` that the cores keep for themselves; operators don't see it."""
 GENERATION_FIELD = "walls"
 """The field of an edition that has the generation of shared cached prefixes."""
 
@@ -189,8 +191,7 @@
 
 def shared_cache_generation(document: Document) -> int:
     """Return the generation that the names of shared cached prefixes include."""
-    edition = document.edition.get(EDITION)
-    return edition.shared_cache_generation if edition else 0
+    return max((each.shared_cache_generation for each in document.edition.values()), default=0)
 
 
 def told(error, path):
--- a/swiftdeck/control/archive.py
+++ b/swiftdeck/control/archive.py
@@ -78,7 +78,7 @@
                 and self._describe(repo[repo.refs[REF]])["version"] >= entry["version"]
             ):
                 return
-            document = msgspec.json.format(entry["document"].bytes(), indent=1) + b"\n"
+            document = msgspec.json.format(entry["document"].operators_bytes(), indent=1) + b"\n"
             blob, tree, commit = Blob.from_string(document), Tree(), Commit()
             tree.add(FILE_NAME, 0o100644, blob.id)
             author = re.sub(r"[<>\n\0]", " ", entry["author"]).strip() or "operator"
--- a/tests/chain/test_cache_isolation.py
+++ b/tests/chain/test_cache_isolation.py
@@ -9,7 +9,7 @@
 from swiftdeck.chain import cache_isolation
 from swiftdeck.chain.state import ChainState
 from swiftdeck.config.document import key_digest, shared_cache_generation
-from swiftdeck.fault import is_fault
+from swiftdeck.fault import INVALID_CONFIG, is_fault
 
 SHARES, ISOLATED = {"apart": False}, {"apart": True}
 
@@ -149,31 +149,32 @@
     # Guards against prefixes of an earlier generation that are found again.
     def test_no_change_of_an_operator_lowers_the_generation(self):
         self.items(a=ISOLATED)
-        edition = self.state.config.raws["edition"]["operator"]
         for op, document in (
-            ("patch", {"edition": {"operator": {"walls": None}}}),
-            ("patch", {"edition": {"operator": {"walls": 0}}}),
             ("patch", {"edition": {"operator": None}}),
             ("patch", {"edition": None}),
             ("put", {"tenants": tenants(b=SHARES)}),
-            (
-                "put",
-                {"tenants": tenants(b=SHARES), "edition": {"operator": edition | {"walls": 0}}},
-            ),
+            ("put", {"tenants": tenants(b=SHARES), "edition": {"operator": {"number": 9}}}),
         ):
             self.own(op, document)
             self.assertEqual(self.generation(), 1, (op, document))
-        self.own("patch", {"edition": {"operator": {"walls": 4}}})
-        self.assertEqual(self.generation(), 4)
+        self.items(c=SHARES)
+        self.items(c=ISOLATED)
+        self.assertEqual(self.generation(), 2)
 
-    # Guards against an operator who leaves no generation to rise to.
-    def test_a_generation_that_leaves_none_above_it_is_ignored(self):
+    # Guards against an operator who changes what the cores keep or leaves it nowhere to rise to.
+    def test_what_the_cores_keep_can_not_be_sent(self):
         self.items(a=ISOLATED)
-        for given in ((1 << 53) - 1, (1 << 31) + 1):
-            self.own("patch", {"edition": {"operator": {"walls": given}}})
-            self.assertEqual(self.generation(), 1)
-        self.items(b=ISOLATED)
-        self.assertEqual(self.generation(), 2)
+        for op, edition in (
+            ("patch", {"operator": {"walls": None}}),
+            ("patch", {"operator": {"walls": (1 << 53) - 1}}),
+            ("patch", {"cores": None}),
+            ("put", {"operator": {"number": 9, "walls": 0}}),
+            ("put", {"cores": {"number": 0}}),
+        ):
+            change = {"op": op, "document": {"edition": edition}, "id": "x"}
+            change |= {"t": "config", "author": "x", "base": self.state.stored.version}
+            fault = self.state.examine(change)
+            self.assertEqual(fault.code, INVALID_CONFIG.code, edition)
 
     # Guards against prefixes that stay shared when a tenant of the own interface is isolated.
     def test_changes_of_the_own_interface_raise_the_generation_too(self):
@@ -185,6 +186,20 @@
         self.own("put", {"tenants": tenants(a=SHARES, b=ISOLATED)})
         self.assertEqual(self.generation(), 2)
 
+    # Guards against a configuration that is read back otherwise than its operator sent it.
+    def test_operators_of_the_own_interface_read_back_what_they_sent(self):
+        self.state, self.entries = ChainState(), []
+        for document in (
+            {"tenants": tenants(a=SHARES, b=SHARES)},
+            {"tenants": tenants(a=ISOLATED, b=SHARES)},
+            {"tenants": tenants(b=SHARES), "edition": {"operator": {"number": 3}}},
+            {"tenants": tenants(b=ISOLATED), "edition": {"operator": {"number": 3}}},
+            {"tenants": tenants(b=ISOLATED)},
+        ):
+            self.own("put", document)
+            self.assertEqual(msgspec.json.decode(self.state.config.operators_bytes()), document)
+        self.assertEqual(self.generation(), 2)
+
     def test_members_and_copies_reach_the_same_state(self):
         for number in range(3):
             self.items(**{f"t{number}": SHARES, "a": ISOLATED if number % 2 else SHARES})
