Simulated runs in which tenants turn, and a check that knows when each is isolated

Scenario `tenants`: beside kills, cuts, freezes and drains, tenants become isolated and cease to be. The own interface's check apart_stays_apart knew one tenant that is isolated all the time; it goes by the changes now, as the stand-ins' WALL does, and as strict as before for that tenant.

--- a/swiftdeck/bench/rules/records.py
+++ b/swiftdeck/bench/rules/records.py
@@ -119,3 +119,28 @@
         return max(caps, default=NO_CAP)
 
     return cap_of
+
+
+def isolation_at(records, isolated_from_the_start):
+    """A function that tells whether each configuration that may be in force isolates a tenant.
+
+    These are the newest acknowledged one and those that were sent after it.
+    """
+    changes = defaultdict(list)
+    for item in of_kind(records, "change"):
+        for name, tenant in entries(item, "tenants").items():
+            if tenant and "apart" in tenant and item["status"] not in REFUSED:
+                asked_ms = item.get("askedMs", item["atMs"])
+                is_known = item["status"] == 200
+                ack_ms = item["atMs"] if is_known else FOREVER_MS
+                version = item["answer"]["version"] if is_known else FOREVER_MS
+                changes[name].append((version, asked_ms, ack_ms, tenant["apart"]))
+
+    def is_isolated(name, at_ms):
+        acknowledged_changes = [each for each in changes[name] if each[2] <= at_ms]
+        first = (0, 0, 0, name in isolated_from_the_start)
+        newest = max(acknowledged_changes, default=first)
+        later = [each for each in changes[name] if each > newest and each[1] <= at_ms]
+        return all(is_apart for _, _, _, is_apart in (newest, *later))
+
+    return is_isolated
--- a/swiftdeck/sim/faults/operator.py
+++ b/swiftdeck/sim/faults/operator.py
@@ -141,6 +141,14 @@
         )
         self.injector.log(f"rekey {tenant}")
 
+    def turn_tenant(self):
+        """Isolate a tenant that is not isolated from the start, or let it share prefixes again."""
+        site = self.cluster.site
+        tenant = self.injector.pick([name for name in site.keys if name != site.apart])
+        is_isolated = self.random.random() < 0.5
+        self.operator.patch({"tenants": {tenant: {"apart": is_isolated}}})
+        self.injector.log(f"turn {tenant}: isolated {is_isolated}")
+
     def route(self):
         """Add a route, or remove one that an earlier change added."""
         added = [
--- a/swiftdeck/sim/faults/scenarios.py
+++ b/swiftdeck/sim/faults/scenarios.py
@@ -65,6 +65,17 @@
         "freeze",
     ],
     "store": ["lose_store", "slow_links", "drain", "quirk"],
+    "tenants": [
+        "turn_tenant",
+        "turn_tenant",
+        "turn_tenant",
+        "kill_router",
+        "kill_keeper",
+        "kill_core",
+        "cut_router",
+        "freeze",
+        "drain",
+    ],
     "platform": [
         "lose_platform",
         "cut_platform",
@@ -77,7 +88,7 @@
 }
 SCENARIOS["mix"] = sorted(
     {name for names in SCENARIOS.values() for name in names}
-    - {"new_address", "roll_nodes", "roll_workers", "delay_messages"}
+    - {"new_address", "roll_nodes", "roll_workers", "delay_messages", "turn_tenant"}
 )
 
 EXPECTED_COUNTERS = {
@@ -94,6 +105,7 @@
     "operators": ["faults.200", "faults.201", "faults.101"],
     "weights": ["weightsAsked", "takeovers"],
     "store": ["fetches", "fetchesBounded"],
+    "tenants": ["takeovers", "looks.113"],
     "platform": ["listsFromNeighbours", "moves", "faults.114"],
     "mix": ["faults.130", "slotsReclaimed", "waits", "budgetRefusals"],
 }
