Routers keep sharing caches for 6 s after a renewal; an isolation waits for that

Cause: since a router whose lease has lapsed lets no tenant share cached parts, and leases lapse whenever the cores change their view.

Fix: sharing has a lease of its own, SHARING_LEASE_MS after a renewal. Only the acknowledgement of an isolation waits for its end, where a router neither confirms nor comes back as a new incarnation. What held before holds on: no request is sent on shared parts by a configuration from before an acknowledged isolation.

Tests: tests/chain/test_router_leases.py, CutRouterTest as it was.

--- a/swiftdeck/chain/router_leases.py
+++ b/swiftdeck/chain/router_leases.py
@@ -8,6 +8,12 @@
 from swiftdeck.wire.messages import LeaseAsk
 
 VERSIONS_REMEMBERED = 64
+SHARING_LEASE_MS = 6000
+"""How long after a renewal a router on the platform may let tenants share cached prefixes.
+
+Only the acknowledgement of an isolation waits for its end, so it is longer than other leases: a
+router doesn't lose its caches while the cores change their view.
+"""
 
 
 @attrs.define
@@ -23,6 +29,14 @@
     notified: int = 0
 
 
+@attrs.frozen
+class SharingLease:
+    """A router that may let tenants share cached prefixes, and the newest version that it confirmed."""
+
+    held: int
+    until_s: float
+
+
 class RouterLeases:
     """The configuration leases of this tail.
 
@@ -30,8 +44,9 @@
         holders: The routers, by name and incarnation.
         first_synced_s: When this tail first had a version on its disk, for the newest versions.
         serving_since_s: Since when this tail grants leases; those of the previous tail may outlast that.
+        sharing_leases: The routers that may share cached prefixes, by name and incarnation.
         generation: The generation of shared cached prefixes in the newest version that was recorded.
-        generation_since_s: When this tail first recorded it.
+        generation_version: The version with which it came, and `generation_since_s` when this tail had it first.
     """
 
     def __init__(self, lease_ms: int, ack_wait_ms: int):
@@ -39,7 +54,8 @@
         self.holders: dict[str, LeaseHolder] = {}
         self.first_synced_s: dict[int, float] = {}
         self.serving_since_s = 0.0
-        self.generation, self.generation_since_s = 0, -math.inf
+        self.sharing_leases: dict[str, SharingLease] = {}
+        self.generation, self.generation_version, self.generation_since_s = 0, 0, -math.inf
 
     def start(self) -> None:
         """Use the clock of the running event loop."""
@@ -48,11 +64,13 @@
     def begin(self, serving_since_s: float) -> None:
         """Reset for a new tail, which does not know the leases of the previous one."""
         self.serving_since_s, self.holders, self.first_synced_s = serving_since_s, {}, {}
+        self.sharing_leases = {}
 
     def record_version(self, version: int, generation: int) -> None:
         """Record when a version, and its generation of shared prefixes, were first synced to this tail's disk."""
         if generation != self.generation:
-            self.generation, self.generation_since_s = generation, self.loop.time()
+            self.generation, self.generation_version = generation, version
+            self.generation_since_s = self.loop.time()
         if version in self.first_synced_s:
             return
         self.first_synced_s[version] = self.loop.time()
@@ -63,15 +81,13 @@
         """Return whether every router that may hold a lease has confirmed a version.
 
         During the first `lease_ms` of this tail, unknown routers may hold leases of the previous one. If `ack_wait_ms`
-        is set, a version that this tail has had on disk for that long counts as confirmed, unless a tenant was isolated
-        of late: a router that doesn't know of that shares cached prefixes with it as long as its lease lasts.
+        is set, a version that this tail has had on disk for that long counts as confirmed.
         """
         now_s = self.loop.time()
+        if not self._is_isolation_obeyed():
+            return False
         first_synced_s = self._first_synced(version) if self.ack_wait_ms else None
-        is_waited_out = (
-            first_synced_s is not None and now_s >= first_synced_s + self.ack_wait_ms / 1000
-        )
-        if is_waited_out and now_s >= self._confirmations_needed_until_s():
+        if first_synced_s is not None and now_s >= first_synced_s + self.ack_wait_ms / 1000:
             return True
         if now_s < self.serving_since_s + self.lease_ms / 1000:
             return False
@@ -79,13 +95,20 @@
             holder.held >= version or holder.until_s <= now_s for holder in self.holders.values()
         )
 
-    def _confirmations_needed_until_s(self) -> float:
-        """Return until when a lease may last that was granted before shared prefixes got new names."""
-        lease_s = self.lease_ms / 1000
-        until_s = self.generation_since_s + lease_s
-        is_known_by_previous_tail = until_s <= self.serving_since_s
-        return (
-            until_s if is_known_by_previous_tail else max(until_s, self.serving_since_s + lease_s)
+    def _is_isolation_obeyed(self) -> bool:
+        """Return whether no router shares cached prefixes by a configuration from before the newest isolation.
+
+        Where `ack_wait_ms` is 0, routers send nothing without a lease, and each version waits for all of them.
+        """
+        now_s, sharing_s = self.loop.time(), SHARING_LEASE_MS / 1000
+        lapsed_s = self.generation_since_s + sharing_s
+        if not self.ack_wait_ms or lapsed_s <= max(now_s, self.serving_since_s):
+            return True
+        if now_s < self.serving_since_s + sharing_s:
+            return False
+        return all(
+            lease.held >= self.generation_version or lease.until_s <= now_s
+            for lease in self.sharing_leases.values()
         )
 
     def confirmation_deadline_s(self, version: int) -> float:
@@ -93,8 +116,8 @@
         first_synced_s = self._first_synced(version)
         if first_synced_s is None or not self.ack_wait_ms:
             return self.loop.time() + 1
-        waited_out_s = first_synced_s + self.ack_wait_ms / 1000
-        return max(waited_out_s, self._confirmations_needed_until_s())
+        deadline_s = first_synced_s + self.ack_wait_ms / 1000
+        return deadline_s if self._is_isolation_obeyed() else self.loop.time() + 1
 
     def _first_synced(self, version: int) -> float | None:
         times_s = (
@@ -115,11 +138,23 @@
         self.holders = {
             name: holder for name, holder in self.holders.items() if holder.until_s > now_s
         }
+        self._renew_sharing(ask.router, held)
         return held
 
+    def _renew_sharing(self, router: str, held: int) -> None:
+        """Renew the lease for sharing of a router, and drop those of its earlier incarnations."""
+        now_s, (name, _, _) = self.loop.time(), router.rpartition("/")
+        self.sharing_leases = {
+            other: lease
+            for other, lease in self.sharing_leases.items()
+            if lease.until_s > now_s and other.rpartition("/")[0] != name
+        }
+        self.sharing_leases[router] = SharingLease(held, now_s + SHARING_LEASE_MS / 1000)
+
     def hand_back(self, router: str) -> None:
         """Remove the lease of a router that hands it back."""
         self.holders.pop(router, None)
+        self.sharing_leases.pop(router, None)
 
     def take_unaware_addrs(self, version: int) -> list[str]:
         """Return the addresses of routers that do not know of a version yet, and mark these as notified."""
--- a/swiftdeck/gateway/proxied_request.py
+++ b/swiftdeck/gateway/proxied_request.py
@@ -383,11 +383,11 @@
 
         While the request waits, or between two attempts, its tenant may be removed, become isolated
         or cease to be. The request stays isolated once it was, as other routers may still obey the
-        configuration in which it is. Without a lease there may be a newer configuration that isolates
-        any tenant, so nothing is shared then.
+        configuration in which it is. Without the lease for sharing there may be a newer configuration
+        that isolates any tenant, so nothing is shared then.
         """
         self.is_isolated = self.is_isolated or self.gateway.isolates(self.tenant)
-        may_share = not self.is_isolated and self.gateway.lease.is_held()
+        may_share = not self.is_isolated and self.gateway.lease.may_share_caches()
         return None if may_share else self.tenant
 
     def _trace_attempt(self, worker, source, target):
--- a/swiftdeck/traffic/lease.py
+++ b/swiftdeck/traffic/lease.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from swiftdeck.chain.config_updates import unpack
+from swiftdeck.chain.router_leases import SHARING_LEASE_MS
 from swiftdeck.chain.weight_ages import WeightAges
 from swiftdeck.config.configuration import Configuration
 from swiftdeck.fault import INVALID_CONFIG, NO_LEASE, is_fault
@@ -59,6 +60,7 @@
         self.renew_ms = renew_ms
         self.router = f"{me.name}/{me.incarnation:x}"
         self.held, self.until_s, self.watchers = None, -1.0, []
+        self.sharing_until_s = -1.0
         self.peek_task = None
         self.waiters, self.stopping, self.needs_whole_config = [], False, False
         self.failures, self.peeks, self.routers = 0, False, 0
@@ -77,6 +79,10 @@
         """Whether calls may be served by the configuration held at this moment."""
         return self.held is not None and self.loop.time() < self.until_s
 
+    def may_share_caches(self) -> bool:
+        """Whether no newer configuration that isolates a tenant can be acknowledged at this moment."""
+        return self.held is not None and self.loop.time() < self.sharing_until_s
+
     def on_config_changed(self, message, sender):
         """Renew at once if a newer configuration was announced."""
         if self.held is None or message.version > self.held.version:
@@ -230,6 +236,9 @@
             return False
         if update.version >= held_version and update.lease_ms:
             self.until_s = max(self.until_s, sent_s + update.lease_ms / 1000 * 0.95)
+            self.sharing_until_s = max(
+                self.sharing_until_s, sent_s + SHARING_LEASE_MS / 1000 * 0.95
+            )
             waiters, self.waiters = self.waiters, []
             for waiter in waiters:
                 if not waiter.done():
@@ -298,7 +307,7 @@
 
     async def hand_back(self, within_ms=500):
         """Give up the lease, so that acknowledgements of changes need not wait for this router."""
-        self.stopping, self.until_s = True, -1.0
+        self.stopping, self.until_s, self.sharing_until_s = True, -1.0, -1.0
         self.task.cancel()
         if self.peek_task is not None:
             self.peek_task.cancel()
