Router leases: a renewal doesn't rebuild the table of leases for sharing

Read again after: each renewal went over all routers once more, with a split of each name, to drop earlier incarnations. A lease that an earlier incarnation hands back late ends nothing, as before.

The share of a lease that its holder uses stood twice as a number.

--- a/swiftdeck/chain/router_leases.py
+++ b/swiftdeck/chain/router_leases.py
@@ -16,6 +16,11 @@
 """
 
 
+def _name_of(router: str) -> str:
+    """Return the name of a router, which is told with its incarnation."""
+    return router.rpartition("/")[0]
+
+
 @attrs.define
 class LeaseHolder:
     """A router that may hold a lease for a configuration.
@@ -31,8 +36,12 @@
 
 @attrs.frozen
 class SharingLease:
-    """A router that may let tenants share cached prefixes, and the newest version that it confirmed."""
+    """A router that may let tenants share cached prefixes, and the newest version that it confirmed.
 
+    `router` is its name and incarnation.
+    """
+
+    router: str
     held: int
     until_s: float
 
@@ -44,7 +53,7 @@
         holders: The routers, by name and incarnation.
         first_synced_s: When this tail first had a version on its disk, for the newest versions.
         serving_since_s: Since when this tail grants leases; those of the previous tail may outlast that.
-        sharing_leases: The routers that may share cached prefixes, by name and incarnation.
+        sharing_leases: The newest incarnations that may share cached prefixes, by name; the oldest lease first.
         generation: The generation of shared cached prefixes in the newest version that was recorded.
         generation_version: The version with which it came, and `generation_since_s` when this tail had it first.
     """
@@ -142,19 +151,19 @@
         return held
 
     def _renew_sharing(self, router: str, held: int) -> None:
-        """Renew the lease for sharing of a router, and drop those of its earlier incarnations."""
-        now_s, (name, _, _) = self.loop.time(), router.rpartition("/")
-        self.sharing_leases = {
-            other: lease
-            for other, lease in self.sharing_leases.items()
-            if lease.until_s > now_s and other.rpartition("/")[0] != name
-        }
-        self.sharing_leases[router] = SharingLease(held, now_s + SHARING_LEASE_MS / 1000)
+        """Renew the lease for sharing of a router in place of that of its earlier incarnation."""
+        now_s, leases = self.loop.time(), self.sharing_leases
+        leases.pop(_name_of(router), None)
+        leases[_name_of(router)] = SharingLease(router, held, now_s + SHARING_LEASE_MS / 1000)
+        while leases[oldest := next(iter(leases))].until_s <= now_s:
+            del leases[oldest]
 
     def hand_back(self, router: str) -> None:
         """Remove the lease of a router that hands it back."""
         self.holders.pop(router, None)
-        self.sharing_leases.pop(router, None)
+        sharing_lease = self.sharing_leases.get(_name_of(router))
+        if sharing_lease is not None and sharing_lease.router == router:
+            del self.sharing_leases[_name_of(router)]
 
     def take_unaware_addrs(self, version: int) -> list[str]:
         """Return the addresses of routers that do not know of a version yet, and mark these as notified."""
--- a/swiftdeck/traffic/lease.py
+++ b/swiftdeck/traffic/lease.py
@@ -22,6 +22,8 @@
 
 RENEW_START_TIMEOUT_MS, RENEW_TIMEOUT_MS = 700, 3000
 """How long the tail may take to begin its answer, and to complete one that is still arriving."""
+USED_LEASE_SHARE = 0.95
+"""The share of a lease's length that its holder uses."""
 PEEK_PERIOD_S, PEEK_TIMEOUT_MS, PEEK_MORE_S = 0.15, 500, 0.05
 """Pause between two peeks, timeout of a request, and wait for further answers after the first."""
 
@@ -235,9 +237,9 @@
         ):
             return False
         if update.version >= held_version and update.lease_ms:
-            self.until_s = max(self.until_s, sent_s + update.lease_ms / 1000 * 0.95)
+            self.until_s = max(self.until_s, sent_s + update.lease_ms / 1000 * USED_LEASE_SHARE)
             self.sharing_until_s = max(
-                self.sharing_until_s, sent_s + SHARING_LEASE_MS / 1000 * 0.95
+                self.sharing_until_s, sent_s + SHARING_LEASE_MS / 1000 * USED_LEASE_SHARE
             )
             waiters, self.waiters = self.waiters, []
             for waiter in waiters:
--- a/tests/chain/test_router_leases.py
+++ b/tests/chain/test_router_leases.py
@@ -52,6 +52,19 @@
         self.renew("silent", 2, incarnation=2)
         self.assertEqual(self.in_force_since_s(2), 10.4)
 
+    # Guards against the late return of an earlier incarnation's lease that ends the present one's.
+    def test_a_late_hand_back_of_an_earlier_incarnation_ends_no_lease(self):
+        self.renew("silent", 1, incarnation=2)
+        self.leases.hand_back("silent/1")
+        self.leases.record_version(2, 1)
+        self.assertEqual(self.in_force_since_s(2), 16.0)
+        self.leases.hand_back("silent/2")
+
+    def test_leases_for_sharing_that_have_run_out_are_forgotten(self):
+        self.now_s = 16.1
+        self.renew("quick", 1)
+        self.assertEqual(list(self.leases.sharing_leases), ["quick"])
+
     def test_routers_that_all_confirm_hold_up_nothing(self):
         self.leases.record_version(2, 1)
         self.renew("silent", 2)
