--- a/swiftdeck/config/configuration.py
+++ b/swiftdeck/config/configuration.py
@@ -84,17 +84,19 @@
     entries, modulo 2**128; `size` is the approximate encoded size in bytes.
     """
 
-    __slots__ = ("raws", "document", "digest_sum", "size", "_bytes", "_next")
+    __slots__ = (
+        "raws",
+        "document",
+        "digest_sum",
+        "size",
+        "_bytes",
+        "_operators_bytes",
+        "_next",
+    )
 
     def __init__(self, raws, document, digest_sum=0, size=0):
-        self.raws, self.document, self.digest_sum, self.size, self._bytes, self._next = (
-            raws,
-            document,
-            digest_sum,
-            size,
-            None,
-            (None, None),
-        )
+        self.raws, self.document, self.digest_sum, self.size = raws, document, digest_sum, size
+        self._bytes, self._operators_bytes, self._next = None, None, (None, None)
 
     @classmethod
     def empty(cls):
@@ -120,6 +122,11 @@
 
     def operators_bytes(self) -> bytes:
         """Return the configuration as JSON as operators sent it, without the entry of the cores."""
+        if self._operators_bytes is None:
+            self._operators_bytes = self._encode_without_cores()
+        return self._operators_bytes
+
+    def _encode_without_cores(self) -> bytes:
         edition = self.raws.get("edition", {})
         if CORES not in edition:
             return self.bytes()
