Chain: a document that is no object is refused again

Since the look for fields that the cores keep took a `put` for an object without asking: the head's handler failed (AttributeError: 'list' object has no attribute 'get') where it had refused the change as invalid.

--- a/swiftdeck/chain/state.py
+++ b/swiftdeck/chain/state.py
@@ -59,7 +59,7 @@
 
 def _reserved_field_fault(document: dict):
     """Return the fault of a document of the own interface that gives what the cores keep, else None."""
-    edition = document.get("edition")
+    edition = document.get("edition") if isinstance(document, dict) else None
     for name, entry in edition.items() if isinstance(edition, dict) else ():
         if name == CORES or isinstance(entry, dict) and GENERATION_FIELD in entry:
             return INVALID_CONFIG.with_reason(f"$.edition.{name}: is kept by the cores")
--- a/tests/chain/test_cache_isolation.py
+++ b/tests/chain/test_cache_isolation.py
@@ -176,6 +176,12 @@
             fault = self.state.examine(change)
             self.assertEqual(fault.code, INVALID_CONFIG.code, edition)
 
+    # Guards against a head that fails on a document that is no object in place of refusing it.
+    def test_a_document_that_is_no_object_is_refused(self):
+        change = {"op": "put", "document": [], "id": "x", "base": self.state.stored.version}
+        fault = self.state.examine({"t": "config", "author": "x"} | change)
+        self.assertEqual(fault.code, INVALID_CONFIG.code)
+
     # Guards against prefixes that stay shared when a tenant of the own interface is isolated.
     def test_changes_of_the_own_interface_raise_the_generation_too(self):
         self.state, self.entries = ChainState(), []
